--- /dev/null
+++ b/ptentry/session.go
@@ -0,0 +1,495 @@
+package ptentry
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/primrosetiller/primrosetiller/ptadmin"
+	"github.com/primrosetiller/primrosetiller/ptconfig"
+	"github.com/primrosetiller/primrosetiller/ptid"
+	"github.com/primrosetiller/primrosetiller/ptjob"
+	"github.com/primrosetiller/primrosetiller/ptlink"
+	"github.com/primrosetiller/primrosetiller/ptmetric"
+	"github.com/primrosetiller/primrosetiller/ptplace"
+	"github.com/primrosetiller/primrosetiller/ptprofile"
+	"github.com/primrosetiller/primrosetiller/ptquota"
+	"github.com/primrosetiller/primrosetiller/ptreason"
+	"github.com/primrosetiller/primrosetiller/ptsched"
+	"github.com/primrosetiller/primrosetiller/ptsession"
+	"github.com/primrosetiller/primrosetiller/ptwire"
+)
+
+const (
+	greetingTimeout = 2 * time.Second
+	redialTimeout   = 300 * time.Millisecond
+	protocolVersion = 1
+	mostSlots       = 1 << 16
+	// heartbeatBudget is how many bytes a second an entry spends on heartbeats of
+	// all its sessions together; the interval grows with their number.
+	heartbeatBudget = 8 << 10
+	// heartbeatBytes is what one heartbeat and its acknowledgement cost.
+	heartbeatBytes = 96
+	// clockDrift is how much an offset between two clocks may have drifted, as a
+	// divisor of the time since it was taken.
+	clockDrift = 5000
+)
+
+// connKey is the context key of a session's connection.
+type connKey struct{}
+
+// link is one session with an agent. It implements ptsession.Handler.
+type link struct {
+	entry    *Entry
+	service  *service
+	greeting *ptwire.Greeting
+	session  *ptsession.Session
+	upstream *ptsched.Upstream
+
+	// offset is the agent's clock less ours, at most; measuredAt is when it was taken.
+	offset     atomic.Int64
+	measuredAt atomic.Int64
+	revision   atomic.Uint64
+	askedAt    atomic.Int64
+}
+
+func (link *link) name() ptid.AgentName { return ptid.AgentName(link.greeting.Agent) }
+
+func (link *link) agent() ptjob.Agent {
+	return ptjob.Agent{Name: link.name(), Incarnation: ptid.Incarnation(link.greeting.Incarnation)}
+}
+
+// agentInstant converts an instant of ours to the agent's clock, erring early:
+// the offset was measured as too low by the time that the frame was on its way.
+func (link *link) agentInstant(instant ptid.Instant) ptid.Instant {
+	if instant == ptid.Never {
+		return ptid.Never
+	}
+	return instant + ptid.Instant(link.offset.Load())
+}
+
+// measure takes the stamp of a frame. The highest offset is the closest one;
+// older ones lose what the clocks may have drifted since.
+func (link *link) measure(stamp int64, now ptid.Instant) {
+	if stamp == 0 {
+		return
+	}
+	age := int64(now) - link.measuredAt.Load()
+	measured, kept := stamp-int64(now), link.offset.Load()-age/clockDrift
+	if link.measuredAt.Load() == 0 || measured > kept {
+		link.offset.Store(measured)
+		link.measuredAt.Store(int64(now))
+	}
+}
+
+// Session implements the drpc service: it serves one agent until its session ends.
+func (entry *Entry) Session(stream ptwire.DRPCDispatcher_SessionStream) (err error) {
+	conn, _ := stream.Context().Value(connKey{}).(net.Conn)
+	if conn == nil {
+		return errors.New("a session needs its connection")
+	}
+	guard := time.AfterFunc(greetingTimeout, func() { _ = conn.Close() })
+	defer guard.Stop()
+	frame, err := stream.Recv()
+	if err != nil {
+		return errors.Wrap(err, "wait for the greeting")
+	}
+	joining, err := entry.welcome(stream, conn, frame)
+	if err != nil {
+		return err
+	}
+	guard.Stop()
+	ended := joining.session.Run()
+	entry.leave(joining, ended)
+	return nil
+}
+
+func checkGreeting(greeting *ptwire.Greeting) (problem string) {
+	switch {
+	case greeting == nil:
+		return "the first frame has no greeting"
+	case greeting.Protocol != protocolVersion:
+		return "unknown protocol version"
+	case !ptprofile.IsName(greeting.Agent) || !ptprofile.IsName(greeting.Service):
+		return "the agent or its service has no proper name"
+	case greeting.Slots == 0 || greeting.Slots > mostSlots:
+		return "the number of slots is out of range"
+	case greeting.Incarnation == 0 || greeting.Session == 0:
+		return "the incarnation or the session number is missing"
+	default:
+		return ""
+	}
+}
+
+// welcome makes the greeting agent's session the present one.
+func (entry *Entry) welcome(stream ptwire.DRPCDispatcher_SessionStream, conn net.Conn, frame *ptwire.Frame) (joining *link, err error) {
+	entry.count.control[controlGreeting].Add(2)
+	greeting := frame.Greeting
+	problem := checkGreeting(greeting)
+	if problem != "" {
+		_ = stream.Send(&ptwire.Frame{Welcome: &ptwire.Welcome{Entry: string(entry.setting.Name), Refused: problem}})
+		return nil, errors.Wrap(ptsession.ErrProtocol, problem)
+	}
+	joining = &link{entry: entry, greeting: greeting, service: entry.service(ptid.ServiceName(greeting.Service))}
+	joining.measure(frame.AgentClockNanos, entry.deps.Clock.Now())
+	joining.revision.Store(frame.Revision)
+	interval := entry.heartbeatInterval()
+	joining.session = ptsession.New(ptlink.EntrySide, entry.deps.Clock, stream, func() { _ = conn.Close() }, interval, joining)
+	if problem := entry.register(joining); problem != "" {
+		_ = stream.Send(&ptwire.Frame{Welcome: &ptwire.Welcome{Entry: string(entry.setting.Name), Refused: problem}})
+		return nil, errors.New(problem)
+	}
+	err = stream.Send(&ptwire.Frame{Welcome: &ptwire.Welcome{
+		Entry: string(entry.setting.Name), Incarnation: uint64(entry.incarnation), Session: greeting.Session,
+		Placement: string(entry.setting.Placement), HeartbeatIntervalNanos: int64(interval), Entries: entry.entryAddresses(),
+	}})
+	if err != nil {
+		joining.session.Close(err)
+	}
+	joining.join(frame)
+	return joining, nil
+}
+
+// register replaces the older session of an agent, or says why it does not.
+func (entry *Entry) register(joining *link) (problem string) {
+	entry.mu.Lock()
+	previous := entry.links[joining.name()]
+	if previous != nil {
+		known := previous.greeting
+		switch {
+		case known.Incarnation > joining.greeting.Incarnation:
+			problem = "a newer incarnation of the agent has a session"
+		case known.Incarnation == joining.greeting.Incarnation && known.Session >= joining.greeting.Session:
+			problem = "a newer session of the agent is open"
+		}
+	}
+	if problem == "" {
+		entry.links[joining.name()] = joining
+		entry.keepersStale = true
+	}
+	entry.mu.Unlock()
+	if problem == "" && previous != nil {
+		previous.session.Close(errReplaced)
+	}
+	return problem
+}
+
+var errReplaced = errors.New("the session was replaced by a newer one")
+
+// heartbeatInterval grows with the number of sessions, so that their heartbeats
+// stay within the budget.
+func (entry *Entry) heartbeatInterval() (interval time.Duration) {
+	entry.mu.Lock()
+	sessions := len(entry.links) + 1
+	entry.mu.Unlock()
+	return max(ptlink.HeartbeatInterval, time.Duration(sessions)*heartbeatBytes*time.Second/heartbeatBudget)
+}
+
+// join takes the upstream into the scheduler and asks what became of the tasks
+// that were sent over an earlier session.
+func (link *link) join(frame *ptwire.Frame) {
+	service, greeting, now := link.service, link.greeting, link.entry.deps.Clock.Now()
+	service.mu.Lock()
+	defer service.mu.Unlock()
+	agent := link.agent()
+	upstream, orphans := service.sched.Join(agent.Name, agent.Incarnation, int(greeting.Slots), link.entry.distance(greeting), now)
+	link.upstream = upstream
+	service.links[upstream] = link
+	service.sched.Rank(link.entry.rank())
+	service.sched.Heard(upstream, ptsched.Frame{
+		Window: int(frame.Window), Outstanding: int(frame.Outstanding), Busy: int(frame.Busy), Leaving: frame.Leaving,
+	}, now)
+	service.stop(link, link.entry.follower.State())
+	service.giveUp(agent.Name, orphans)
+	link.resolveSent(now)
+	service.place(now)
+}
+
+// giveUp ends the tasks of an incarnation that is gone as unknown. The caller
+// holds the lock.
+func (service *service) giveUp(name ptid.AgentName, orphans map[ptid.TaskID]ptsched.Sent) {
+	for id, sent := range orphans {
+		service.entry.ledger.Release(sent.Job.Profile, sent.Job.Team)
+		service.endSpan(id, string(ptreason.AgentLost))
+		job := service.entry.jobs.get(id.Job)
+		if job == nil {
+			continue
+		}
+		change := job.LostBy(id.Index, name, sent.Attempt, ptreason.AgentLost)
+		service.changed(job, change, ptreason.SiblingFailed, false)
+	}
+}
+
+// resolveSent asks about every task that an earlier session left open.
+func (link *link) resolveSent(now ptid.Instant) {
+	var asks []*ptwire.Resolve
+	for id, sent := range link.upstream.Sent {
+		job := link.entry.jobs.get(id.Job)
+		if job == nil || now >= job.Deadline {
+			continue
+		}
+		asks = append(asks, &ptwire.Resolve{
+			Job: string(id.Job), Index: uint32(id.Index), Attempt: uint32(sent.Attempt),
+			StartByNanos: int64(link.agentInstant(job.StartBy)),
+		})
+	}
+	if len(asks) > 0 {
+		link.session.Post(func(frame *ptwire.Frame) { frame.Resolves = append(frame.Resolves, asks...) })
+	}
+}
+
+// leave handles the end of a session.
+func (entry *Entry) leave(left *link, cause error) {
+	name := ptsession.Cause(cause)
+	if errors.Is(cause, errReplaced) {
+		name = "replaced"
+	}
+	entry.deps.Metrics.Counter(ptmetric.SessionEnds, "cause", name).Inc()
+	entry.deps.Log.Info("session ended", "agent", left.name(), "session", left.greeting.Session, "cause", name)
+	entry.mu.Lock()
+	if entry.links[left.name()] == left {
+		delete(entry.links, left.name())
+		entry.keepersStale = true
+	}
+	entry.mu.Unlock()
+	service := left.service
+	service.mu.Lock()
+	if service.links[left.upstream] == left {
+		delete(service.links, left.upstream)
+		service.sched.Lose(left.upstream)
+	}
+	service.mu.Unlock()
+	if name == "silent" || name == "protocol" {
+		entry.askToRedial(left)
+	}
+}
+
+// askToRedial tells an agent, at the address that it announced, that its session
+// is dead. The agent may not have noticed, where only one direction is cut.
+func (entry *Entry) askToRedial(left *link) {
+	if left.greeting.AdminAddress == "" {
+		return
+	}
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.SetRequestURI("http://" + left.greeting.AdminAddress + ptadmin.RedialPath)
+	request.URI().QueryArgs().Set(ptadmin.RedialEntry, string(entry.setting.Name))
+	if err := fasthttp.DoTimeout(request, response, redialTimeout); err != nil {
+		entry.deps.Log.Info("the agent can't be asked to dial anew", "agent", left.name(), "error", err.Error())
+	}
+}
+
+// distance tells how far an agent is.
+func (entry *Entry) distance(greeting *ptwire.Greeting) ptplace.Distance {
+	switch {
+	case greeting.AvailabilityZone == string(entry.setting.Zone):
+		return ptplace.SameZone
+	case greeting.Region == string(entry.setting.Region):
+		return ptplace.SameRegion
+	default:
+		return ptplace.OtherRegion
+	}
+}
+
+// stop follows the declared state of the link's upstream. The caller holds the lock.
+func (service *service) stop(link *link, state *ptconfig.State) {
+	declared := state.UpstreamState(link.name())
+	service.sched.Stop(link.upstream, declared != ptprofile.Active)
+	link.session.Post(func(frame *ptwire.Frame) {
+		frame.UpstreamState = &ptwire.UpstreamState{State: string(declared), Revision: uint64(state.Revision)}
+	})
+}
+
+// configured tells the agent what a new configuration means for its upstream.
+func (link *link) configured(state *ptconfig.State) {
+	link.service.mu.Lock()
+	defer link.service.mu.Unlock()
+	if link.service.links[link.upstream] != link || state.ChangedAt[ptconfig.UpstreamKey(link.name())] == 0 {
+		return
+	}
+	link.service.stop(link, state)
+	link.service.place(link.entry.deps.Clock.Now())
+}
+
+// Stamp implements [ptsession.Handler].
+func (link *link) Stamp(_ *ptsession.Session, frame *ptwire.Frame) {
+	frame.Revision = uint64(link.entry.follower.State().Revision)
+	link.countSent(frame)
+	link.service.mu.Lock()
+	defer link.service.mu.Unlock()
+	waiting, first := link.service.sched.Waiting()
+	frame.Queued, frame.FirstOrderNanos = uint32(waiting), int64(link.agentInstant(first))
+}
+
+func (link *link) countSent(frame *ptwire.Frame) {
+	control := link.entry.count.control
+	switch {
+	case frame.Sequence == 0:
+		control[controlAck].Inc()
+	case frame.Configuration != nil || frame.ConfigurationQuery != nil || frame.UpstreamState != nil:
+		control[controlConfiguration].Inc()
+	case len(frame.QuotaClaims) > 0:
+		control[controlQuota].Inc()
+	}
+}
+
+func (link *link) countReceived(frame *ptwire.Frame) {
+	count := &link.entry.count
+	switch {
+	case frame.Grant:
+		count.grant.Inc()
+	case frame.Recall:
+		count.recall.Inc()
+		count.wasted[kindRecall].Inc()
+	case frame.Sequence == 0:
+		count.control[controlAck].Inc()
+	case frame.Heartbeat:
+		count.control[controlHeartbeat].Inc()
+	case frame.Configuration != nil || frame.ConfigurationQuery != nil:
+		count.control[controlConfiguration].Inc()
+	case len(frame.QuotaShares) > 0:
+		count.control[controlQuota].Inc()
+	}
+}
+
+// Delivered implements [ptsession.Handler]. Entries send nothing that they wait for.
+func (link *link) Delivered(*ptsession.Session, []ptid.TaskID) {}
+
+// Receive implements [ptsession.Handler].
+func (link *link) Receive(_ *ptsession.Session, frame *ptwire.Frame) {
+	now := link.entry.deps.Clock.Now()
+	link.measure(frame.AgentClockNanos, now)
+	link.countReceived(frame)
+	link.exchangeConfiguration(frame, now)
+	for _, share := range frame.QuotaShares {
+		link.entry.ledger.SetShare(ptquota.Account(share.Account), int(share.Count))
+	}
+	link.service.receive(link, frame)
+}
+
+// exchangeConfiguration answers an agent's question for the configuration, and
+// asks for it where the agent's is newer: then the log is down and this entry has
+// restarted.
+func (link *link) exchangeConfiguration(frame *ptwire.Frame, now ptid.Instant) {
+	entry := link.entry
+	if frame.Configuration != nil {
+		entry.takeConfiguration(frame.Configuration)
+	}
+	own := entry.follower.State()
+	if query := frame.ConfigurationQuery; query != nil && uint64(own.Revision) > query.FromRevision {
+		if configuration := entry.configuration(); configuration != nil {
+			link.session.Post(func(frame *ptwire.Frame) { frame.Configuration = configuration })
+		}
+	}
+	link.revision.Store(frame.Revision)
+	if frame.Revision > uint64(own.Revision) && int64(now)-link.askedAt.Load() > int64(time.Second) {
+		link.askedAt.Store(int64(now))
+		link.session.Post(func(frame *ptwire.Frame) {
+			frame.ConfigurationQuery = &ptwire.ConfigurationQuery{FromRevision: uint64(own.Revision)}
+		})
+	}
+}
+
+func (entry *Entry) takeConfiguration(offered *ptwire.Configuration) {
+	state, err := ptconfig.DecodeSnapshot(offered.Snapshot)
+	if err != nil {
+		entry.deps.Log.Info("a peer sent a configuration that can't be read", "error", err.Error())
+		return
+	}
+	entry.follower.Offer(state)
+}
+
+// configuration returns the state in force as a message, nil where there is none.
+func (entry *Entry) configuration() *ptwire.Configuration {
+	state := entry.follower.State()
+	if state.Revision == 0 {
+		return nil
+	}
+	snapshot, err := ptconfig.EncodeSnapshot(state)
+	if err != nil {
+		return nil
+	}
+	return &ptwire.Configuration{Revision: uint64(state.Revision), Snapshot: snapshot}
+}
+
+// sendClaims sends the quota claims that are due to their keepers.
+func (entry *Entry) sendClaims() {
+	entry.mu.Lock()
+	stale := entry.keepersStale
+	entry.keepersStale = false
+	entry.mu.Unlock()
+	if stale {
+		entry.chooseKeepers()
+	}
+	for _, claim := range entry.ledger.Claims(false) {
+		entry.sendClaim(claim, false)
+	}
+}
+
+// chooseKeepers finds the keepers anew after agents have come or gone, and claims
+// at once from those that have changed.
+func (entry *Entry) chooseKeepers() {
+	entry.mu.Lock()
+	before := entry.keepers
+	entry.keepers = make(map[ptquota.Account]ptid.AgentName, len(before))
+	entry.mu.Unlock()
+	for _, claim := range entry.ledger.Claims(true) {
+		previous, known := before[claim.Account]
+		name := entry.keeper(claim.Account)
+		entry.sendClaim(claim, known && previous != "" && previous != name)
+	}
+}
+
+func (entry *Entry) sendClaim(claim ptquota.Claim, moved bool) {
+	name := entry.keeper(claim.Account)
+	entry.mu.Lock()
+	link := entry.links[name]
+	entry.mu.Unlock()
+	if link == nil {
+		return
+	}
+	message := &ptwire.QuotaClaim{
+		Account: string(claim.Account), Limit: uint32(claim.Limit), Want: uint32(claim.Want),
+		Holding: uint32(claim.Holding), Moved: moved,
+	}
+	link.session.Post(func(frame *ptwire.Frame) { frame.QuotaClaims = append(frame.QuotaClaims, message) })
+}
+
+// keeper returns the agent that keeps an account; it is empty without agents.
+func (entry *Entry) keeper(account ptquota.Account) (name ptid.AgentName) {
+	entry.mu.Lock()
+	defer entry.mu.Unlock()
+	name, known := entry.keepers[account]
+	if !known {
+		names := make([]ptid.AgentName, 0, len(entry.links))
+		for agent := range entry.links {
+			names = append(names, agent)
+		}
+		name = ptquota.KeeperOf(account, names)
+		entry.keepers[account] = name
+	}
+	return name
+}
+
+// Job implements the drpc service for peers.
+func (entry *Entry) Job(ctx context.Context, query *ptwire.JobQuery) (reply *ptwire.JobReply, err error) {
+	return entry.answerPeer(ctx, query)
+}
+
+// Peer implements the drpc service: it says who answers here.
+func (entry *Entry) Peer(_ context.Context, query *ptwire.PeerQuery) (reply *ptwire.PeerReply, err error) {
+	reply = &ptwire.PeerReply{
+		Entry: string(entry.setting.Name), Incarnation: uint64(entry.incarnation), Entries: entry.entryAddresses(),
+		AgentsAddress: entry.setting.AgentsListen,
+	}
+	if query.Configuration && uint64(entry.follower.State().Revision) > query.KnownRevision {
+		reply.Configuration = entry.configuration()
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/ptentry/submit.go
@@ -0,0 +1,174 @@
+package ptentry
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/primrosetiller/primrosetiller/ptid"
+	"github.com/primrosetiller/primrosetiller/ptjob"
+	"github.com/primrosetiller/primrosetiller/ptmetric"
+	"github.com/primrosetiller/primrosetiller/ptorder"
+	"github.com/primrosetiller/primrosetiller/ptprofile"
+	"github.com/primrosetiller/primrosetiller/ptreason"
+)
+
+// Submission is what a caller asks for.
+type Submission struct {
+	Profile ptid.ProfileName
+	Key     ptid.SubmissionKey
+	// Deadline is the caller's own; zero means none.
+	Deadline    time.Time
+	Tasks       []ptjob.Payload
+	Traceparent string
+}
+
+// NotRun is the error of a submission that was refused: nothing has started.
+type NotRun struct {
+	Reason     ptreason.Reason
+	Message    string
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (refusal *NotRun) Error() string {
+	return "not run: " + string(refusal.Reason) + ": " + refusal.Message
+}
+
+func (entry *Entry) refuse(reason ptreason.Reason, retryAfter time.Duration, message string) *NotRun {
+	entry.deps.Metrics.Counter(ptmetric.Refusals, "reason", string(reason)).Inc()
+	if message == "" {
+		known, _ := ptreason.Lookup(reason)
+		message = known.Title
+	}
+	return &NotRun{Reason: reason, Message: message, RetryAfter: retryAfter}
+}
+
+const unavailableRetry = 2 * time.Second
+
+// Ticket is an accepted submission: the caller waits for Done.
+type Ticket struct {
+	entry *Entry
+	job   *heldJob
+}
+
+// Job returns the id of the job.
+func (ticket *Ticket) Job() ptid.JobID { return ticket.job.ID }
+
+// Done is closed when the job has ended.
+func (ticket *Ticket) Done() <-chan struct{} { return ticket.job.Done() }
+
+// Outcome returns the end of the job; it must have ended.
+func (ticket *Ticket) Outcome() ptjob.Outcome { return ticket.job.Outcome() }
+
+// Cancel withdraws the job.
+func (ticket *Ticket) Cancel() { ticket.job.service.cancel(ticket.job) }
+
+// profile returns the profile of a submission after the checks that need no queue.
+func (entry *Entry) profile(submission *Submission) (profile ptprofile.Profile, refusal *NotRun) {
+	state := entry.follower.State()
+	if entry.draining.Load() {
+		return profile, entry.refuse(ptreason.ShuttingDown, unavailableRetry, "")
+	}
+	if state.Revision == 0 {
+		return profile, entry.refuse(ptreason.NoConfiguration, unavailableRetry, "")
+	}
+	profile, known := state.Profiles[submission.Profile]
+	switch {
+	case !known:
+		return profile, entry.refuse(ptreason.UnknownProfile, 0, "no profile is named "+string(submission.Profile))
+	case len(submission.Tasks) == 0:
+		return profile, entry.refuse(ptreason.BadInput, 0, "tasks: at least one is needed")
+	case len(submission.Tasks) > profile.MaxTasks:
+		return profile, entry.refuse(ptreason.TooManyTasks, 0, "")
+	case !submission.Deadline.IsZero() && !submission.Deadline.After(time.Now()):
+		return profile, entry.refuse(ptreason.DeadlinePassed, 0, "")
+	case profile.Submissions == ptprofile.Recorded && submission.Key == "":
+		return profile, entry.refuse(ptreason.SubmissionKeyMissing, 0, "")
+	default:
+		return profile, nil
+	}
+}
+
+// Submit takes a job in. The error is a [*NotRun].
+func (entry *Entry) Submit(submission *Submission) (ticket *Ticket, err error) {
+	profile, refusal := entry.profile(submission)
+	if refusal != nil {
+		return nil, refusal
+	}
+	return entry.admit(entry.newJob(submission, profile))
+}
+
+func (entry *Entry) newJob(submission *Submission, profile ptprofile.Profile) *heldJob {
+	now := entry.deps.Clock.Now()
+	id := ptid.NewJobID(entry.setting.Name, entry.incarnation, entry.sequence.Add(1))
+	startBy := now.Add(profile.QueueFor)
+	deadline := startBy.Add(profile.RunFor)
+	if !submission.Deadline.IsZero() {
+		deadline = min(deadline, entry.deps.Clock.At(submission.Deadline))
+		startBy = min(startBy, deadline)
+	}
+	return &heldJob{
+		Job: ptjob.New(ptjob.Spec{
+			ID: id, Profile: profile, Tasks: submission.Tasks, SubmittedAt: now,
+			StartBy: startBy, Deadline: deadline, Traceparent: submission.Traceparent,
+		}),
+		order: &ptorder.Job{
+			ID: id, Profile: profile.Name, Team: profile.Team, SubmittedAt: now, StartBy: startBy, Tasks: len(submission.Tasks),
+		},
+	}
+}
+
+// admit gives a job to its service.
+func (entry *Entry) admit(job *heldJob) (ticket *Ticket, err error) {
+	now := entry.deps.Clock.Now()
+	job.service = entry.service(job.Profile.Service)
+	job.timer = time.AfterFunc(job.StartBy.Sub(now), func() {
+		job.service.startDeadline(job)
+		entry.armDeadline(job)
+	})
+	if refusal := job.service.submit(job); refusal.Reason != "" {
+		job.timer.Stop()
+		return nil, entry.refuse(refusal.Reason, refusal.RetryAfter, "")
+	}
+	if !entry.ledger.Allows(job.Profile.Name, job.Profile.Team) {
+		entry.sendClaims()
+	}
+	return &Ticket{entry: entry, job: job}, nil
+}
+
+// armDeadline waits for the job's deadline after its start deadline has passed.
+func (entry *Entry) armDeadline(job *heldJob) {
+	select {
+	case <-job.Done():
+		return
+	default:
+	}
+	wait := max(0, job.Deadline.Sub(entry.deps.Clock.Now()))
+	deadline := time.AfterFunc(wait, func() { job.service.deadline(job) })
+	go func() {
+		<-job.Done()
+		deadline.Stop()
+	}()
+}
+
+// ErrUnknownJob says that this incarnation does not know a job.
+var ErrUnknownJob = errors.New("no such job")
+
+// Lookup returns the ticket of a job of this entry.
+func (entry *Entry) Lookup(id ptid.JobID) (ticket *Ticket, err error) {
+	job := entry.jobs.get(id)
+	if job == nil {
+		return nil, ErrUnknownJob
+	}
+	return &Ticket{entry: entry, job: job}, nil
+}
+
+// Progress returns how many tasks of a job are in each state.
+func (ticket *Ticket) Progress() map[ptjob.State]int { return ticket.job.Progress() }
+
+// Kept returns the end of a job that may have been over for a while. whole is
+// false where its answers are no longer kept.
+func (ticket *Ticket) Kept() (outcome ptjob.Outcome, whole bool) {
+	return ticket.entry.jobs.outcome(ticket.job)
+}
--- /dev/null
+++ b/pthealth/pthealth.go
@@ -0,0 +1,202 @@
+// Package pthealth decides from answers alone which upstreams get no work. It
+// has no I/O and sends no messages.
+//
+// # How it works
+//
+//  1. An upstream goes into quarantine after [StreakLimit] failures in a row, after
+//     [SlowLimit] answers in a row that took [SlowFactor] times the learned run
+//     time of their profile, or where its oldest task is out for [HangFactor] times
+//     the learned run time (at least [HangAfter]) and nothing has come back since.
+//  2. A quarantine ends with a probe: a single real task. Its success readmits the
+//     upstream; its failure doubles the wait, up to [LongestQuarantine].
+//  3. At most [MostQuarantined] of a service's slots are in quarantine. Where more
+//     upstreams fail, the cause lies elsewhere, and taking them out would only move
+//     the load to the rest. So upstreams that are all bad at once all stay.
+//  4. Run times are learned for each profile; declared ones are not used.
+//
+// A black hole therefore fails at most StreakLimit tasks and what it had
+// outstanding, for each entry, and one more for each probe.
+//
+// # Usage
+//
+//	tracker.Answered(upstream, profile, run, now)
+//	tracker.Failed(upstream, now)
+//	switch tracker.Status(upstream, now) { … }
+package pthealth
+
+import (
+	"time"
+
+	"github.com/primrosetiller/primrosetiller/ptid"
+)
+
+const (
+	// StreakLimit is how many failures in a row lead to quarantine.
+	StreakLimit = 5
+	// SlowLimit is how many slow answers in a row lead to quarantine.
+	SlowLimit = 12
+	// SlowFactor is how much slower than learned an answer is slow.
+	SlowFactor = 5
+	// HangFactor is how much longer than learned a task may be out.
+	HangFactor = 20
+	// HangAfter is the least time after which an upstream can count as hanging.
+	HangAfter = 2 * time.Second
+	// FirstQuarantine is the length of the first quarantine.
+	FirstQuarantine = 2 * time.Second
+	// LongestQuarantine bounds the doubling.
+	LongestQuarantine = time.Minute
+	// MostQuarantined is the largest part of the slots in quarantine, as a divisor.
+	MostQuarantined = 3
+	// learnRate is the weight of the newest run time.
+	learnRate = 0.05
+	// slowFloor is the run time in seconds below which nothing counts as slow.
+	slowFloor = 0.05
+)
+
+// Status is what an upstream may get.
+type Status uint8
+
+const (
+	// Healthy upstreams get work.
+	Healthy Status = iota
+	// Quarantined upstreams get none.
+	Quarantined
+	// Probing upstreams get a single task.
+	Probing
+)
+
+type upstream struct {
+	slots      int
+	failures   int
+	slow       int
+	until      ptid.Instant
+	length     time.Duration
+	quarantine bool
+}
+
+// Tracker follows the upstreams of one service. It is not safe for concurrent use.
+type Tracker struct {
+	upstreams map[ptid.AgentName]*upstream
+	learned   map[ptid.ProfileName]float64
+}
+
+// New returns a tracker without upstreams.
+func New() *Tracker {
+	return &Tracker{upstreams: make(map[ptid.AgentName]*upstream), learned: make(map[ptid.ProfileName]float64)}
+}
+
+// Join adds an upstream, as healthy. What is known of its name is forgotten: a
+// new incarnation starts anew.
+func (tracker *Tracker) Join(name ptid.AgentName, slots int) {
+	tracker.upstreams[name] = &upstream{slots: slots, length: FirstQuarantine}
+}
+
+// Leave forgets an upstream.
+func (tracker *Tracker) Leave(name ptid.AgentName) { delete(tracker.upstreams, name) }
+
+// Learned returns the learned run time of a profile; zero where there is none.
+func (tracker *Tracker) Learned(profile ptid.ProfileName) time.Duration {
+	return time.Duration(tracker.learned[profile] * float64(time.Second))
+}
+
+// Answered records a whole answer and how long its task ran.
+func (tracker *Tracker) Answered(name ptid.AgentName, profile ptid.ProfileName, run time.Duration, now ptid.Instant) {
+	seconds, known := tracker.learned[profile]
+	slow := known && run.Seconds() > slowFloor && run.Seconds() > SlowFactor*seconds
+	tracker.learn(profile, run.Seconds(), known)
+	found := tracker.upstreams[name]
+	if found == nil {
+		return
+	}
+	found.failures = 0
+	if !slow {
+		found.slow = 0
+		found.quarantine, found.length = false, FirstQuarantine
+		return
+	}
+	found.slow++
+	if found.slow >= SlowLimit || found.quarantine {
+		tracker.isolate(found, now)
+	}
+}
+
+func (tracker *Tracker) learn(profile ptid.ProfileName, seconds float64, known bool) {
+	if !known {
+		tracker.learned[profile] = seconds
+		return
+	}
+	tracker.learned[profile] += learnRate * (seconds - tracker.learned[profile])
+}
+
+// Failed records a task that failed at an upstream, or that it could not take.
+func (tracker *Tracker) Failed(name ptid.AgentName, now ptid.Instant) {
+	found := tracker.upstreams[name]
+	if found == nil {
+		return
+	}
+	found.failures++
+	if found.failures >= StreakLimit || found.quarantine {
+		tracker.isolate(found, now)
+	}
+}
+
+// Outstanding tells of the oldest task that is out at an upstream since it was
+// last heard of. The owner calls it at a steady pace.
+func (tracker *Tracker) Outstanding(name ptid.AgentName, profile ptid.ProfileName, since, now ptid.Instant) {
+	found := tracker.upstreams[name]
+	if found == nil || found.quarantine {
+		return
+	}
+	limit := max(HangAfter, HangFactor*tracker.Learned(profile))
+	if now.Sub(since) > limit {
+		tracker.isolate(found, now)
+	}
+}
+
+func (tracker *Tracker) isolate(found *upstream, now ptid.Instant) {
+	if found.quarantine {
+		if now < found.until {
+			return
+		}
+		found.length = min(2*found.length, LongestQuarantine)
+	} else if !tracker.mayIsolate(found) {
+		return
+	}
+	found.quarantine = true
+	found.until = now.Add(found.length)
+}
+
+// mayIsolate keeps rule 3.
+func (tracker *Tracker) mayIsolate(candidate *upstream) bool {
+	all, isolated := 0, candidate.slots
+	for _, other := range tracker.upstreams {
+		all += other.slots
+		if other.quarantine {
+			isolated += other.slots
+		}
+	}
+	return isolated*MostQuarantined <= all
+}
+
+// Status returns what an upstream may get now.
+func (tracker *Tracker) Status(name ptid.AgentName, now ptid.Instant) Status {
+	found := tracker.upstreams[name]
+	switch {
+	case found == nil || !found.quarantine:
+		return Healthy
+	case now < found.until:
+		return Quarantined
+	default:
+		return Probing
+	}
+}
+
+// Isolated returns how many upstreams are in quarantine.
+func (tracker *Tracker) Isolated() (count int) {
+	for _, found := range tracker.upstreams {
+		if found.quarantine {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/ptquota/ledger.go
@@ -0,0 +1,136 @@
+package ptquota
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/primrosetiller/primrosetiller/ptassert"
+	"github.com/primrosetiller/primrosetiller/ptid"
+	"github.com/primrosetiller/primrosetiller/ptprofile"
+)
+
+// entryAccount is the entry's side of one account.
+type entryAccount struct {
+	limit   atomic.Int64
+	share   atomic.Int64
+	running atomic.Int64
+	waiting atomic.Int64
+	// claimed is what the keeper was last told to be wanted.
+	claimed Claim
+}
+
+// Ledger is the entry's side of all accounts. It is safe for concurrent use.
+type Ledger struct {
+	mu       sync.RWMutex
+	accounts map[Account]*entryAccount
+}
+
+// NewLedger returns a ledger without accounts.
+func NewLedger() *Ledger { return &Ledger{accounts: make(map[Account]*entryAccount)} }
+
+// SetLimit sets the limit of an account from the configuration.
+func (ledger *Ledger) SetLimit(account Account, limit int) {
+	ledger.account(account).limit.Store(int64(limit))
+}
+
+func (ledger *Ledger) account(name Account) *entryAccount {
+	ledger.mu.RLock()
+	found := ledger.accounts[name]
+	ledger.mu.RUnlock()
+	if found != nil {
+		return found
+	}
+	ledger.mu.Lock()
+	defer ledger.mu.Unlock()
+	if found = ledger.accounts[name]; found == nil {
+		found = &entryAccount{}
+		found.limit.Store(ptprofile.Unlimited)
+		ledger.accounts[name] = found
+	}
+	return found
+}
+
+func (account *entryAccount) limited() bool { return account.limit.Load() < ptprofile.Unlimited }
+
+func (account *entryAccount) allows() bool {
+	return !account.limited() || account.running.Load() < account.share.Load()
+}
+
+// Allows reports whether one more task of a profile and its team may be sent.
+func (ledger *Ledger) Allows(profile ptid.ProfileName, team ptid.TeamName) bool {
+	return ledger.account(ProfileAccount(profile)).allows() && ledger.account(TeamAccount(team)).allows()
+}
+
+// Limit returns the lower limit of a profile and its team, over all entries.
+func (ledger *Ledger) Limit(profile ptid.ProfileName, team ptid.TeamName) int {
+	return int(min(ledger.account(ProfileAccount(profile)).limit.Load(), ledger.account(TeamAccount(team)).limit.Load()))
+}
+
+// Wait counts tasks that wait; a negative count takes them back.
+func (ledger *Ledger) Wait(profile ptid.ProfileName, team ptid.TeamName, tasks int) {
+	ledger.account(ProfileAccount(profile)).waiting.Add(int64(tasks))
+	ledger.account(TeamAccount(team)).waiting.Add(int64(tasks))
+}
+
+// Take counts a task as sent.
+func (ledger *Ledger) Take(profile ptid.ProfileName, team ptid.TeamName) {
+	for _, account := range []Account{ProfileAccount(profile), TeamAccount(team)} {
+		ledger.account(account).running.Add(1)
+	}
+}
+
+// Release counts a sent task as ended.
+func (ledger *Ledger) Release(profile ptid.ProfileName, team ptid.TeamName) {
+	for _, account := range []Account{ProfileAccount(profile), TeamAccount(team)} {
+		running := ledger.account(account).running.Add(-1)
+		ptassert.That(running >= 0, "no more tasks end than were sent", "account", account)
+	}
+}
+
+// SetShare takes the share that a keeper has given.
+func (ledger *Ledger) SetShare(account Account, share int) {
+	ledger.account(account).share.Store(int64(share))
+}
+
+// Share returns the share of an account, for metrics.
+func (ledger *Ledger) Share(account Account) int { return int(ledger.account(account).share.Load()) }
+
+// Claims returns the claims that keepers have to be told now: those whose want or
+// holding has changed in a way that matters. all asks for every claim in use.
+func (ledger *Ledger) Claims(all bool) (claims []Claim) {
+	ledger.mu.Lock()
+	defer ledger.mu.Unlock()
+	for name, account := range ledger.accounts {
+		if !account.limited() {
+			continue
+		}
+		claim := account.claim(name)
+		if account.unchanged(claim) && (!all || claim.Want == 0) {
+			continue
+		}
+		account.claimed = claim
+		claims = append(claims, claim)
+	}
+	return claims
+}
+
+func (account *entryAccount) claim(name Account) Claim {
+	limit, running := int(account.limit.Load()), int(account.running.Load())
+	return Claim{
+		Account: name, Limit: limit, Holding: running,
+		Want: min(limit, running+max(0, int(account.waiting.Load()))),
+	}
+}
+
+// unchanged reports whether the keeper needs no new claim: where the want is
+// covered by the share and no share has to be given back.
+func (account *entryAccount) unchanged(claim Claim) bool {
+	share, last := int(account.share.Load()), account.claimed
+	if claim.Limit != last.Limit && (claim.Want > 0 || last.Want > 0) {
+		return false
+	}
+	sinking := share < last.Holding && claim.Holding < last.Holding
+	needsMore := claim.Want > share && claim.Want != last.Want
+	returns := claim.Want < last.Want/2 || (claim.Want == 0 && last.Want != 0)
+	return !sinking && !needsMore && !returns
+}
--- /dev/null
+++ b/ptquota/ptquota.go
@@ -0,0 +1,225 @@
+// Package ptquota bounds how many tasks of a team and of a profile run at once
+// across all entries. It has no I/O.
+//
+// # How it works
+//
+//  1. Every limited team and profile is an account. An entry runs at most its share
+//     of an account; the shares of all entries add up to no more than the limit.
+//  2. The shares of an account are given out by one agent, its keeper: the one with
+//     the highest hash of account and name, so that all entries choose alike without
+//     talking to each other.
+//  3. An entry claims: it tells the keeper what it wants and what it holds. The
+//     keeper gives max-min fair shares of what is wanted.
+//  4. A share is raised only as far as the others' shares, and what they still hold
+//     above them, leave room. An entry that is told a lower share starts nothing
+//     more until it is below, and claims again while it sinks.
+//  5. A keeper that takes an account over knows nothing of the shares that the
+//     earlier one gave. For [Grace] it gives to nobody more than what is held already.
+//  6. The claim of an entry whose session is gone counts for [Remember].
+//
+// # Usage
+//
+//	ledger.Take(profile, team); ledger.Release(profile, team)   // entry
+//	shares := keeper.Claim(entry, claim, now)                   // agent
+//
+// # Limits
+//
+// While entries know different agents, an account can have two keepers, and the
+// limit can be passed by what the second one gives. It lasts for a heartbeat.
+package ptquota
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/primrosetiller/primrosetiller/ptid"
+)
+
+const (
+	// Grace is how long a new keeper only confirms what is held.
+	Grace = 300 * time.Millisecond
+	// Remember is how long the claim of a lost entry counts.
+	Remember = 3 * time.Second
+)
+
+// Account is a limited team or profile.
+type Account string
+
+// TeamAccount returns the account of a team.
+func TeamAccount(team ptid.TeamName) Account { return "team/" + Account(team) }
+
+// ProfileAccount returns the account of a profile.
+func ProfileAccount(profile ptid.ProfileName) Account { return "profile/" + Account(profile) }
+
+// KeeperOf returns the agent that keeps an account. Without agents it is empty.
+func KeeperOf(account Account, agents []ptid.AgentName) (keeper ptid.AgentName) {
+	var best uint64
+	for _, agent := range agents {
+		hash := xxhash.Sum64String(string(account) + "\x00" + string(agent))
+		if keeper == "" || hash > best || (hash == best && agent > keeper) {
+			keeper, best = agent, hash
+		}
+	}
+	return keeper
+}
+
+// Claim is what an entry tells the keeper of an account.
+type Claim struct {
+	Account Account
+	Limit   int
+	// Want is how many tasks the entry could run now.
+	Want int
+	// Holding is how many it runs now.
+	Holding int
+	// Moved tells that the entry had another keeper for the account before.
+	Moved bool
+}
+
+// Share is what the keeper allows one entry.
+type Share struct {
+	Account Account
+	Entry   ptid.EntryName
+	Count   int
+}
+
+type claimant struct {
+	want    int
+	holding int
+	share   int
+	lostAt  ptid.Instant
+}
+
+func (claimant *claimant) reserved() int { return max(claimant.share, claimant.holding) }
+
+type book struct {
+	limit int
+	// takenOverAt is when an entry last came over from another keeper.
+	takenOverAt ptid.Instant
+	claimants   map[ptid.EntryName]*claimant
+}
+
+// Keeper is the agent's side. It is not safe for concurrent use.
+type Keeper struct{ books map[Account]*book }
+
+// NewKeeper returns a keeper without accounts.
+func NewKeeper() *Keeper { return &Keeper{books: make(map[Account]*book)} }
+
+// Claim takes an entry's claim and returns the shares that have changed, and
+// always that of the entry itself.
+func (keeper *Keeper) Claim(entry ptid.EntryName, claim Claim, now ptid.Instant) (shares []Share) {
+	accounts := keeper.books[claim.Account]
+	if accounts == nil {
+		accounts = &book{claimants: make(map[ptid.EntryName]*claimant)}
+		keeper.books[claim.Account] = accounts
+	}
+	accounts.limit = claim.Limit
+	if claim.Moved {
+		accounts.takenOverAt = now
+	}
+	own := accounts.claimants[entry]
+	if own == nil {
+		own = &claimant{}
+		accounts.claimants[entry] = own
+	}
+	own.want, own.holding, own.lostAt = claim.Want, claim.Holding, 0
+	changed := accounts.share(now)
+	changed = append(changed, entry)
+	slices.Sort(changed)
+	for _, name := range slices.Compact(changed) {
+		shares = append(shares, Share{Account: claim.Account, Entry: name, Count: accounts.claimants[name].share})
+	}
+	return shares
+}
+
+// Lost tells that the session to an entry has ended.
+func (keeper *Keeper) Lost(entry ptid.EntryName, now ptid.Instant) {
+	for _, book := range keeper.books {
+		if claimant := book.claimants[entry]; claimant != nil {
+			claimant.lostAt = now
+		}
+	}
+}
+
+// Tick forgets lost entries and returns the shares that have changed since.
+func (keeper *Keeper) Tick(now ptid.Instant) (shares []Share) {
+	for account, book := range keeper.books {
+		for entry, claimant := range book.claimants {
+			if claimant.lostAt != 0 && now.Sub(claimant.lostAt) > Remember {
+				delete(book.claimants, entry)
+			}
+		}
+		for _, name := range book.share(now) {
+			shares = append(shares, Share{Account: account, Entry: name, Count: book.claimants[name].share})
+		}
+		if len(book.claimants) == 0 {
+			delete(keeper.books, account)
+		}
+	}
+	return shares
+}
+
+// share computes the shares anew and returns whose have changed.
+func (book *book) share(now ptid.Instant) (changed []ptid.EntryName) {
+	targets := book.targets()
+	names := make([]ptid.EntryName, 0, len(targets))
+	for name := range targets {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	// Lower shares first: only they make room for higher ones.
+	for _, name := range names {
+		if claimant := book.claimants[name]; targets[name] < claimant.share {
+			claimant.share = targets[name]
+			changed = append(changed, name)
+		}
+	}
+	fresh := book.takenOverAt != 0 && now.Sub(book.takenOverAt) < Grace
+	for _, name := range names {
+		claimant := book.claimants[name]
+		allowed := min(targets[name], book.limit-book.reservedByOthers(name))
+		if fresh {
+			allowed = min(allowed, claimant.holding)
+		}
+		if allowed > claimant.share {
+			claimant.share = allowed
+			changed = append(changed, name)
+		}
+	}
+	return changed
+}
+
+func (book *book) reservedByOthers(entry ptid.EntryName) (reserved int) {
+	for name, claimant := range book.claimants {
+		if name != entry {
+			reserved += claimant.reserved()
+		}
+	}
+	return reserved
+}
+
+// targets returns the max-min fair shares of what is wanted.
+func (book *book) targets() (targets map[ptid.EntryName]int) {
+	targets = make(map[ptid.EntryName]int, len(book.claimants))
+	names := make([]ptid.EntryName, 0, len(book.claimants))
+	for name := range book.claimants {
+		names = append(names, name)
+	}
+	slices.SortFunc(names, func(left, right ptid.EntryName) int {
+		if difference := book.claimants[left].want - book.claimants[right].want; difference != 0 {
+			return difference
+		}
+		if left < right {
+			return -1
+		}
+		return 1
+	})
+	remaining := book.limit
+	for i, name := range names {
+		fair := (remaining + len(names) - i - 1) / (len(names) - i)
+		targets[name] = min(book.claimants[name].want, fair)
+		remaining -= targets[name]
+	}
+	return targets
+}
--- /dev/null
+++ b/ptsched/ptsched.go
@@ -0,0 +1,457 @@
+// Package ptsched decides, for one service at one entry, which task goes to
+// which upstream and when. It has no I/O and is not safe for concurrent use.
+//
+// # How it works
+//
+// The scheduler is told of jobs, upstreams, frames and ends of tasks, and
+// answers with placements and demands. It is made of parts that each decide one
+// thing: package ptorder which task is next, ptplace where it goes, pthealth which
+// upstreams are fit, ptretry whether it is placed again, ptadmit whether a job is
+// taken in.
+//
+//  1. A task is placed while some upstream has room, in the order of the queue.
+//  2. What is sent to an upstream stays on its list until it has been answered,
+//     returned or given up; a session that ends changes nothing about that.
+//  3. A new incarnation of an upstream takes the list of the old one with it; the
+//     owner gives those tasks up as unknown.
+//  4. While tasks wait and no upstream has room, a few upstreams are told of the
+//     demand, once, and again after [DemandAgain].
+//
+// # Usage
+//
+//	refusal := scheduler.Admit(job, quota, now)
+//	scheduler.Enqueue(job)
+//	for _, placement := range scheduler.Place(now, commit) { … }
+//	for _, upstream := range scheduler.Demands(now) { … }
+//
+// # Limits
+//
+// Every placement scans the upstreams of the service; see docs/CAPACITY.md.
+package ptsched
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/primrosetiller/primrosetiller/ptadmit"
+	"github.com/primrosetiller/primrosetiller/ptassert"
+	"github.com/primrosetiller/primrosetiller/pthealth"
+	"github.com/primrosetiller/primrosetiller/ptid"
+	"github.com/primrosetiller/primrosetiller/ptorder"
+	"github.com/primrosetiller/primrosetiller/ptplace"
+	"github.com/primrosetiller/primrosetiller/ptretry"
+)
+
+const (
+	// DemandAgain is how long a demand is not repeated.
+	DemandAgain = 400 * time.Millisecond
+	// DemandAfter is how long a favour for messages lets tasks wait before a demand.
+	DemandAfter = 20 * time.Millisecond
+	// demandTargets is how many upstreams are told of a demand at once.
+	demandTargets = 3
+	// heardWithin is how long an upstream may have been silent before its oldest
+	// task is compared with the learned run time.
+	heardWithin = time.Second
+)
+
+// Setting is what an operator chooses.
+type Setting struct {
+	Placement ptplace.Policy
+	Order     ptorder.Order
+	MaxQueued int
+	Seed      uint64
+}
+
+// Sent is a task that an upstream has.
+type Sent struct {
+	Job     *ptorder.Job
+	Index   ptid.TaskIndex
+	Attempt ptid.Attempt
+	At      ptid.Instant
+}
+
+// Upstream is what the scheduler knows of one upstream.
+type Upstream struct {
+	Name        ptid.AgentName
+	Incarnation ptid.Incarnation
+	Sent        map[ptid.TaskID]Sent
+	view        ptplace.View
+	connected   bool
+	leaving     bool
+	stopped     bool
+	heardAt     ptid.Instant
+	askedAt     ptid.Instant
+	answeredAt  ptid.Instant
+}
+
+// Placement is a task that goes to an upstream.
+type Placement struct {
+	Task     ptorder.Task
+	Upstream *Upstream
+	Attempt  ptid.Attempt
+}
+
+// Commit asks the owner whether a task is really to be sent, and under which
+// attempt. The owner refuses where the job has ended meanwhile.
+type Commit func(task ptorder.Task, upstream *Upstream) (attempt ptid.Attempt, ok bool)
+
+// Quota says how many more tasks of a profile and of its team may be sent.
+type Quota func(profile ptid.ProfileName, team ptid.TeamName) (allowed bool)
+
+// Scheduler places the tasks of one service.
+type Scheduler struct {
+	setting   Setting
+	queue     *ptorder.Queue
+	health    *pthealth.Tracker
+	budget    *ptretry.Budget
+	meter     ptadmit.Meter
+	random    *rand.Rand
+	upstreams map[ptid.AgentName]*Upstream
+	ordered   []*Upstream
+	views     []*ptplace.View
+	rank      int
+	entries   int
+	sent      int
+	out       map[ptid.ProfileName]int
+	waitSince ptid.Instant
+}
+
+// New returns a scheduler without jobs or upstreams.
+func New(setting Setting) *Scheduler {
+	return &Scheduler{
+		setting: setting, queue: ptorder.New(setting.Order), health: pthealth.New(), budget: ptretry.New(),
+		random:    rand.New(rand.NewPCG(setting.Seed, uint64(len(setting.Placement)))),
+		upstreams: make(map[ptid.AgentName]*Upstream), entries: 1, out: make(map[ptid.ProfileName]int),
+	}
+}
+
+// Join adds an upstream whose session has opened, or takes up a known one.
+// orphans are the tasks of an earlier incarnation, which nobody can answer for.
+func (scheduler *Scheduler) Join(name ptid.AgentName, incarnation ptid.Incarnation, slots int, distance ptplace.Distance, now ptid.Instant) (upstream *Upstream, orphans map[ptid.TaskID]Sent) {
+	upstream = scheduler.upstreams[name]
+	if upstream != nil && upstream.Incarnation != incarnation {
+		orphans = upstream.Sent
+		scheduler.remove(upstream)
+		upstream = nil
+	}
+	if upstream == nil {
+		upstream = &Upstream{Name: name, Incarnation: incarnation, Sent: make(map[ptid.TaskID]Sent)}
+		scheduler.upstreams[name] = upstream
+		scheduler.health.Join(name, slots)
+		scheduler.reorder()
+	}
+	upstream.connected, upstream.heardAt = true, now
+	upstream.view.Slots, upstream.view.Distance = slots, distance
+	for _, orphan := range orphans {
+		scheduler.ended(orphan)
+	}
+	return upstream, orphans
+}
+
+func (scheduler *Scheduler) remove(upstream *Upstream) {
+	delete(scheduler.upstreams, upstream.Name)
+	scheduler.health.Leave(upstream.Name)
+	scheduler.reorder()
+}
+
+// Lose records that the session to an upstream has ended. An upstream without
+// outstanding tasks is forgotten.
+func (scheduler *Scheduler) Lose(upstream *Upstream) {
+	upstream.connected = false
+	if len(upstream.Sent) == 0 && scheduler.upstreams[upstream.Name] == upstream {
+		scheduler.remove(upstream)
+	}
+}
+
+// Rank tells the scheduler its entry's place among all entries.
+func (scheduler *Scheduler) Rank(rank, entries int) {
+	if scheduler.rank == rank && scheduler.entries == entries {
+		return
+	}
+	scheduler.rank, scheduler.entries = rank, entries
+	scheduler.reorder()
+}
+
+// reorder sorts the upstreams by name, so that all entries number them alike.
+func (scheduler *Scheduler) reorder() {
+	scheduler.ordered = scheduler.ordered[:0]
+	for _, upstream := range scheduler.upstreams {
+		scheduler.ordered = append(scheduler.ordered, upstream)
+	}
+	slices.SortFunc(scheduler.ordered, func(left, right *Upstream) int {
+		if left.Name < right.Name {
+			return -1
+		}
+		return 1
+	})
+	scheduler.views = scheduler.views[:0]
+	preferences := ptplace.Preferences(len(scheduler.ordered), scheduler.rank, scheduler.entries)
+	for i, upstream := range scheduler.ordered {
+		upstream.view.Preference = preferences[i]
+		scheduler.views = append(scheduler.views, &upstream.view)
+	}
+}
+
+// Frame is what every frame of an agent tells.
+type Frame struct {
+	Window      int
+	Outstanding int
+	Busy        int
+	Leaving     bool
+}
+
+// Heard records a frame of an upstream.
+func (scheduler *Scheduler) Heard(upstream *Upstream, frame Frame, now ptid.Instant) {
+	upstream.view.Window = frame.Window
+	upstream.view.Others = max(0, frame.Busy-frame.Outstanding)
+	upstream.leaving = frame.Leaving
+	upstream.heardAt = now
+}
+
+// Stop sets whether the configuration lets an upstream have work.
+func (scheduler *Scheduler) Stop(upstream *Upstream, stopped bool) { upstream.stopped = stopped }
+
+// Admit decides whether a job is taken in. quota is how many tasks of its team
+// and profile may run at once.
+func (scheduler *Scheduler) Admit(job *ptorder.Job, quota int, queueFor time.Duration, now ptid.Instant) (refusal ptadmit.Refusal) {
+	scheduler.refresh(now)
+	slots, free := scheduler.capacity()
+	own, teams := scheduler.queue.Waiting(job.Team)
+	if own == 0 {
+		teams++
+	}
+	return ptadmit.Decide(ptadmit.Request{
+		Tasks: job.Tasks, Queued: scheduler.queue.Len(), TeamQueued: own, Teams: teams,
+		MaxQueued: scheduler.setting.MaxQueued, Slots: slots, Free: free, Quota: quota,
+		Rate: scheduler.meter.Rate(now), Run: scheduler.health.Learned(job.Profile), QueueFor: queueFor,
+	})
+}
+
+// capacity returns the usable slots, and how many of them are free for all that is known.
+func (scheduler *Scheduler) capacity() (slots, free int) {
+	for _, view := range scheduler.views {
+		if view.Usable {
+			slots += view.Slots
+			free += max(0, view.Slots-view.Outstanding-view.Others)
+		}
+	}
+	return slots, free
+}
+
+// Upstreams returns all known upstreams, sorted by name.
+func (scheduler *Scheduler) Upstreams() []*Upstream { return slices.Clone(scheduler.ordered) }
+
+// Slots returns the slots of the connected upstreams.
+func (scheduler *Scheduler) Slots() (slots int) {
+	for _, upstream := range scheduler.ordered {
+		if upstream.connected {
+			slots += upstream.view.Slots
+		}
+	}
+	return slots
+}
+
+// Usable returns how many upstreams get work now.
+func (scheduler *Scheduler) Usable(now ptid.Instant) (usable int) {
+	scheduler.refresh(now)
+	for _, view := range scheduler.views {
+		if view.Usable {
+			usable++
+		}
+	}
+	return usable
+}
+
+// Enqueue adds a job's tasks to the queue.
+func (scheduler *Scheduler) Enqueue(job *ptorder.Job) { scheduler.queue.Push(job) }
+
+// Withdraw takes the waiting tasks of a job out of the queue.
+func (scheduler *Scheduler) Withdraw(job ptid.JobID) (withdrawn int) {
+	return scheduler.queue.Drop(job)
+}
+
+// Waiting returns how many tasks wait, and when the first of their jobs arrived.
+func (scheduler *Scheduler) Waiting() (tasks int, first ptid.Instant) {
+	first, _ = scheduler.queue.First()
+	return scheduler.queue.Len(), first
+}
+
+// Outstanding returns how many tasks are with upstreams.
+func (scheduler *Scheduler) Outstanding() int { return scheduler.sent }
+
+// OutOf returns how many tasks of a profile, and of a team, are with upstreams.
+func (scheduler *Scheduler) OutOf(profile ptid.ProfileName, team ptid.TeamName) (ofProfile, ofTeam int) {
+	return scheduler.out[profile], scheduler.queue.Out(team)
+}
+
+// Isolated returns how many upstreams are in quarantine.
+func (scheduler *Scheduler) Isolated() int { return scheduler.health.Isolated() }
+
+// refresh brings the views' fitness up to now.
+func (scheduler *Scheduler) refresh(now ptid.Instant) {
+	for _, upstream := range scheduler.ordered {
+		status := scheduler.health.Status(upstream.Name, now)
+		upstream.view.Usable = upstream.connected && !upstream.leaving && !upstream.stopped && status != pthealth.Quarantined
+		upstream.view.Probe = status == pthealth.Probing
+	}
+}
+
+// Place takes tasks from the queue while they have somewhere to go.
+func (scheduler *Scheduler) Place(now ptid.Instant, quota Quota, commit Commit) (placements []Placement) {
+	if scheduler.queue.Len() == 0 {
+		return nil
+	}
+	scheduler.refresh(now)
+	for scheduler.queue.Len() > 0 {
+		chosen, ok := ptplace.Pick(scheduler.setting.Placement, scheduler.views, scheduler.random)
+		if !ok {
+			break
+		}
+		task, ok := scheduler.queue.Next(quota)
+		if !ok {
+			break
+		}
+		upstream := scheduler.ordered[chosen]
+		attempt, ok := commit(task, upstream)
+		if !ok {
+			scheduler.queue.Done(task.Job.Team)
+			continue
+		}
+		scheduler.placed(upstream, task, attempt, now)
+		placements = append(placements, Placement{Task: task, Upstream: upstream, Attempt: attempt})
+	}
+	return placements
+}
+
+func (scheduler *Scheduler) placed(upstream *Upstream, task ptorder.Task, attempt ptid.Attempt, now ptid.Instant) {
+	id := ptid.TaskID{Job: task.Job.ID, Index: task.Index}
+	_, already := upstream.Sent[id]
+	ptassert.That(!already, "a task is sent to an upstream once at a time", "job", id.Job, "task", id.Index)
+	upstream.Sent[id] = Sent{Job: task.Job, Index: task.Index, Attempt: attempt, At: now}
+	upstream.view.Outstanding++
+	scheduler.out[task.Job.Profile]++
+	scheduler.sent++
+	if attempt == 1 {
+		scheduler.budget.Placed()
+	}
+}
+
+// Result says how a sent task ended.
+type Result interface{ isResult() }
+
+// Answered is a whole answer after a run.
+type Answered struct{ Run time.Duration }
+
+// Failed is a task that started and failed.
+type Failed struct{}
+
+// Refused is the proof that the attempt has not started. Unfit tells that the
+// upstream could not take it, as opposed to would not.
+type Refused struct{ Unfit bool }
+
+// Abandoned is a task that nobody waits for any more.
+type Abandoned struct{}
+
+func (Answered) isResult()  {}
+func (Failed) isResult()    {}
+func (Refused) isResult()   {}
+func (Abandoned) isResult() {}
+
+// Ended takes a task off an upstream's list. It is false where the task is not
+// on the list under that attempt.
+func (scheduler *Scheduler) Ended(upstream *Upstream, id ptid.TaskID, attempt ptid.Attempt, result Result, now ptid.Instant) (sent Sent, found bool) {
+	sent, found = upstream.Sent[id]
+	if !found || sent.Attempt != attempt {
+		return Sent{}, false
+	}
+	delete(upstream.Sent, id)
+	upstream.view.Outstanding--
+	scheduler.ended(sent)
+	switch result := result.(type) {
+	case Answered:
+		upstream.answeredAt = now
+		scheduler.health.Answered(upstream.Name, sent.Job.Profile, result.Run, now)
+		scheduler.meter.Ended(1, scheduler.queue.Len() > 0, now)
+	case Failed:
+		scheduler.health.Failed(upstream.Name, now)
+		scheduler.meter.Ended(1, scheduler.queue.Len() > 0, now)
+	case Refused:
+		if result.Unfit {
+			scheduler.health.Failed(upstream.Name, now)
+		}
+	case Abandoned:
+	}
+	if !upstream.connected && len(upstream.Sent) == 0 && scheduler.upstreams[upstream.Name] == upstream {
+		scheduler.remove(upstream)
+	}
+	return sent, true
+}
+
+func (scheduler *Scheduler) ended(sent Sent) {
+	scheduler.queue.Done(sent.Job.Team)
+	scheduler.sent--
+	scheduler.out[sent.Job.Profile]--
+	if scheduler.out[sent.Job.Profile] == 0 {
+		delete(scheduler.out, sent.Job.Profile)
+	}
+}
+
+// MayReturn reports whether a task may be placed again after an attempt, and
+// takes it from the budget.
+func (scheduler *Scheduler) MayReturn(attempt ptid.Attempt) bool {
+	return scheduler.budget.Allow(attempt)
+}
+
+// Return puts a task back into the queue.
+func (scheduler *Scheduler) Return(sent Sent) { scheduler.queue.Requeue(sent.Job, sent.Index) }
+
+// Demands returns the upstreams that are to be told of waiting tasks now.
+// patient tells that messages count more than time.
+func (scheduler *Scheduler) Demands(now ptid.Instant, patient bool) (upstreams []*Upstream) {
+	if scheduler.queue.Len() == 0 || scheduler.setting.Placement != ptplace.Leases {
+		scheduler.waitSince = 0
+		return nil
+	}
+	if scheduler.waitSince == 0 {
+		scheduler.waitSince = now
+	}
+	if patient && now.Sub(scheduler.waitSince) < DemandAfter {
+		return nil
+	}
+	for _, upstream := range scheduler.ordered {
+		// An upstream that has tasks of this entry learns of the demand with the
+		// next dispatch and answers with the window, so it is not asked.
+		if !upstream.view.Usable || upstream.view.Outstanding > 0 || now.Sub(upstream.askedAt) < DemandAgain {
+			continue
+		}
+		upstream.askedAt = now
+		upstreams = append(upstreams, upstream)
+		if len(upstreams) == demandTargets {
+			break
+		}
+	}
+	return upstreams
+}
+
+// Watch looks for upstreams that hang. The owner calls it at a steady pace.
+func (scheduler *Scheduler) Watch(now ptid.Instant) {
+	for _, upstream := range scheduler.ordered {
+		if now.Sub(upstream.heardAt) < heardWithin && len(upstream.Sent) < upstream.view.Slots {
+			continue
+		}
+		oldest, found := upstream.oldest()
+		if found {
+			scheduler.health.Outstanding(upstream.Name, oldest.Job.Profile, max(oldest.At, upstream.answeredAt), now)
+		}
+	}
+}
+
+func (upstream *Upstream) oldest() (oldest Sent, found bool) {
+	for _, sent := range upstream.Sent {
+		if !found || sent.At < oldest.At {
+			oldest, found = sent, true
+		}
+	}
+	return oldest, found
+}
--- /dev/null
+++ b/test.sh
@@ -0,0 +1,30 @@
+#!/usr/bin/env bash
+# Formats, lints, builds and tests everything. Needs Go and nothing else.
+set -euo pipefail
+cd "$(dirname "$0")"
+
+echo "== format"
+unformatted=$(gofmt -l $(git ls-files '*.go' | grep -v '\.pb\.go$'))
+if [ -n "$unformatted" ]; then
+  echo "not formatted: $unformatted"
+  exit 1
+fi
+
+echo "== lint"
+linter="${XDG_CACHE_HOME:-$HOME/.cache}/primrosetiller/golangci-lint-$(sha256sum tools/go.sum | cut -c1-16)"
+if [ ! -x "$linter" ]; then
+  echo "building the pinned linter, once"
+  (cd tools && go build -o "$linter" github.com/golangci/golangci-lint/v2/cmd/golangci-lint)
+fi
+"$linter" run ./...
+
+echo "== build"
+go build ./...
+
+echo "== tests"
+go test -count=1 -timeout 20m ./...
+
+if [ -s KNOWN-RED.txt ]; then
+  echo "== known red, not run here"
+  cat KNOWN-RED.txt
+fi
