ptlease: send a grant alone only for an idle slot

Cause: every lease that moved between two entries with waiting tasks cost a grant, even when only a place in the agent's short queue was free. Ruled out: the demand messages, 83 of 1484 extra ones.

--- a/ptlease/ptlease.go
+++ b/ptlease/ptlease.go
@@ -17,7 +17,8 @@
 //     entries; it is not refused.
 //  5. While several entries have work waiting, a freed slot stays with the entry
 //     that had it unless another one's first task is older by more than
-//     [Setting].MoveAfter. Then it moves, and the other entry gets a grant.
+//     [Setting].MoveAfter. Then it moves with the next frame to the other entry; a
+//     grant is sent alone only where a slot would stand idle otherwise.
 //  6. A demand is believed for [DemandFor]; the entry tells it anew with every frame.
 //  7. An entry with idle leases at an upstream that is full, while another one has
 //     work waiting, has them recalled, at most once until it spends one again.
@@ -196,12 +197,13 @@
 // Moves returns the grants and recalls that are due after the state has changed.
 func (allocator *Allocator) Moves(now ptid.Instant) (moves []Move) {
 	full, waiting := allocator.Free() <= 0, false
+	idle := allocator.setting.Slots - allocator.outstanding
 	for name, holder := range allocator.holders {
 		if !holder.wants(now) {
 			continue
 		}
 		waiting = true
-		if !full && holder.window <= holder.outstanding && allocator.share(name, now) > 0 {
+		if idle > 0 && holder.window <= holder.outstanding && allocator.share(name, now) > 0 {
 			moves = append(moves, Grant{Entry: name})
 		}
 	}
