ptlease: make the recall of idle leases a setting, off by default

Cause: recalls were the only wasted messages, and a stale window does no harm: a task that meets a full upstream waits in the agent's ordered queue.

--- a/ptcluster/ptcluster.go
+++ b/ptcluster/ptcluster.go
@@ -62,6 +62,7 @@
 	Slots     int
 	Ahead     int
 	MoveAfter time.Duration
+	Recall    bool
 	Service   ptid.ServiceName
 	// Services names the service of each agent, in turn; Service is used where it is empty.
 	Services  []ptid.ServiceName
@@ -271,7 +272,7 @@
 	agent, err := ptagent.New(ptagent.Setting{
 		Name: ptid.AgentName(name), Zone: setting.Zones[index%len(setting.Zones)], Region: "region1", Service: service,
 		Upstream: url, Entries: entries, AdminListen: loopback, LogURL: cluster.LogURL, MaxAnswer: DefaultMaxAnswer,
-		Lease: ptlease.Setting{Slots: setting.Slots, Ahead: setting.Ahead, MoveAfter: setting.MoveAfter},
+		Lease: ptlease.Setting{Slots: setting.Slots, Ahead: setting.Ahead, MoveAfter: setting.MoveAfter, Recall: setting.Recall},
 	}, ptagent.Dependencies{Log: setting.Log.WithName(name), Metrics: metrics, Clock: ptid.NewClock()})
 	if err != nil {
 		return nil, err
--- a/ptcmd/load.go
+++ b/ptcmd/load.go
@@ -43,6 +43,7 @@
 	queueFor               *time.Duration
 	order                  *ptorder.Order
 	favour                 *ptprofile.Favour
+	recall                 *bool
 	faults                 *string
 }
 
@@ -64,6 +65,7 @@
 	options.local.agents = flags.Count("local-agents", 10, 1, 1000, "agents that the tool starts")
 	options.local.ahead = flags.Count("ahead", ptcluster.DefaultAhead, 0, 1<<10, "tasks that may wait at an agent beyond the slots")
 	options.local.moveAfter = flags.Span("move-after", ptcluster.DefaultMoveAfter, 0, time.Minute, "advantage in age from which a slot moves to another entry")
+	options.local.recall = flags.Bool("recall", false, "let agents take back idle leases")
 	options.local.queueFor = flags.Span("queue-for", time.Minute, time.Millisecond, 10*time.Minute, "queueFor of the profile")
 	options.local.order = ptsetting.Choice(flags, "order", "which job goes first", ptorder.Orders...)
 	options.local.favour = ptsetting.Choice(flags, "favour", "what the profile favours", ptprofile.ResponseTime, ptprofile.Messages)
@@ -175,7 +177,7 @@
 func (call *invocation) loadOnce(ctx context.Context, options loadOptions, setting ptload.Setting, placement ptplace.Policy, slots int) (report *ptload.Report, err error) {
 	local := options.local
 	cluster, err := ptcluster.Start(ptcluster.Setting{
-		Entries: *local.entries, Agents: *local.agents, Slots: slots, Ahead: *local.ahead, MoveAfter: *local.moveAfter,
+		Entries: *local.entries, Agents: *local.agents, Slots: slots, Ahead: *local.ahead, MoveAfter: *local.moveAfter, Recall: *local.recall,
 		Placement: placement, Order: *local.order, Seed: setting.Seed, Log: call.logger("load"),
 	})
 	if err != nil {
--- a/ptcmd/serve.go
+++ b/ptcmd/serve.go
@@ -119,6 +119,7 @@
 	slots := flags.Count("slots", 8, 1, 1<<16, "tasks that the upstream runs at once")
 	ahead := flags.Count("ahead", ptcluster.DefaultAhead, 0, 1<<16, "tasks that may wait at the agent beyond the slots")
 	moveAfter := flags.Span("move-after", ptcluster.DefaultMoveAfter, 0, time.Minute, "advantage in age from which a slot moves to another entry")
+	recall := flags.Bool("recall", false, "take back idle leases of entries while another one waits; costs messages")
 	upstream := flags.URL("upstream", "", "URL of the upstream")
 	entries := flags.Addresses("entries", "agents-listen addresses of entries")
 	adminListen := flags.Address("admin-listen", "127.0.0.1:0", "address for liveness, readiness, metrics and the request to dial anew")
@@ -139,7 +140,7 @@
 	agent, err := ptagent.New(ptagent.Setting{
 		Name: ptid.AgentName(*name), Zone: ptid.Zone(*zone), Region: ptid.Region(*region), Service: ptid.ServiceName(*service),
 		Upstream: *upstream, Entries: *entries, AdminListen: *adminListen, LogURL: *logURL, MaxAnswer: *maxAnswer,
-		Lease: ptlease.Setting{Slots: *slots, Ahead: *ahead, MoveAfter: *moveAfter},
+		Lease: ptlease.Setting{Slots: *slots, Ahead: *ahead, MoveAfter: *moveAfter, Recall: *recall},
 	}, ptagent.Dependencies{
 		Log: logger, Metrics: ptmetric.New(), Tracer: tracer, Clock: ptid.NewClock(),
 		Discover: func() []string {
--- a/ptlease/ptlease.go
+++ b/ptlease/ptlease.go
@@ -20,7 +20,7 @@
 //     [Setting].MoveAfter. Then it moves with the next frame to the other entry; a
 //     grant is sent alone only where a slot would stand idle otherwise.
 //  6. A demand is believed for [DemandFor]; the entry tells it anew with every frame.
-//  7. An entry with idle leases at an upstream that is full, while another one has
+//  7. With [Setting].Recall, an entry with idle leases at an upstream that is full, while another one has
 //     work waiting, has them recalled, at most once until it spends one again.
 //
 // # Usage
@@ -55,6 +55,8 @@
 	Ahead int
 	// MoveAfter is the advantage in age from which a freed slot moves to another entry.
 	MoveAfter time.Duration
+	// Recall lets the agent take back idle leases while another entry waits.
+	Recall bool
 }
 
 // holder is the agent's view of one entry.
@@ -207,7 +209,7 @@
 			moves = append(moves, Grant{Entry: name})
 		}
 	}
-	if !full || !waiting {
+	if !allocator.setting.Recall || !full || !waiting {
 		return moves
 	}
 	for name, holder := range allocator.holders {
