Move the agent's decisions about tasks into ptslots, without I/O

Cause: accept, start, refuse, resolve and expire were mixed with sessions and goroutines, so that no seeded run could drive them. Conclusion: ptagent carries effects out, ptslots decides.

--- a/ptagent/dial.go
+++ b/ptagent/dial.go
@@ -13,7 +13,6 @@
 	"github.com/primrosetiller/primrosetiller/ptid"
 	"github.com/primrosetiller/primrosetiller/ptlink"
 	"github.com/primrosetiller/primrosetiller/ptmetric"
-	"github.com/primrosetiller/primrosetiller/ptreason"
 	"github.com/primrosetiller/primrosetiller/ptsession"
 	"github.com/primrosetiller/primrosetiller/pttransport"
 	"github.com/primrosetiller/primrosetiller/ptwire"
@@ -38,21 +37,6 @@
 	session     *ptsession.Session
 }
 
-// owns reports whether the peer's incarnation minted a job.
-func (peer *peer) owns(job ptid.JobID) bool {
-	_, incarnation, ok := job.Owner()
-	return ok && incarnation == peer.incarnation
-}
-
-func (peer *peer) refuse(id ptid.TaskID, attempt ptid.Attempt, reason ptreason.Reason, sealed bool) {
-	peer.session.Post(func(frame *ptwire.Frame) {
-		frame.Refusals = append(frame.Refusals, &ptwire.Refusal{
-			Job: string(id.Job), Index: uint32(id.Index), Attempt: uint32(attempt),
-			Reason: string(reason), Sealed: sealed,
-		})
-	})
-}
-
 // addressBook knows the addresses of entries and, once it has been told, which
 // entry answers at each.
 type addressBook struct {
@@ -197,17 +181,10 @@
 		Region: string(agent.setting.Region), Slots: uint32(agent.setting.Lease.Slots),
 		AdminAddress: agent.setting.AdminListen, Protocol: protocolVersion,
 	}
-	agent.lease.Join(entry)
+	agent.core.Greet(entry)
 	now := agent.deps.Clock.Now()
-	frame := &ptwire.Frame{
-		Greeting: greeting, AgentClockNanos: int64(now), Revision: agent.config.revision(),
-		Leaving: agent.draining.Load(),
-	}
-	own, all := agent.lease.Outstanding(entry)
-	frame.Outstanding, frame.Busy = uint32(own), uint32(all)
-	if !frame.Leaving {
-		frame.Window = uint32(agent.lease.Window(entry, now))
-	}
+	frame := &ptwire.Frame{Greeting: greeting, AgentClockNanos: int64(now), Revision: agent.config.revision()}
+	agent.stampSlots(entry, frame, now)
 	agent.mu.Unlock()
 	if err := stream.Send(frame); err != nil {
 		return nil, errors.Wrap(err, "send the greeting")
@@ -252,8 +229,7 @@
 	agent.mu.Lock()
 	previous := agent.peers[joined.name]
 	agent.peers[joined.name] = joined
-	agent.lease.Join(joined.name)
-	agent.dropIncarnation(joined.name, joined.incarnation)
+	agent.core.Join(joined.name, joined.incarnation)
 	agent.mu.Unlock()
 	if previous != nil {
 		previous.session.Close(errReplaced)
@@ -265,7 +241,7 @@
 	defer agent.mu.Unlock()
 	if agent.peers[left.name] == left {
 		delete(agent.peers, left.name)
-		agent.lease.Leave(left.name)
+		agent.core.Leave(left.name)
 		agent.keeper.Lost(left.name, agent.deps.Clock.Now())
 	}
 }
--- a/ptagent/ptagent.go
+++ b/ptagent/ptagent.go
@@ -4,20 +4,15 @@
 // # How it works
 //
 //  1. The agent dials every entry that it knows and keeps one session to each.
-//  2. A dispatched task is offered to the start table (package ptstart). Accepted
-//     ones wait in a queue that is ordered by order key across all entries.
-//  3. A free slot takes the first task whose start the table allows. The upstream's
-//     connection is opened before the start is recorded, so a task whose upstream
-//     can't be reached is refused as not run.
-//  4. An answer is kept until the entry has acknowledged it or the job's deadline
-//     has passed, and is sent again over a new session when the entry asks.
-//  5. A task whose startBy passes while it waits is refused at once.
-//  6. A session that turns silent is replaced by a new one with a higher number;
+//  2. What becomes of tasks is decided by package ptslots; this package carries its
+//     effects out.
+//  3. The upstream's connection is opened before the start is recorded, so a task
+//     whose upstream can't be reached is refused as not run.
+//  4. A session that turns silent is replaced by a new one with a higher number;
 //     messages of the old one are dropped.
-//  7. A draining agent refuses new tasks and finishes those that it has.
 //
-// Files: ptagent.go holds the tasks, dial.go the sessions, serve.go the HTTP
-// admin interface.
+// Files: ptagent.go runs the tasks, dial.go holds the sessions, serve.go starts and
+// stops and serves the admin interface.
 //
 // # Usage
 //
@@ -26,7 +21,6 @@
 package ptagent
 
 import (
-	"container/heap"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,14 +30,13 @@
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 
-	"github.com/primrosetiller/primrosetiller/ptassert"
 	"github.com/primrosetiller/primrosetiller/ptid"
 	"github.com/primrosetiller/primrosetiller/ptlease"
 	"github.com/primrosetiller/primrosetiller/ptmetric"
 	"github.com/primrosetiller/primrosetiller/ptquota"
 	"github.com/primrosetiller/primrosetiller/ptreason"
 	"github.com/primrosetiller/primrosetiller/ptsession"
-	"github.com/primrosetiller/primrosetiller/ptstart"
+	"github.com/primrosetiller/primrosetiller/ptslots"
 	"github.com/primrosetiller/primrosetiller/pttrace"
 	"github.com/primrosetiller/primrosetiller/ptupstream"
 	"github.com/primrosetiller/primrosetiller/ptwire"
@@ -73,42 +66,20 @@
 	Discover func() []string
 }
 
-// task is a dispatched task from its acceptance to its end.
-type task struct {
-	id       ptid.TaskID
-	dispatch *ptwire.Dispatch
-	entry    ptid.EntryName
-	accepted ptid.Instant
-	call     *ptupstream.Call
-	gone     bool
-}
-
-// keptAnswer is an answer that no entry has acknowledged yet.
-type keptAnswer struct {
-	answer   *ptwire.Answer
-	finishBy ptid.Instant
-}
-
 // Agent is one agent. It is safe for concurrent use.
 type Agent struct {
 	setting     Setting
 	deps        Dependencies
 	incarnation ptid.Incarnation
-	table       *ptstart.Table
 	upstream    *ptupstream.Client
-	draining    atomic.Bool
 	stopping    atomic.Bool
 	config      configurationCache
 
 	mu       sync.Mutex
-	lease    *ptlease.Allocator
-	backlog  backlog
-	waiting  map[ptid.TaskID]*task
-	running  map[ptid.TaskID]*task
-	kept     map[ptid.TaskID]keptAnswer
+	core     *ptslots.Core
+	calls    map[ptid.TaskID]*ptupstream.Call
 	peers    map[ptid.EntryName]*peer
 	teams    map[ptid.TeamName]int
-	busy     int
 	stateRev uint64
 	sessions uint64
 	keeper   *ptquota.Keeper
@@ -128,9 +99,8 @@
 	}
 	agent = &Agent{
 		setting: setting, deps: deps, incarnation: ptid.NewIncarnation(time.Now()),
-		table: ptstart.New(), upstream: upstream, lease: ptlease.New(setting.Lease),
-		waiting: make(map[ptid.TaskID]*task), running: make(map[ptid.TaskID]*task),
-		kept: make(map[ptid.TaskID]keptAnswer), peers: make(map[ptid.EntryName]*peer),
+		upstream: upstream, core: ptslots.New(setting.Lease),
+		calls: make(map[ptid.TaskID]*ptupstream.Call), peers: make(map[ptid.EntryName]*peer),
 		teams:   make(map[ptid.TeamName]int),
 		keeper:  ptquota.NewKeeper(),
 		starts:  deps.Metrics.Counter(ptmetric.Starts),
@@ -150,115 +120,99 @@
 			return float64(read())
 		})
 	}
-	gauge(ptmetric.BusySlots, func() int { return agent.busy })
-	gauge(ptmetric.BacklogTasks, func() int { return len(agent.waiting) })
-	gauge(ptmetric.KeptAnswers, func() int { return len(agent.kept) })
+	gauge(ptmetric.BusySlots, func() int { _, running, _ := agent.core.Counts(); return running })
+	gauge(ptmetric.BacklogTasks, func() int { waiting, _, _ := agent.core.Counts(); return waiting })
+	gauge(ptmetric.KeptAnswers, func() int { _, _, kept := agent.core.Counts(); return kept })
 	gauge(ptmetric.Sessions, func() int { return len(agent.peers) })
 	gauge(ptmetric.Slots, func() int { return agent.setting.Lease.Slots })
 	agent.deps.Metrics.Gauge(ptmetric.Revision, func() float64 { return float64(agent.config.revision()) })
 }
 
-func taskID(job string, index uint32) ptid.TaskID {
-	return ptid.TaskID{Job: ptid.JobID(job), Index: ptid.TaskIndex(index)}
-}
-
-// accept handles the dispatches of a frame. The caller holds the lock.
-func (agent *Agent) accept(peer *peer, dispatch *ptwire.Dispatch) {
-	id := taskID(dispatch.Job, dispatch.Index)
-	attempt := ptid.Attempt(dispatch.Attempt)
-	now := agent.deps.Clock.Now()
-	state, accepted := agent.table.Offer(id, attempt, ptid.Instant(dispatch.StartByNanos), ptid.Instant(dispatch.FinishByNanos), now)
-	if !accepted {
-		if state == ptstart.Refused || state == ptstart.Sealed {
-			peer.refuse(id, attempt, ptreason.StartDeadline, state == ptstart.Sealed)
+// do carries out effects. The caller holds the lock.
+func (agent *Agent) do(effects []ptslots.Effect) {
+	for _, effect := range effects {
+		switch effect := effect.(type) {
+		case ptslots.Run:
+			agent.start(effect.Task)
+		case ptslots.CancelRun:
+			if call := agent.calls[effect.ID]; call != nil {
+				call.Cancel()
+			}
+		case ptslots.Refuse:
+			refusal := &ptwire.Refusal{
+				Job: string(effect.ID.Job), Index: uint32(effect.ID.Index), Attempt: uint32(effect.Attempt),
+				Reason: string(effect.Reason), Sealed: effect.Sealed,
+			}
+			agent.post(effect.Entry, func(frame *ptwire.Frame) { frame.Refusals = append(frame.Refusals, refusal) })
+		case ptslots.Send:
+			if peer := agent.peers[effect.Entry]; peer != nil {
+				peer.session.PostAnswer(effect.Answer)
+			}
+		case ptslots.Grant:
+			agent.post(effect.Entry, func(frame *ptwire.Frame) { frame.Grant = true })
+		case ptslots.Recall:
+			agent.post(effect.Entry, func(frame *ptwire.Frame) { frame.Recall = true })
 		}
-		return
 	}
-	if agent.draining.Load() {
-		agent.table.Refuse(id, attempt)
-		peer.refuse(id, attempt, ptreason.Draining, false)
-		return
-	}
-	fresh := &task{id: id, dispatch: dispatch, entry: peer.name, accepted: now}
-	agent.waiting[id] = fresh
-	heap.Push(&agent.backlog, fresh)
-	agent.lease.Received(peer.name)
 }
 
-// startWaiting fills the free slots from the queue. The caller holds the lock.
-func (agent *Agent) startWaiting() {
-	for agent.busy < agent.setting.Lease.Slots {
-		next := agent.popWaiting()
-		if next == nil {
-			return
-		}
-		agent.busy++
-		agent.running[next.id] = next
-		agent.teams[ptid.TeamName(next.dispatch.Team)]++
-		next.call = agent.prepare(next)
-		go agent.run(next)
+func (agent *Agent) post(entry ptid.EntryName, add func(frame *ptwire.Frame)) {
+	if peer := agent.peers[entry]; peer != nil {
+		peer.session.Post(add)
 	}
-	ptassert.That(agent.busy <= agent.setting.Lease.Slots, "no more tasks run than there are slots", "busy", agent.busy)
 }
 
-func (agent *Agent) popWaiting() (next *task) {
-	for agent.backlog.Len() > 0 {
-		next, _ = heap.Pop(&agent.backlog).(*task)
-		if !next.gone {
-			delete(agent.waiting, next.id)
-			return next
-		}
+// start runs a task on a goroutine of its own. The caller holds the lock.
+func (agent *Agent) start(task *ptslots.Task) {
+	dispatch := task.Dispatch
+	agent.teams[ptid.TeamName(dispatch.Team)]++
+	span := agent.deps.Tracer.Start(dispatch.Traceparent, pttrace.SpanAgent, dispatch.Job, dispatch.Index)
+	traceparent := dispatch.Traceparent
+	if span != nil {
+		traceparent = span.Traceparent()
 	}
-	return nil
-}
-
-func (agent *Agent) prepare(next *task) *ptupstream.Call {
-	dispatch := next.dispatch
 	untilDeadline := ptid.Instant(dispatch.FinishByNanos).Sub(agent.deps.Clock.Now())
-	return agent.upstream.Prepare(ptupstream.Task{
-		ID: next.id, Profile: ptid.ProfileName(dispatch.Profile), Payload: dispatch.Payload,
-		ContentType: dispatch.ContentType, Traceparent: dispatch.Traceparent,
-		Deadline: time.Now().Add(untilDeadline),
+	call := agent.upstream.Prepare(ptupstream.Task{
+		ID: task.ID, Profile: ptid.ProfileName(dispatch.Profile), Payload: dispatch.Payload,
+		ContentType: dispatch.ContentType, Traceparent: traceparent, Deadline: time.Now().Add(untilDeadline),
 	})
+	agent.calls[task.ID] = call
+	go func() {
+		answer, refusal := agent.run(task, call, traceparent)
+		span.End(nil)
+		agent.release(task, answer, refusal)
+	}()
 }
 
-// run executes one task in its slot.
-func (agent *Agent) run(next *task) {
-	attempt := ptid.Attempt(next.dispatch.Attempt)
-	if err := next.call.Connect(); err != nil {
-		agent.table.Refuse(next.id, attempt)
-		agent.release(next, nil, reasonOf(err))
-		return
+// run executes one task in its slot. answer is nil where it has not started.
+func (agent *Agent) run(task *ptslots.Task, call *ptupstream.Call, traceparent string) (answer *ptwire.Answer, refusal ptreason.Reason) {
+	if err := call.Connect(); err != nil {
+		return nil, reasonOf(err)
 	}
 	started := agent.deps.Clock.Now()
-	if !agent.table.Start(next.id, attempt, started) {
-		next.call.Abandon()
-		agent.release(next, nil, ptreason.StartDeadline)
-		return
+	if !agent.core.Begin(task, started) {
+		call.Abandon()
+		return nil, ptreason.StartDeadline
 	}
 	agent.starts.Inc()
-	span := agent.deps.Tracer.Upstream(next.dispatch.Traceparent, string(next.id.Job), uint32(next.id.Index))
-	runBy := min(started.Add(time.Duration(next.dispatch.RunForNanos)), ptid.Instant(next.dispatch.FinishByNanos))
-	answer, err := next.call.Do(time.Now().Add(runBy.Sub(started)))
+	span := agent.deps.Tracer.Start(traceparent, pttrace.SpanUpstream, string(task.ID.Job), uint32(task.ID.Index))
+	runBy := min(started.Add(time.Duration(task.Dispatch.RunForNanos)), ptid.Instant(task.Dispatch.FinishByNanos))
+	got, err := call.Do(time.Now().Add(runBy.Sub(started)))
 	ended := agent.deps.Clock.Now()
 	span.End(err)
-	agent.table.End(next.id)
+	agent.core.Finished(task)
 	agent.runTime.Update(ended.Sub(started).Seconds())
-	agent.release(next, agent.answer(next, answer, err, started, ended), "")
-}
-
-func (agent *Agent) answer(next *task, answer ptupstream.Answer, err error, started, ended ptid.Instant) *ptwire.Answer {
-	message := &ptwire.Answer{
-		Job: next.dispatch.Job, Index: next.dispatch.Index, Attempt: next.dispatch.Attempt,
-		RunNanos: int64(ended.Sub(started)), WaitNanos: int64(started.Sub(next.accepted)),
+	answer = &ptwire.Answer{
+		Job: task.Dispatch.Job, Index: task.Dispatch.Index, Attempt: task.Dispatch.Attempt,
+		RunNanos: int64(ended.Sub(started)), WaitNanos: int64(started.Sub(task.Accepted)),
 	}
 	if err != nil {
-		message.Reason = string(reasonOf(err))
+		answer.Reason = string(reasonOf(err))
 	} else {
-		message.ContentType, message.Body = answer.ContentType, answer.Body
+		answer.ContentType, answer.Body = got.ContentType, got.Body
 	}
-	message.Checksum = xxhash.Sum64(message.Body)
-	return message
+	answer.Checksum = xxhash.Sum64(answer.Body)
+	return answer, ""
 }
 
 func reasonOf(err error) ptreason.Reason {
@@ -269,147 +223,22 @@
 	return ptreason.UpstreamClosed
 }
 
-// release frees the slot of a task, sends its answer or refusal, and starts the
-// next one. answer is nil where the task has not started.
-func (agent *Agent) release(ended *task, answer *ptwire.Answer, refusal ptreason.Reason) {
+// release gives up the slot of a task and starts the next one.
+func (agent *Agent) release(task *ptslots.Task, answer *ptwire.Answer, refusal ptreason.Reason) {
 	agent.mu.Lock()
 	defer agent.mu.Unlock()
-	agent.busy--
-	delete(agent.running, ended.id)
-	agent.teams[ptid.TeamName(ended.dispatch.Team)]--
-	agent.lease.Ended(ended.entry)
-	peer := agent.peers[ended.entry]
-	owned := peer != nil && peer.owns(ended.id.Job)
-	if answer == nil {
-		if owned {
-			peer.refuse(ended.id, ptid.Attempt(ended.dispatch.Attempt), refusal, false)
-		}
-	} else {
-		agent.kept[ended.id] = keptAnswer{answer: answer, finishBy: ptid.Instant(ended.dispatch.FinishByNanos)}
-		if owned {
-			peer.session.PostAnswer(answer)
-		}
-	}
-	agent.startWaiting()
-	agent.sendMoves()
-}
-
-// sendMoves sends the grants and recalls that are due. The caller holds the lock.
-func (agent *Agent) sendMoves() {
-	for _, move := range agent.lease.Moves(agent.deps.Clock.Now()) {
-		switch move := move.(type) {
-		case ptlease.Grant:
-			agent.postMark(move.Entry, func(frame *ptwire.Frame) { frame.Grant = true })
-		case ptlease.Recall:
-			agent.postMark(move.Entry, func(frame *ptwire.Frame) { frame.Recall = true })
-		}
-	}
+	delete(agent.calls, task.ID)
+	agent.teams[ptid.TeamName(task.Dispatch.Team)]--
+	agent.do(agent.core.Release(task, answer, refusal, agent.deps.Clock.Now()))
 }
 
-func (agent *Agent) postMark(entry ptid.EntryName, mark func(frame *ptwire.Frame)) {
-	if peer := agent.peers[entry]; peer != nil {
-		peer.session.Post(mark)
-	}
-}
-
-// withdraw takes a waiting attempt out of the queue as refused. The caller holds
-// the lock.
-func (agent *Agent) withdraw(waiting *task) (withdrawn bool) {
-	if !agent.table.Refuse(waiting.id, ptid.Attempt(waiting.dispatch.Attempt)) {
-		return false
-	}
-	agent.forget(waiting)
-	return true
-}
-
-func (agent *Agent) forget(waiting *task) {
-	waiting.gone = true
-	delete(agent.waiting, waiting.id)
-	agent.lease.Ended(waiting.entry)
-}
-
-// cancel handles the cancellation of one task. The caller holds the lock.
-func (agent *Agent) cancel(peer *peer, ref *ptwire.TaskRef) {
-	id := taskID(ref.Job, ref.Index)
-	if waiting := agent.waiting[id]; waiting != nil {
-		if agent.withdraw(waiting) {
-			peer.refuse(id, ptid.Attempt(ref.Attempt), ptreason.Cancelled, false)
-		}
-		return
-	}
-	if running := agent.running[id]; running != nil && ref.RunningToo {
-		running.call.Cancel()
-	}
-}
-
-// resolve tells an entry over a new session what became of a task that it holds
-// as sent. The caller holds the lock.
-func (agent *Agent) resolve(peer *peer, ask *ptwire.Resolve) {
-	id := taskID(ask.Job, ask.Index)
-	attempt := ptid.Attempt(ask.Attempt)
-	if running := agent.running[id]; running != nil && agent.table.State(id) == ptstart.Waiting {
-		// The task holds a slot and is about to start; its end is reported as usual.
-		return
-	}
-	waiting := agent.waiting[id]
-	state := agent.table.Seal(id, attempt, ptid.Instant(ask.StartByNanos))
-	switch state {
-	case ptstart.Running:
-	case ptstart.Ended:
-		if kept, found := agent.kept[id]; found {
-			again := kept.answer.CloneVT()
-			again.Again = true
-			peer.session.PostAnswer(again)
-		}
-	case ptstart.Sealed, ptstart.Refused:
-		if waiting != nil {
-			agent.forget(waiting)
-		}
-		peer.refuse(id, attempt, ptreason.Sealed, true)
-	case ptstart.Unseen, ptstart.Waiting:
-		ptassert.That(false, "sealing leaves a task sealed, refused or started", "state", state)
-	}
-}
-
-// dropIncarnation drops the waiting tasks of an entry's incarnation that has
-// ended. The caller holds the lock.
-func (agent *Agent) dropIncarnation(entry ptid.EntryName, living ptid.Incarnation) {
-	for _, waiting := range agent.waiting {
-		name, incarnation, ok := waiting.id.Job.Owner()
-		if ok && name == entry && incarnation != living && agent.withdraw(waiting) {
-			agent.table.Acknowledge(waiting.id)
-		}
-	}
-	for id := range agent.kept {
-		name, incarnation, ok := id.Job.Owner()
-		if ok && name == entry && incarnation != living {
-			delete(agent.kept, id)
-			agent.table.Acknowledge(id)
-		}
-	}
-}
-
-// expire refuses waiting tasks that are too late, and forgets what nobody can
-// ask about any more.
+// expire does what the passing of time asks for.
 func (agent *Agent) expire() {
 	now := agent.deps.Clock.Now()
 	agent.mu.Lock()
-	for _, waiting := range agent.waiting {
-		if now >= ptid.Instant(waiting.dispatch.StartByNanos) && agent.withdraw(waiting) {
-			if peer := agent.peers[waiting.entry]; peer != nil && peer.owns(waiting.id.Job) {
-				peer.refuse(waiting.id, ptid.Attempt(waiting.dispatch.Attempt), ptreason.StartDeadline, false)
-			}
-		}
-	}
-	for id, kept := range agent.kept {
-		if now >= kept.finishBy {
-			delete(agent.kept, id)
-		}
-	}
-	agent.startWaiting()
-	agent.sendMoves()
+	defer agent.mu.Unlock()
+	agent.do(agent.core.Expire(now))
 	agent.sendShares(agent.keeper.Tick(now))
-	agent.mu.Unlock()
 }
 
 // Stamp implements [ptsession.Handler].
@@ -423,17 +252,19 @@
 	if peer == nil {
 		return
 	}
-	own, all := agent.lease.Outstanding(peer.name)
-	frame.Outstanding, frame.Busy = uint32(own), uint32(all)
-	if !agent.draining.Load() {
-		frame.Window = uint32(agent.lease.Window(peer.name, now))
-	}
-	frame.Leaving = agent.draining.Load()
+	agent.stampSlots(peer.name, frame, now)
 	if frame.Heartbeat || frame.Sequence%teamReportEvery == 1 {
 		frame.Running = agent.teamsRunning()
 	}
 }
 
+// stampSlots fills what a frame tells of the slots. The caller holds the lock.
+func (agent *Agent) stampSlots(entry ptid.EntryName, frame *ptwire.Frame, now ptid.Instant) {
+	slots := agent.core.Frame(entry, now)
+	frame.Window, frame.Outstanding, frame.Busy = uint32(slots.Window), uint32(slots.Outstanding), uint32(slots.Busy)
+	frame.Leaving = slots.Leaving
+}
+
 // teamReportEvery is how many frames lie between two reports of the teams' tasks.
 const teamReportEvery = 16
 
@@ -451,12 +282,9 @@
 // Delivered implements [ptsession.Handler].
 func (agent *Agent) Delivered(_ *ptsession.Session, tasks []ptid.TaskID) {
 	agent.mu.Lock()
+	defer agent.mu.Unlock()
 	for _, id := range tasks {
-		delete(agent.kept, id)
-	}
-	agent.mu.Unlock()
-	for _, id := range tasks {
-		agent.table.Acknowledge(id)
+		agent.core.Delivered(id)
 	}
 }
 
@@ -474,21 +302,21 @@
 	if frame.HeartbeatIntervalNanos > 0 {
 		session.SetInterval(time.Duration(frame.HeartbeatIntervalNanos))
 	}
-	agent.lease.Demand(peer.name, int(frame.Queued), ptid.Instant(frame.FirstOrderNanos), agent.deps.Clock.Now())
+	now := agent.deps.Clock.Now()
+	agent.core.Demand(peer.name, int(frame.Queued), ptid.Instant(frame.FirstOrderNanos), now)
 	for _, claim := range frame.QuotaClaims {
 		agent.claimQuota(peer, claim)
 	}
 	for _, ask := range frame.Resolves {
-		agent.resolve(peer, ask)
+		agent.do(agent.core.Resolve(peer.name, ask))
 	}
 	for _, dispatch := range frame.Dispatches {
-		agent.accept(peer, dispatch)
+		agent.do(agent.core.Dispatch(peer.name, dispatch, now))
 	}
 	for _, ref := range frame.Cancels {
-		agent.cancel(peer, ref)
+		agent.do(agent.core.Cancel(peer.name, ref))
 	}
-	agent.startWaiting()
-	agent.sendMoves()
+	agent.do(agent.core.Fill(now))
 }
 
 // claimQuota handles the claim of an entry as the keeper of an account. The caller
@@ -504,7 +332,7 @@
 func (agent *Agent) sendShares(shares []ptquota.Share) {
 	for _, share := range shares {
 		message := &ptwire.QuotaShare{Account: string(share.Account), Count: uint32(share.Count)}
-		agent.postMark(share.Entry, func(frame *ptwire.Frame) { frame.QuotaShares = append(frame.QuotaShares, message) })
+		agent.post(share.Entry, func(frame *ptwire.Frame) { frame.QuotaShares = append(frame.QuotaShares, message) })
 	}
 }
 
@@ -512,5 +340,5 @@
 func (agent *Agent) idle() bool {
 	agent.mu.Lock()
 	defer agent.mu.Unlock()
-	return len(agent.waiting) == 0 && len(agent.running) == 0 && len(agent.kept) == 0
+	return agent.core.Idle()
 }
--- a/ptagent/serve.go
+++ b/ptagent/serve.go
@@ -90,7 +90,8 @@
 	}
 	agent.stateRev = state.Revision
 	draining := ptprofile.UpstreamState(state.State) != ptprofile.Active
-	if agent.draining.Swap(draining) != draining {
+	if agent.core.Draining() != draining {
+		agent.core.SetDraining(draining)
 		agent.deps.Log.Info("upstream state changed", "state", state.State, "revision", state.Revision)
 		agent.announceState()
 	}
@@ -134,9 +135,9 @@
 // drain refuses new tasks and waits for those that wait or run.
 func (agent *Agent) drain() {
 	agent.stopping.Store(true)
-	agent.draining.Store(true)
 	agent.deps.Log.Info("agent drains")
 	agent.mu.Lock()
+	agent.core.SetDraining(true)
 	agent.announceState()
 	agent.mu.Unlock()
 	time.Sleep(leavingNotice)
@@ -184,7 +185,7 @@
 	ticker := time.NewTicker(expireInterval)
 	defer ticker.Stop()
 	tableDue := agent.deps.Clock.Now()
-	agent.deps.Metrics.Gauge(ptmetric.StartRecords, func() float64 { return float64(agent.table.Size()) })
+	agent.deps.Metrics.Gauge(ptmetric.StartRecords, func() float64 { return float64(agent.core.Records()) })
 	for {
 		select {
 		case <-ctx.Done():
@@ -195,7 +196,7 @@
 		agent.expire()
 		if now := agent.deps.Clock.Now(); now >= tableDue {
 			tableDue = now.Add(tableInterval)
-			agent.table.Expire(now)
+			agent.core.ExpireRecords(now)
 		}
 	}
 }
@@ -213,12 +214,9 @@
 }
 
 func (agent *Agent) ready() (ready bool) {
-	if agent.draining.Load() {
-		return false
-	}
 	agent.mu.Lock()
 	defer agent.mu.Unlock()
-	return len(agent.peers) > 0
+	return !agent.core.Draining() && len(agent.peers) > 0
 }
 
 // handleAdmin serves what only agents have: the request to dial anew.
--- a/ptagent/backlog.go
+++ b/ptslots/backlog.go
@@ -1,13 +1,13 @@
-package ptagent
+package ptslots
 
 // backlog is the heap of waiting tasks: the oldest order key first, and within
 // a job the lowest index. It implements heap.Interface.
-type backlog []*task
+type backlog []*Task
 
 func (backlog backlog) Len() int { return len(backlog) }
 
 func (backlog backlog) Less(i, j int) bool {
-	left, right := backlog[i].dispatch, backlog[j].dispatch
+	left, right := backlog[i].Dispatch, backlog[j].Dispatch
 	if left.OrderNanos != right.OrderNanos {
 		return left.OrderNanos < right.OrderNanos
 	}
@@ -18,7 +18,7 @@
 
 // Push implements heap.Interface.
 func (backlog *backlog) Push(item any) {
-	if waiting, ok := item.(*task); ok {
+	if waiting, ok := item.(*Task); ok {
 		*backlog = append(*backlog, waiting)
 	}
 }
