--- a/ptentry/jobs.go
+++ b/ptentry/jobs.go
@@ -7,9 +7,9 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/primrosetiller/primrosetiller/ptassert"
 	"github.com/primrosetiller/primrosetiller/ptid"
 	"github.com/primrosetiller/primrosetiller/ptjob"
-	"github.com/primrosetiller/primrosetiller/ptorder"
 )
 
 const (
@@ -21,7 +21,6 @@
 // heldJob is a job with what the entry needs beside its life cycle.
 type heldJob struct {
 	*ptjob.Job
-	order   *ptorder.Job
 	service *service
 	timer   *time.Timer
 	endedAt time.Time
@@ -72,8 +71,22 @@
 	return shard.jobs[id]
 }
 
+// remove takes out a job that was not admitted.
+func (table *jobTable) remove(job *heldJob) {
+	shard := table.shard(job.ID)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	delete(shard.jobs, job.ID)
+	table.openJobs.Add(-1)
+}
+
 // ended counts a job as ended and keeps its answers while there is room.
-func (table *jobTable) ended(job *heldJob) {
+func (table *jobTable) ended(id ptid.JobID) {
+	job := table.get(id)
+	if !ptassert.That(job != nil, "an open job is in the table", "job", id) {
+		return
+	}
+	job.timer.Stop()
 	size := int64(0)
 	for _, answer := range job.Outcome().Answers {
 		size += int64(len(answer.Body))
--- a/ptentry/ptentry.go
+++ b/ptentry/ptentry.go
@@ -179,10 +179,10 @@
 			return float64(total)
 		})
 	}
-	sum(ptmetric.QueuedTasks, func(service *service) int { waiting, _ := service.sched.Waiting(); return waiting })
-	sum(ptmetric.SentTasks, func(service *service) int { return service.sched.Outstanding() })
-	sum(ptmetric.Slots, func(service *service) int { return service.sched.Slots() })
-	sum(ptmetric.Quarantined, func(service *service) int { return service.sched.Isolated() })
+	sum(ptmetric.QueuedTasks, func(service *service) int { waiting, _ := service.core.Scheduler().Waiting(); return waiting })
+	sum(ptmetric.SentTasks, func(service *service) int { return service.core.Scheduler().Outstanding() })
+	sum(ptmetric.Slots, func(service *service) int { return service.core.Scheduler().Slots() })
+	sum(ptmetric.Quarantined, func(service *service) int { return service.core.Scheduler().Isolated() })
 	entry.deps.Metrics.Gauge(ptmetric.OpenJobs, func() float64 { return float64(entry.jobs.open()) })
 	entry.deps.Metrics.Gauge(ptmetric.Sessions, func() float64 {
 		entry.mu.Lock()
@@ -247,7 +247,7 @@
 	now := entry.deps.Clock.Now()
 	for _, service := range *entry.services.Load() {
 		service.mu.Lock()
-		usable := service.sched.Usable(now)
+		usable := service.core.Scheduler().Usable(now)
 		service.mu.Unlock()
 		if usable > 0 {
 			return true
--- a/ptentry/run.go
+++ b/ptentry/run.go
@@ -153,7 +153,7 @@
 	for _, link := range entry.allLinks() {
 		link.session.Post(func(frame *ptwire.Frame) { frame.Entries = addresses })
 		link.service.mu.Lock()
-		link.service.sched.Rank(entry.rank())
+		link.service.core.Scheduler().Rank(entry.rank())
 		link.service.mu.Unlock()
 	}
 }
--- a/ptentry/service.go
+++ b/ptentry/service.go
@@ -11,85 +11,92 @@
 	"github.com/primrosetiller/primrosetiller/ptid"
 	"github.com/primrosetiller/primrosetiller/ptjob"
 	"github.com/primrosetiller/primrosetiller/ptmetric"
-	"github.com/primrosetiller/primrosetiller/ptorder"
-	"github.com/primrosetiller/primrosetiller/ptprofile"
 	"github.com/primrosetiller/primrosetiller/ptreason"
 	"github.com/primrosetiller/primrosetiller/ptsched"
+	"github.com/primrosetiller/primrosetiller/ptservice"
+	"github.com/primrosetiller/primrosetiller/ptslots"
 	"github.com/primrosetiller/primrosetiller/pttrace"
 	"github.com/primrosetiller/primrosetiller/ptwire"
 )
 
-// service places the tasks of one service: the scheduler and its effects.
+// service carries out what the core of one service decides.
 type service struct {
 	entry *Entry
 	name  ptid.ServiceName
 
-	mu      sync.Mutex
-	sched   *ptsched.Scheduler
-	links   map[*ptsched.Upstream]*link
-	patient bool
-	spans   map[ptid.TaskID]*pttrace.Span
+	mu    sync.Mutex
+	core  *ptservice.Core
+	links map[*ptsched.Upstream]*link
+	spans map[ptid.TaskID]*pttrace.Span
 }
 
 func newService(entry *Entry, name ptid.ServiceName, setting ptsched.Setting) *service {
 	return &service{
-		entry: entry, name: name, sched: ptsched.New(setting),
+		entry: entry, name: name, core: ptservice.New(setting, entry.ledger),
 		links: make(map[*ptsched.Upstream]*link), spans: make(map[ptid.TaskID]*pttrace.Span),
 	}
 }
 
 // submit admits a job and queues its tasks, or refuses it.
 func (service *service) submit(job *heldJob) (refusal ptadmit.Refusal) {
-	now := service.entry.deps.Clock.Now()
-	profile := job.Profile
-	quota := service.entry.ledger.Limit(profile.Name, profile.Team)
 	service.mu.Lock()
 	defer service.mu.Unlock()
-	refusal = service.sched.Admit(job.order, quota, job.StartBy.Sub(now), now)
+	service.entry.jobs.add(job)
+	refusal, effects := service.core.Submit(job.Job, service.entry.deps.Clock.Now())
 	if refusal.Reason != "" {
+		service.entry.jobs.remove(job)
 		return refusal
 	}
-	service.entry.jobs.add(job)
-	service.patient = profile.Favour == ptprofile.Messages
-	service.entry.ledger.Wait(profile.Name, profile.Team, job.order.Tasks)
-	service.sched.Enqueue(job.order)
-	service.place(now)
+	service.do(effects)
 	return ptadmit.Refusal{}
 }
 
-// place sends what can be sent. The caller holds the lock.
-func (service *service) place(now ptid.Instant) {
-	service.sched.Place(now, service.entry.ledger.Allows, func(task ptorder.Task, upstream *ptsched.Upstream) (ptid.Attempt, bool) {
-		return service.send(task, upstream, now)
-	})
-	for _, upstream := range service.sched.Demands(now, service.patient) {
-		if link := service.links[upstream]; link != nil {
-			service.entry.count.demand.Inc()
-			link.session.Post(func(frame *ptwire.Frame) { frame.Demand = true })
+// do carries out effects. The caller holds the lock.
+func (service *service) do(effects []ptservice.Effect) {
+	count := &service.entry.count
+	for _, effect := range effects {
+		switch effect := effect.(type) {
+		case ptservice.Dispatch:
+			service.dispatch(effect)
+		case ptservice.Demand:
+			count.demand.Inc()
+			service.post(effect.Upstream, func(frame *ptwire.Frame) { frame.Demand = true })
+		case ptservice.Cancel:
+			service.cancelTasks(effect)
+		case ptservice.Resolve:
+			service.resolve(effect)
+		case ptservice.TaskEnded:
+			service.endSpan(effect.ID, effect.Reason)
+		case ptservice.JobEnded:
+			service.finish(effect.Job)
+		case ptservice.Requeued:
+			count.retries.Inc()
+		case ptservice.Late:
+			count.late.Inc()
 		}
 	}
 }
 
-// send dispatches one task. It is false where the job no longer waits for it.
-func (service *service) send(task ptorder.Task, upstream *ptsched.Upstream, now ptid.Instant) (attempt ptid.Attempt, sent bool) {
-	job, link := service.entry.jobs.get(task.Job.ID), service.links[upstream]
-	if !ptassert.That(job != nil && link != nil, "a waiting task has a job and a usable upstream a session", "job", task.Job.ID) {
-		return 0, false
+func (service *service) post(upstream *ptsched.Upstream, add func(frame *ptwire.Frame)) {
+	if link := service.links[upstream]; link != nil {
+		link.session.Post(add)
 	}
-	ledger := service.entry.ledger
-	ledger.Wait(task.Job.Profile, task.Job.Team, -1)
-	attempt, sent = job.Sent(task.Index, link.agent())
-	if !sent {
-		return 0, false
+}
+
+// dispatch sends one task. Where the session has just ended, the task stays on the
+// upstream's list, and the next session asks what became of it.
+func (service *service) dispatch(effect ptservice.Dispatch) {
+	link := service.links[effect.Upstream]
+	if !ptassert.That(link != nil, "a usable upstream has a session", "upstream", effect.Upstream.Name) {
+		return
 	}
-	ledger.Take(task.Job.Profile, task.Job.Team)
-	service.entry.count.queueTime.Update(now.Sub(task.Job.SubmittedAt).Seconds())
+	job := effect.Job
+	service.entry.count.queueTime.Update(service.entry.deps.Clock.Now().Sub(job.SubmittedAt).Seconds())
 	service.entry.count.dispatch.Inc()
-	payload := job.Tasks[task.Index]
-	id := ptid.TaskID{Job: task.Job.ID, Index: task.Index}
+	payload, id := job.Tasks[effect.Index], ptid.TaskID{Job: job.ID, Index: effect.Index}
 	link.session.PostDispatch(&ptwire.Dispatch{
-		Job: string(id.Job), Index: uint32(id.Index), Attempt: uint32(attempt),
-		Profile: string(task.Job.Profile), Team: string(task.Job.Team),
+		Job: string(id.Job), Index: uint32(id.Index), Attempt: uint32(effect.Attempt),
+		Profile: string(job.Profile.Name), Team: string(job.Profile.Team),
 		ContentType: payload.ContentType, Payload: payload.Data,
 		StartByNanos:  int64(link.agentInstant(job.StartBy)),
 		FinishByNanos: int64(link.agentInstant(job.Deadline)),
@@ -97,11 +104,10 @@
 		RunForNanos:   int64(job.Profile.RunFor),
 		Traceparent:   service.traceDispatch(job, id),
 	})
-	return attempt, true
 }
 
 // traceDispatch opens the span of a dispatch and returns its traceparent.
-func (service *service) traceDispatch(job *heldJob, id ptid.TaskID) (traceparent string) {
+func (service *service) traceDispatch(job *ptjob.Job, id ptid.TaskID) (traceparent string) {
 	if job.Traceparent == "" || service.entry.deps.Tracer == nil {
 		return job.Traceparent
 	}
@@ -110,7 +116,7 @@
 	return span.Traceparent()
 }
 
-func (service *service) endSpan(id ptid.TaskID, reason string) {
+func (service *service) endSpan(id ptid.TaskID, reason ptreason.Reason) {
 	span := service.spans[id]
 	if span == nil {
 		return
@@ -120,7 +126,31 @@
 		span.End(nil)
 		return
 	}
-	span.End(errors.New(reason))
+	span.End(errors.New(string(reason)))
+}
+
+func (service *service) cancelTasks(effect ptservice.Cancel) {
+	service.entry.count.cancel.Inc()
+	service.entry.count.wasted[kindCancel].Inc()
+	refs := make([]*ptwire.TaskRef, 0, len(effect.Tasks))
+	for _, task := range effect.Tasks {
+		refs = append(refs, &ptwire.TaskRef{
+			Job: string(task.ID.Job), Index: uint32(task.ID.Index), Attempt: uint32(task.Attempt), RunningToo: effect.RunningToo,
+		})
+	}
+	service.post(effect.Upstream, func(frame *ptwire.Frame) { frame.Cancels = append(frame.Cancels, refs...) })
+}
+
+func (service *service) resolve(effect ptservice.Resolve) {
+	link := service.links[effect.Upstream]
+	if link == nil {
+		return
+	}
+	ask := &ptwire.Resolve{
+		Job: string(effect.ID.Job), Index: uint32(effect.ID.Index), Attempt: uint32(effect.Attempt),
+		StartByNanos: int64(link.agentInstant(effect.StartBy)),
+	}
+	link.session.Post(func(frame *ptwire.Frame) { frame.Resolves = append(frame.Resolves, ask) })
 }
 
 // receive handles the task messages of a frame.
@@ -132,147 +162,54 @@
 		service.entry.count.late.Inc()
 		return
 	}
-	service.sched.Heard(link.upstream, ptsched.Frame{
-		Window: int(frame.Window), Outstanding: int(frame.Outstanding), Busy: int(frame.Busy), Leaving: frame.Leaving,
-	}, now)
+	service.core.Scheduler().Heard(link.upstream, heardFrame(frame), now)
 	for _, answer := range frame.Answers {
 		service.answer(link, answer, now)
 	}
 	for _, refusal := range frame.Refusals {
 		service.refusal(link, refusal, now)
 	}
-	service.place(now)
+	service.do(service.core.Place(now))
 }
 
-func taskID(job string, index uint32) ptid.TaskID {
-	return ptid.TaskID{Job: ptid.JobID(job), Index: ptid.TaskIndex(index)}
+func heardFrame(frame *ptwire.Frame) ptsched.Frame {
+	return ptsched.Frame{
+		Window: int(frame.Window), Outstanding: int(frame.Outstanding), Busy: int(frame.Busy), Leaving: frame.Leaving,
+	}
 }
 
 // answer handles the end of a task. The caller holds the lock.
 func (service *service) answer(link *link, answer *ptwire.Answer, now ptid.Instant) {
 	service.entry.count.answer.Inc()
-	id, attempt := taskID(answer.Job, answer.Index), ptid.Attempt(answer.Attempt)
-	var result ptsched.Result = ptsched.Answered{Run: time.Duration(answer.RunNanos)}
-	if answer.Reason != "" {
-		result = ptsched.Failed{}
-		if ptreason.Reason(answer.Reason) == ptreason.Cancelled {
-			result = ptsched.Abandoned{}
+	effects := service.core.Answer(link.upstream, ptslots.TaskID(answer.Job, answer.Index), ptid.Attempt(answer.Attempt), ptservice.End{
+		Answer: ptjob.Answer{ContentType: answer.ContentType, Body: answer.Body},
+		Reason: ptreason.Reason(answer.Reason), Run: time.Duration(answer.RunNanos),
+	}, now)
+	for _, effect := range effects {
+		if _, late := effect.(ptservice.Late); late {
+			service.entry.count.wasted[kindAnswer].Inc()
 		}
 	}
-	job := service.entry.jobs.get(id.Job)
-	if !service.ended(link.upstream, id, attempt, result, now) || job == nil {
-		service.entry.count.wasted[kindAnswer].Inc()
-		service.entry.count.late.Inc()
-		return
-	}
-	service.endSpan(id, answer.Reason)
-	var change ptjob.Change
-	if answer.Reason == "" {
-		change = job.Answered(id.Index, link.agent(), attempt, ptjob.Answer{ContentType: answer.ContentType, Body: answer.Body})
-	} else {
-		change = job.Failed(id.Index, link.agent(), attempt, ptreason.Reason(answer.Reason))
-	}
-	service.changed(job, change, ptreason.SiblingFailed, false)
-}
-
-// ended takes a task off the scheduler's list and the quota. The caller holds the lock.
-func (service *service) ended(upstream *ptsched.Upstream, id ptid.TaskID, attempt ptid.Attempt, result ptsched.Result, now ptid.Instant) (found bool) {
-	sent, found := service.sched.Ended(upstream, id, attempt, result, now)
-	if found {
-		service.entry.ledger.Release(sent.Job.Profile, sent.Job.Team)
-	}
-	return found
+	service.do(effects)
 }
 
 // refusal handles the proof that an attempt has not started. The caller holds the lock.
 func (service *service) refusal(link *link, refusal *ptwire.Refusal, now ptid.Instant) {
-	kind := kindRefusal
+	count, kind := &service.entry.count, kindRefusal
 	if refusal.Sealed {
 		kind = kindSeal
-		service.entry.count.seal.Inc()
+		count.seal.Inc()
 	} else {
-		service.entry.count.refusal.Inc()
-	}
-	service.entry.count.wasted[kind].Inc()
-	service.entry.count.wasted[kindDispatch].Inc()
-	reason := ptreason.Reason(refusal.Reason)
-	service.returned(link.upstream, taskID(refusal.Job, refusal.Index), ptid.Attempt(refusal.Attempt), reason, now)
-}
-
-// returned puts a task that has not started back into the queue, or ends it. The
-// caller holds the lock.
-func (service *service) returned(upstream *ptsched.Upstream, id ptid.TaskID, attempt ptid.Attempt, reason ptreason.Reason, now ptid.Instant) {
-	sent, listed := upstream.Sent[id]
-	unfit := reason == ptreason.UpstreamUnreachable
-	job := service.entry.jobs.get(id.Job)
-	if !listed || !service.ended(upstream, id, attempt, ptsched.Refused{Unfit: unfit}, now) || job == nil {
-		service.entry.count.late.Inc()
-		return
-	}
-	service.endSpan(id, string(reason))
-	again := now < job.StartBy && reason != ptreason.Cancelled
-	if again && !service.sched.MayReturn(attempt) {
-		again, reason = false, ptreason.RetryBudget
-	}
-	agent := ptjob.Agent{Name: upstream.Name, Incarnation: upstream.Incarnation}
-	change, requeued := job.Returned(id.Index, agent, attempt, reason, again)
-	if requeued {
-		service.entry.count.retries.Inc()
-		service.entry.ledger.Wait(sent.Job.Profile, sent.Job.Team, 1)
-		service.sched.Return(sent)
-		return
-	}
-	service.changed(job, change, ptreason.SiblingFailed, false)
-}
-
-// changed does what a change of a job asks for. why is the reason of the tasks
-// that are withdrawn with it; runningToo cancels those that run as well. The
-// caller holds the lock.
-func (service *service) changed(job *heldJob, change ptjob.Change, why ptreason.Reason, runningToo bool) {
-	if change.Doomed && !change.Ended {
-		withdrawn := service.withdraw(job, why, runningToo)
-		change.Ended = change.Ended || withdrawn.Ended
-	}
-	if change.Ended {
-		service.finish(job)
-	}
-}
-
-// withdraw takes what has not started out of the queue and cancels it at the
-// agents. The caller holds the lock.
-func (service *service) withdraw(job *heldJob, why ptreason.Reason, runningToo bool) (change ptjob.Change) {
-	waiting := service.sched.Withdraw(job.ID)
-	service.entry.ledger.Wait(job.Profile.Name, job.Profile.Team, -waiting)
-	change = job.Withdraw(why)
-	service.cancelSent(job, runningToo)
-	return change
-}
-
-// cancelSent tells the agents, in one message each, that a job's tasks are not
-// wanted. The caller holds the lock.
-func (service *service) cancelSent(job *heldJob, runningToo bool) {
-	for upstream, link := range service.links {
-		var refs []*ptwire.TaskRef
-		for id, sent := range upstream.Sent {
-			if id.Job == job.ID {
-				refs = append(refs, &ptwire.TaskRef{
-					Job: string(id.Job), Index: uint32(id.Index), Attempt: uint32(sent.Attempt), RunningToo: runningToo,
-				})
-			}
-		}
-		if len(refs) > 0 {
-			service.entry.count.cancel.Inc()
-			service.entry.count.wasted[kindCancel].Inc()
-			link.session.Post(func(frame *ptwire.Frame) { frame.Cancels = append(frame.Cancels, refs...) })
-		}
+		count.refusal.Inc()
 	}
+	count.wasted[kind].Inc()
+	count.wasted[kindDispatch].Inc()
+	service.do(service.core.Refused(link.upstream, ptslots.TaskID(refusal.Job, refusal.Index),
+		ptid.Attempt(refusal.Attempt), ptreason.Reason(refusal.Reason), now))
 }
 
 // finish counts an ended job and keeps its outcome.
-func (service *service) finish(job *heldJob) {
-	if job.timer != nil {
-		job.timer.Stop()
-	}
+func (service *service) finish(job *ptjob.Job) {
 	outcome := job.Outcome()
 	service.entry.deps.Metrics.Counter(ptmetric.Jobs, "outcome", string(outcome.Result)).Inc()
 	counts := make(map[ptjob.State]int)
@@ -282,51 +219,33 @@
 	for state, count := range counts {
 		service.entry.deps.Metrics.Counter(ptmetric.Tasks, "state", state.String()).Add(count)
 	}
-	service.entry.jobs.ended(job)
+	service.entry.jobs.ended(job.ID)
 }
 
 // startDeadline ends the tasks of a job that have not been sent in time.
-func (service *service) startDeadline(job *heldJob) {
+func (service *service) startDeadline(id ptid.JobID) {
 	service.mu.Lock()
 	defer service.mu.Unlock()
-	waiting := service.sched.Withdraw(job.ID)
-	service.entry.ledger.Wait(job.Profile.Name, job.Profile.Team, -waiting)
-	service.changed(job, job.Withdraw(ptreason.StartDeadline), ptreason.StartDeadline, false)
+	service.do(service.core.StartDeadline(id))
 }
 
 // deadline ends a job whatever its tasks do.
-func (service *service) deadline(job *heldJob) {
-	now := service.entry.deps.Clock.Now()
+func (service *service) deadline(id ptid.JobID) {
 	service.mu.Lock()
 	defer service.mu.Unlock()
-	withdrawn := service.withdraw(job, ptreason.JobDeadline, true)
-	for _, upstream := range service.sched.Upstreams() {
-		for id, sent := range upstream.Sent {
-			if id.Job == job.ID {
-				service.ended(upstream, id, sent.Attempt, ptsched.Failed{}, now)
-				service.endSpan(id, string(ptreason.JobDeadline))
-			}
-		}
-	}
-	if expired := job.Expire(); withdrawn.Ended || expired.Ended {
-		service.finish(job)
-	}
-	service.place(now)
+	service.do(service.core.Deadline(id, service.entry.deps.Clock.Now()))
 }
 
 // cancel withdraws a job and cuts off what runs.
-func (service *service) cancel(job *heldJob) {
+func (service *service) cancel(id ptid.JobID) {
 	service.mu.Lock()
 	defer service.mu.Unlock()
-	if service.withdraw(job, ptreason.Cancelled, true).Ended {
-		service.finish(job)
-	}
+	service.do(service.core.Cancel(id))
 }
 
 // tick does what is due at a steady pace.
 func (service *service) tick(now ptid.Instant) {
 	service.mu.Lock()
 	defer service.mu.Unlock()
-	service.sched.Watch(now)
-	service.place(now)
+	service.do(service.core.Tick(now))
 }
--- a/ptentry/session.go
+++ b/ptentry/session.go
@@ -18,7 +18,6 @@
 	"github.com/primrosetiller/primrosetiller/ptplace"
 	"github.com/primrosetiller/primrosetiller/ptprofile"
 	"github.com/primrosetiller/primrosetiller/ptquota"
-	"github.com/primrosetiller/primrosetiller/ptreason"
 	"github.com/primrosetiller/primrosetiller/ptsched"
 	"github.com/primrosetiller/primrosetiller/ptsession"
 	"github.com/primrosetiller/primrosetiller/ptwire"
@@ -189,57 +188,20 @@
 	return max(ptlink.HeartbeatInterval, time.Duration(sessions)*heartbeatBytes*time.Second/heartbeatBudget)
 }
 
-// join takes the upstream into the scheduler and asks what became of the tasks
-// that were sent over an earlier session.
+// join takes the upstream into the service and asks what became of the tasks that
+// were sent over an earlier session.
 func (link *link) join(frame *ptwire.Frame) {
 	service, greeting, now := link.service, link.greeting, link.entry.deps.Clock.Now()
 	service.mu.Lock()
 	defer service.mu.Unlock()
-	agent := link.agent()
-	upstream, orphans := service.sched.Join(agent.Name, agent.Incarnation, int(greeting.Slots), link.entry.distance(greeting), now)
+	upstream, effects := service.core.Join(link.agent(), int(greeting.Slots), link.entry.distance(greeting), now)
 	link.upstream = upstream
 	service.links[upstream] = link
-	service.sched.Rank(link.entry.rank())
-	service.sched.Heard(upstream, ptsched.Frame{
-		Window: int(frame.Window), Outstanding: int(frame.Outstanding), Busy: int(frame.Busy), Leaving: frame.Leaving,
-	}, now)
+	service.core.Scheduler().Rank(link.entry.rank())
+	service.core.Scheduler().Heard(upstream, heardFrame(frame), now)
 	service.stop(link, link.entry.follower.State())
-	service.giveUp(agent.Name, orphans)
-	link.resolveSent(now)
-	service.place(now)
-}
-
-// giveUp ends the tasks of an incarnation that is gone as unknown. The caller
-// holds the lock.
-func (service *service) giveUp(name ptid.AgentName, orphans map[ptid.TaskID]ptsched.Sent) {
-	for id, sent := range orphans {
-		service.entry.ledger.Release(sent.Job.Profile, sent.Job.Team)
-		service.endSpan(id, string(ptreason.AgentLost))
-		job := service.entry.jobs.get(id.Job)
-		if job == nil {
-			continue
-		}
-		change := job.LostBy(id.Index, name, sent.Attempt, ptreason.AgentLost)
-		service.changed(job, change, ptreason.SiblingFailed, false)
-	}
-}
-
-// resolveSent asks about every task that an earlier session left open.
-func (link *link) resolveSent(now ptid.Instant) {
-	var asks []*ptwire.Resolve
-	for id, sent := range link.upstream.Sent {
-		job := link.entry.jobs.get(id.Job)
-		if job == nil || now >= job.Deadline {
-			continue
-		}
-		asks = append(asks, &ptwire.Resolve{
-			Job: string(id.Job), Index: uint32(id.Index), Attempt: uint32(sent.Attempt),
-			StartByNanos: int64(link.agentInstant(job.StartBy)),
-		})
-	}
-	if len(asks) > 0 {
-		link.session.Post(func(frame *ptwire.Frame) { frame.Resolves = append(frame.Resolves, asks...) })
-	}
+	service.do(effects)
+	service.do(service.core.Place(now))
 }
 
 // leave handles the end of a session.
@@ -260,7 +222,7 @@
 	service.mu.Lock()
 	if service.links[left.upstream] == left {
 		delete(service.links, left.upstream)
-		service.sched.Lose(left.upstream)
+		service.core.Lose(left.upstream)
 	}
 	service.mu.Unlock()
 	if name == "silent" || name == "protocol" {
@@ -300,7 +262,7 @@
 // stop follows the declared state of the link's upstream. The caller holds the lock.
 func (service *service) stop(link *link, state *ptconfig.State) {
 	declared := state.UpstreamState(link.name())
-	service.sched.Stop(link.upstream, declared != ptprofile.Active)
+	service.core.Scheduler().Stop(link.upstream, declared != ptprofile.Active)
 	link.session.Post(func(frame *ptwire.Frame) {
 		frame.UpstreamState = &ptwire.UpstreamState{State: string(declared), Revision: uint64(state.Revision)}
 	})
@@ -314,7 +276,7 @@
 		return
 	}
 	link.service.stop(link, state)
-	link.service.place(link.entry.deps.Clock.Now())
+	link.service.do(link.service.core.Place(link.entry.deps.Clock.Now()))
 }
 
 // Stamp implements [ptsession.Handler].
@@ -323,7 +285,7 @@
 	link.countSent(frame)
 	link.service.mu.Lock()
 	defer link.service.mu.Unlock()
-	waiting, first := link.service.sched.Waiting()
+	waiting, first := link.service.core.Scheduler().Waiting()
 	frame.Queued, frame.FirstOrderNanos = uint32(waiting), int64(link.agentInstant(first))
 }
 
--- a/ptentry/submit.go
+++ b/ptentry/submit.go
@@ -8,7 +8,6 @@
 	"github.com/primrosetiller/primrosetiller/ptid"
 	"github.com/primrosetiller/primrosetiller/ptjob"
 	"github.com/primrosetiller/primrosetiller/ptmetric"
-	"github.com/primrosetiller/primrosetiller/ptorder"
 	"github.com/primrosetiller/primrosetiller/ptprofile"
 	"github.com/primrosetiller/primrosetiller/ptreason"
 )
@@ -62,7 +61,7 @@
 func (ticket *Ticket) Outcome() ptjob.Outcome { return ticket.job.Outcome() }
 
 // Cancel withdraws the job.
-func (ticket *Ticket) Cancel() { ticket.job.service.cancel(ticket.job) }
+func (ticket *Ticket) Cancel() { ticket.job.service.cancel(ticket.job.ID) }
 
 // profile returns the profile of a submission after the checks that need no queue.
 func (entry *Entry) profile(submission *Submission) (profile ptprofile.Profile, refusal *NotRun) {
@@ -113,9 +112,6 @@
 			ID: id, Profile: profile, Tasks: submission.Tasks, SubmittedAt: now,
 			StartBy: startBy, Deadline: deadline, Traceparent: submission.Traceparent,
 		}),
-		order: &ptorder.Job{
-			ID: id, Profile: profile.Name, Team: profile.Team, SubmittedAt: now, StartBy: startBy, Tasks: len(submission.Tasks),
-		},
 	}
 }
 
@@ -124,7 +120,7 @@
 	now := entry.deps.Clock.Now()
 	job.service = entry.service(job.Profile.Service)
 	job.timer = time.AfterFunc(job.StartBy.Sub(now), func() {
-		job.service.startDeadline(job)
+		job.service.startDeadline(job.ID)
 		entry.armDeadline(job)
 	})
 	if refusal := job.service.submit(job); refusal.Reason != "" {
@@ -145,7 +141,7 @@
 	default:
 	}
 	wait := max(0, job.Deadline.Sub(entry.deps.Clock.Now()))
-	deadline := time.AfterFunc(wait, func() { job.service.deadline(job) })
+	deadline := time.AfterFunc(wait, func() { job.service.deadline(job.ID) })
 	go func() {
 		<-job.Done()
 		deadline.Stop()
