Drive the decisions through long seeded runs with faults

Cause: nothing yet showed the start rule under cuts, deaf directions, replaced processes, drains, cancellations and messages of ended sessions that arrive late. Accepting any attempt of a task in ptjob alone is caught by the scheduler's list first, and changes nothing. Conclusion: the start rule stands on the table, the seal and the attempt.

--- a/ptcmd/ptcmd.go
+++ b/ptcmd/ptcmd.go
@@ -79,6 +79,7 @@
 		{"explain", "explain a reason, a profile field or a metric: explain NAME", runExplain},
 		{"demo", "run the whole path in one process and show what comes back", runDemo},
 		{"load", "offer load and compare the response with the ideal", runLoad},
+		{"soak", "drive the decisions through long seeded runs with faults", runSoak},
 		{"slopes", "measure what sessions, tasks and records cost, for docs/CAPACITY.md", runSlopes},
 		{"standin", "run a stand-in: standin log, standin upstream", runStandin},
 	}
--- a/ptid/ptid.go
+++ b/ptid/ptid.go
@@ -19,7 +19,10 @@
 package ptid
 
 import (
+	"cmp"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -68,6 +71,20 @@
 	Index TaskIndex
 }
 
+// CompareTasks orders tasks by job and index, so that seeded runs do not depend on
+// the order of a map.
+func CompareTasks(left, right TaskID) int {
+	if order := cmp.Compare(left.Job, right.Job); order != 0 {
+		return order
+	}
+	return cmp.Compare(left.Index, right.Index)
+}
+
+// SortedTasks returns the keys of a map of tasks in order.
+func SortedTasks[Value any](tasks map[TaskID]Value) (sorted []TaskID) {
+	return slices.SortedFunc(maps.Keys(tasks), CompareTasks)
+}
+
 // jobIDParts is how many fields a job id has: entry, incarnation, sequence.
 const jobIDParts = 3
 
--- a/ptlease/ptlease.go
+++ b/ptlease/ptlease.go
@@ -38,6 +38,8 @@
 package ptlease
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/primrosetiller/primrosetiller/ptassert"
@@ -75,8 +77,10 @@
 
 // Allocator shares the slots of one upstream. It is not safe for concurrent use.
 type Allocator struct {
-	setting     Setting
-	holders     map[ptid.EntryName]*holder
+	setting Setting
+	holders map[ptid.EntryName]*holder
+	// sorted holds the names of all holders in order.
+	sorted      []ptid.EntryName
 	outstanding int
 }
 
@@ -101,6 +105,7 @@
 func (allocator *Allocator) Join(entry ptid.EntryName) {
 	if allocator.holders[entry] == nil {
 		allocator.holders[entry] = &holder{}
+		allocator.sorted = slices.Sorted(maps.Keys(allocator.holders))
 	}
 }
 
@@ -114,6 +119,7 @@
 	holder.queued, holder.window = 0, 0
 	if holder.outstanding == 0 {
 		delete(allocator.holders, entry)
+		allocator.sorted = slices.Sorted(maps.Keys(allocator.holders))
 	}
 }
 
@@ -200,7 +206,8 @@
 func (allocator *Allocator) Moves(now ptid.Instant) (moves []Move) {
 	full, waiting := allocator.Free() <= 0, false
 	idle := allocator.setting.Slots - allocator.outstanding
-	for name, holder := range allocator.holders {
+	for _, name := range allocator.sorted {
+		holder := allocator.holders[name]
 		if !holder.wants(now) {
 			continue
 		}
@@ -212,7 +219,8 @@
 	if !allocator.setting.Recall || !full || !waiting {
 		return moves
 	}
-	for name, holder := range allocator.holders {
+	for _, name := range allocator.sorted {
+		holder := allocator.holders[name]
 		if holder.queued == 0 && holder.window > holder.outstanding && !holder.recalled {
 			holder.recalled = true
 			moves = append(moves, Recall{Entry: name})
--- a/ptservice/ptservice.go
+++ b/ptservice/ptservice.go
@@ -188,14 +188,16 @@
 // tasks that an earlier session left open.
 func (core *Core) Join(agent ptjob.Agent, slots int, distance ptplace.Distance, now ptid.Instant) (upstream *ptsched.Upstream, effects []Effect) {
 	upstream, orphans := core.sched.Join(agent.Name, agent.Incarnation, slots, distance, now)
-	for id, sent := range orphans {
+	for _, id := range ptid.SortedTasks(orphans) {
+		sent := orphans[id]
 		core.ledger.Release(sent.Job.Profile, sent.Job.Team)
 		core.emit(TaskEnded{ID: id, Reason: ptreason.AgentLost})
 		if job := core.jobs[id.Job]; job != nil {
 			core.changed(job, job.LostBy(id.Index, agent.Name, sent.Attempt, ptreason.AgentLost))
 		}
 	}
-	for id, sent := range upstream.Sent {
+	for _, id := range ptid.SortedTasks(upstream.Sent) {
+		sent := upstream.Sent[id]
 		if job := core.jobs[id.Job]; job != nil && now < job.Deadline {
 			core.emit(Resolve{Upstream: upstream, TaskRef: TaskRef{ID: id, Attempt: sent.Attempt}, StartBy: job.StartBy})
 		}
@@ -297,7 +299,8 @@
 	change = job.Withdraw(why)
 	for _, upstream := range core.sched.Upstreams() {
 		var tasks []TaskRef
-		for id, sent := range upstream.Sent {
+		for _, id := range ptid.SortedTasks(upstream.Sent) {
+			sent := upstream.Sent[id]
 			if id.Job == job.ID {
 				tasks = append(tasks, TaskRef{ID: id, Attempt: sent.Attempt})
 			}
@@ -337,7 +340,8 @@
 	}
 	withdrawn := core.withdraw(job, ptreason.JobDeadline, true)
 	for _, upstream := range core.sched.Upstreams() {
-		for task, sent := range upstream.Sent {
+		for _, task := range ptid.SortedTasks(upstream.Sent) {
+			sent := upstream.Sent[task]
 			if task.Job == id {
 				core.ended(upstream, task, sent.Attempt, ptsched.Failed{}, ptreason.JobDeadline, now)
 			}
--- a/ptslots/ptslots.go
+++ b/ptslots/ptslots.go
@@ -159,7 +159,8 @@
 func (core *Core) Join(entry ptid.EntryName, incarnation ptid.Incarnation) {
 	core.entries[entry] = incarnation
 	core.lease.Join(entry)
-	for _, waiting := range core.waiting {
+	for _, id := range ptid.SortedTasks(core.waiting) {
+		waiting := core.waiting[id]
 		if waiting.Entry == entry && !core.owns(entry, waiting.ID) && core.withdraw(waiting) {
 			core.table.Acknowledge(waiting.ID)
 		}
@@ -350,7 +351,8 @@
 // Expire refuses waiting tasks that are too late and forgets answers that nobody
 // can ask for any more.
 func (core *Core) Expire(now ptid.Instant) (effects []Effect) {
-	for _, waiting := range core.waiting {
+	for _, id := range ptid.SortedTasks(core.waiting) {
+		waiting := core.waiting[id]
 		if now < ptid.Instant(waiting.Dispatch.StartByNanos) || !core.withdraw(waiting) {
 			continue
 		}
