--- a/ptagent/ptagent.go
+++ b/ptagent/ptagent.go
@@ -324,7 +324,7 @@
 func (agent *Agent) claimQuota(peer *peer, claim *ptwire.QuotaClaim) {
 	agent.sendShares(agent.keeper.Claim(peer.name, ptquota.Claim{
 		Account: ptquota.Account(claim.Account), Limit: int(claim.Limit), Want: int(claim.Want), Holding: int(claim.Holding),
-		Moved: claim.Moved,
+		Moved: claim.Moved, Share: int(claim.Share),
 	}, agent.deps.Clock.Now()))
 }
 
--- a/ptagent/serve.go
+++ b/ptagent/serve.go
@@ -213,6 +213,9 @@
 	}
 }
 
+// Revision returns the revision of the configuration that the agent holds for others.
+func (agent *Agent) Revision() ptid.Revision { return ptid.Revision(agent.config.revision()) }
+
 func (agent *Agent) ready() (ready bool) {
 	agent.mu.Lock()
 	defer agent.mu.Unlock()
--- a/ptentry/peers.go
+++ b/ptentry/peers.go
@@ -112,9 +112,17 @@
 // meetPeers asks every known address who answers there, and takes over a newer
 // configuration.
 func (entry *Entry) meetPeers(ctx context.Context) {
+	for _, address := range entry.presence.Addresses() {
+		if address != entry.setting.AgentsListen {
+			entry.peers.learn(address)
+		}
+	}
 	for _, address := range entry.peers.all() {
 		err := entry.peers.call(ctx, address, peerTimeout, func(ctx context.Context, client ptwire.DRPCDispatcherClient) error {
-			reply, err := client.Peer(ctx, &ptwire.PeerQuery{Configuration: true, KnownRevision: uint64(entry.follower.State().Revision)})
+			reply, err := client.Peer(ctx, &ptwire.PeerQuery{
+				Configuration: true, KnownRevision: uint64(entry.follower.State().Revision),
+				Entry: string(entry.setting.Name), Incarnation: uint64(entry.incarnation), AgentsAddress: entry.setting.AgentsListen,
+			})
 			if err != nil {
 				return err
 			}
--- a/ptentry/ptentry.go
+++ b/ptentry/ptentry.go
@@ -39,6 +39,7 @@
 	"github.com/primrosetiller/primrosetiller/ptmetric"
 	"github.com/primrosetiller/primrosetiller/ptorder"
 	"github.com/primrosetiller/primrosetiller/ptplace"
+	"github.com/primrosetiller/primrosetiller/ptpresence"
 	"github.com/primrosetiller/primrosetiller/ptquota"
 	"github.com/primrosetiller/primrosetiller/ptsched"
 	"github.com/primrosetiller/primrosetiller/pttrace"
@@ -139,6 +140,7 @@
 	unready  atomic.Bool
 	draining atomic.Bool
 	peers    *peerBook
+	presence *ptpresence.Presence
 
 	// services is replaced as a whole when a service is added.
 	services atomic.Pointer[map[ptid.ServiceName]*service]
@@ -158,7 +160,7 @@
 		setting: setting, deps: deps, incarnation: ptid.NewIncarnation(time.Now()),
 		jobs: newJobTable(setting.KeepBytes), ledger: ptquota.NewLedger(), count: newCounters(deps.Metrics),
 		links: make(map[ptid.AgentName]*link), keepers: make(map[ptquota.Account]ptid.AgentName),
-		peers: newPeerBook(setting.Peers, deps.Metrics),
+		peers: newPeerBook(setting.Peers, deps.Metrics), presence: ptpresence.New(deps.Store, deps.Log),
 	}
 	entry.services.Store(&map[ptid.ServiceName]*service{})
 	entry.follower = ptfollow.New(deps.Store, setting.Retention, deps.Log, deps.Metrics, entry.configured)
@@ -265,3 +267,9 @@
 
 // Revision returns the revision of the configuration in force.
 func (entry *Entry) Revision() ptid.Revision { return entry.follower.State().Revision }
+
+// Incarnation returns the incarnation of this process, which its job ids carry.
+func (entry *Entry) Incarnation() ptid.Incarnation { return entry.incarnation }
+
+// OpenJobs returns how many jobs have not ended.
+func (entry *Entry) OpenJobs() int64 { return entry.jobs.open() }
--- a/ptentry/run.go
+++ b/ptentry/run.go
@@ -118,17 +118,11 @@
 // keepPeers announces this entry in the log's presence stream, learns of the
 // others there and asks them who they are.
 func (entry *Entry) keepPeers(ctx context.Context) {
-	presence := ptpresence.New(entry.deps.Store, entry.deps.Log)
-	go presence.Announce(ctx, ptpresence.Entry{
+	go entry.presence.Announce(ctx, ptpresence.Entry{
 		Name: entry.setting.Name, Address: entry.setting.AgentsListen, Incarnation: entry.incarnation,
 	}, entry.setting.Retention)
-	go presence.Follow(ctx)
+	go entry.presence.Follow(ctx)
 	for ctx.Err() == nil {
-		for _, address := range presence.Addresses() {
-			if address != entry.setting.AgentsListen {
-				entry.peers.learn(address)
-			}
-		}
 		entry.meetPeers(ctx)
 		entry.sendEntries()
 		select {
--- a/ptentry/session.go
+++ b/ptentry/session.go
@@ -418,7 +418,7 @@
 	}
 	message := &ptwire.QuotaClaim{
 		Account: string(claim.Account), Limit: uint32(claim.Limit), Want: uint32(claim.Want),
-		Holding: uint32(claim.Holding), Moved: moved,
+		Holding: uint32(claim.Holding), Share: uint32(claim.Share), Moved: moved,
 	}
 	link.session.Post(func(frame *ptwire.Frame) { frame.QuotaClaims = append(frame.QuotaClaims, message) })
 }
@@ -446,6 +446,12 @@
 
 // Peer implements the drpc service: it says who answers here.
 func (entry *Entry) Peer(_ context.Context, query *ptwire.PeerQuery) (reply *ptwire.PeerReply, err error) {
+	if query.Entry != "" {
+		entry.peers.learn(query.AgentsAddress)
+		entry.peers.heard(ptid.EntryName(query.Entry), peerEntry{
+			address: query.AgentsAddress, incarnation: ptid.Incarnation(query.Incarnation), heardAt: time.Now(),
+		})
+	}
 	reply = &ptwire.PeerReply{
 		Entry: string(entry.setting.Name), Incarnation: uint64(entry.incarnation), Entries: entry.entryAddresses(),
 		AgentsAddress: entry.setting.AgentsListen,
--- a/pthealth/pthealth.go
+++ b/pthealth/pthealth.go
@@ -12,7 +12,10 @@
 //  3. At most [MostQuarantined] of a service's slots are in quarantine. Where more
 //     upstreams fail, the cause lies elsewhere, and taking them out would only move
 //     the load to the rest. So upstreams that are all bad at once all stay.
-//  4. Run times are learned for each profile; declared ones are not used.
+//  4. An upstream that its agent can't reach goes into quarantine at once, whatever
+//     rule 3 says: nothing of what it gets is run, so it carries no load. Its probes
+//     come back as not run and are placed elsewhere.
+//  5. Run times are learned for each profile; declared ones are not used.
 //
 // A black hole therefore fails at most StreakLimit tasks and what it had
 // outstanding, for each entry, and one more for each probe.
@@ -43,6 +46,9 @@
 	HangAfter = 2 * time.Second
 	// FirstQuarantine is the length of the first quarantine.
 	FirstQuarantine = 2 * time.Second
+	// UnreachableQuarantine is the length of the first quarantine of an upstream that
+	// can't be reached.
+	UnreachableQuarantine = 250 * time.Millisecond
 	// LongestQuarantine bounds the doubling.
 	LongestQuarantine = time.Minute
 	// MostQuarantined is the largest part of the slots in quarantine, as a divisor.
@@ -140,6 +146,19 @@
 	}
 }
 
+// Unreachable records a task that an agent could not hand to its upstream.
+func (tracker *Tracker) Unreachable(name ptid.AgentName, now ptid.Instant) {
+	found := tracker.upstreams[name]
+	switch {
+	case found == nil:
+	case !found.quarantine:
+		found.quarantine, found.length = true, UnreachableQuarantine
+		found.until = now.Add(found.length)
+	default:
+		tracker.isolate(found, now)
+	}
+}
+
 // Outstanding tells of the oldest task that is out at an upstream since it was
 // last heard of. The owner calls it at a steady pace.
 func (tracker *Tracker) Outstanding(name ptid.AgentName, profile ptid.ProfileName, since, now ptid.Instant) {
--- a/ptquota/ledger.go
+++ b/ptquota/ledger.go
@@ -117,7 +117,7 @@
 func (account *entryAccount) claim(name Account) Claim {
 	limit, running := int(account.limit.Load()), int(account.running.Load())
 	return Claim{
-		Account: name, Limit: limit, Holding: running,
+		Account: name, Limit: limit, Holding: running, Share: int(account.share.Load()),
 		Want: min(limit, running+max(0, int(account.waiting.Load()))),
 	}
 }
@@ -129,7 +129,7 @@
 	if claim.Limit != last.Limit && (claim.Want > 0 || last.Want > 0) {
 		return false
 	}
-	sinking := share < last.Holding && claim.Holding < last.Holding
+	sinking := share < last.Share || (share < last.Holding && claim.Holding < last.Holding)
 	needsMore := claim.Want > share && claim.Want != last.Want
 	returns := claim.Want < last.Want/2 || (claim.Want == 0 && last.Want != 0)
 	return !sinking && !needsMore && !returns
--- a/ptquota/ptquota.go
+++ b/ptquota/ptquota.go
@@ -12,7 +12,8 @@
 //     keeper gives max-min fair shares of what is wanted.
 //  4. A share is raised only as far as the others' shares, and what they still hold
 //     above them, leave room. An entry that is told a lower share starts nothing
-//     more until it is below, and claims again while it sinks.
+//     more until it is below, and claims again: until that claim the keeper goes by
+//     the higher one.
 //  5. A keeper that takes an account over knows nothing of the shares that the
 //     earlier one gave. For [Grace] it gives to nobody more than what is held already.
 //  6. The claim of an entry whose session is gone counts for [Remember].
@@ -73,6 +74,8 @@
 	Want int
 	// Holding is how many it runs now.
 	Holding int
+	// Share is the share that the entry goes by.
+	Share int
 	// Moved tells that the entry had another keeper for the account before.
 	Moved bool
 }
@@ -87,11 +90,15 @@
 type claimant struct {
 	want    int
 	holding int
-	share   int
-	lostAt  ptid.Instant
+	// share is what the entry was told last, believed what it may still go by.
+	share    int
+	believed int
+	lostAt   ptid.Instant
 }
 
-func (claimant *claimant) reserved() int { return max(claimant.share, claimant.holding) }
+func (claimant *claimant) reserved() int {
+	return max(claimant.share, claimant.holding, claimant.believed)
+}
 
 type book struct {
 	limit int
@@ -123,7 +130,7 @@
 		own = &claimant{}
 		accounts.claimants[entry] = own
 	}
-	own.want, own.holding, own.lostAt = claim.Want, claim.Holding, 0
+	own.want, own.holding, own.believed, own.lostAt = claim.Want, claim.Holding, claim.Share, 0
 	changed := accounts.share(now)
 	changed = append(changed, entry)
 	slices.Sort(changed)
@@ -171,6 +178,7 @@
 	// Lower shares first: only they make room for higher ones.
 	for _, name := range names {
 		if claimant := book.claimants[name]; targets[name] < claimant.share {
+			claimant.believed = max(claimant.believed, claimant.share)
 			claimant.share = targets[name]
 			changed = append(changed, name)
 		}
--- a/ptsched/ptsched.go
+++ b/ptsched/ptsched.go
@@ -378,7 +378,7 @@
 		scheduler.meter.Ended(1, scheduler.queue.Len() > 0, now)
 	case Refused:
 		if result.Unfit {
-			scheduler.health.Failed(upstream.Name, now)
+			scheduler.health.Unreachable(upstream.Name, now)
 		}
 	case Abandoned:
 	}
--- a/ptslots/ptslots.go
+++ b/ptslots/ptslots.go
@@ -270,8 +270,8 @@
 func (core *Core) Release(task *Task, answer *ptwire.Answer, refusal ptreason.Reason, now ptid.Instant) (effects []Effect) {
 	delete(core.running, task.ID)
 	core.lease.Ended(task.Entry)
-	switch {
-	case answer == nil:
+	switch answer {
+	case nil:
 		core.table.Refuse(task.ID, task.Attempt())
 		if core.owns(task.Entry, task.ID) {
 			effects = append(effects, Refuse{Entry: task.Entry, ID: task.ID, Attempt: task.Attempt(), Reason: refusal})
--- a/ptupstream/ptupstream.go
+++ b/ptupstream/ptupstream.go
@@ -174,6 +174,9 @@
 func (call *Call) Do(runBy time.Time) (answer Answer, err error) {
 	conn := call.conn
 	answer, keep, err := call.exchange(conn, runBy)
+	if err != nil && !time.Now().Before(runBy) {
+		err = &Failure{Reason: ptreason.RunTimeout, cause: err}
+	}
 	if !call.release() {
 		_ = conn.Close()
 		if err != nil {
@@ -235,15 +238,10 @@
 }
 
 func readFailure(cause error) *Failure {
-	var netErr net.Error
-	switch {
-	case errors.As(cause, &netErr) && netErr.Timeout():
-		return &Failure{Reason: ptreason.RunTimeout, cause: cause}
-	case errors.Is(cause, fasthttp.ErrBodyTooLarge):
+	if errors.Is(cause, fasthttp.ErrBodyTooLarge) {
 		return &Failure{Reason: ptreason.AnswerTooLarge, cause: cause}
-	default:
-		return &Failure{Reason: ptreason.UpstreamClosed, cause: cause}
 	}
+	return &Failure{Reason: ptreason.UpstreamClosed, cause: cause}
 }
 
 func (client *Client) connect() (conn *connection, err error) {
