Test the parts one by one; a slow upstream no longer teaches its own pace

Cause: twelve answers of 2 s against a learned 100 ms did not quarantine an upstream, because each of them raised the learned run time until the next was no longer slow (pthealth test, failed first). Measured: quarantined after SlowLimit answers now; a change of all upstreams is still learned, at a tenth of the weight.

--- /dev/null
+++ b/ptadmit/ptadmit_test.go
@@ -0,0 +1,53 @@
+package ptadmit_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/primrosetiller/primrosetiller/ptadmit"
+	"github.com/primrosetiller/primrosetiller/ptid"
+	"github.com/primrosetiller/primrosetiller/ptreason"
+)
+
+func TestDecide(t *testing.T) {
+	base := ptadmit.Request{
+		Tasks: 10, Teams: 1, MaxQueued: 1000, Slots: 10, Free: 10, Quota: 1 << 20, Run: 100 * time.Millisecond, QueueFor: time.Second,
+	}
+	for name, test := range map[string]struct {
+		change func(request *ptadmit.Request)
+		reason ptreason.Reason
+	}{
+		"idle":                         {func(*ptadmit.Request) {}, ""},
+		"no upstream":                  {func(r *ptadmit.Request) { r.Slots = 0 }, ptreason.NoUpstream},
+		"quota zero":                   {func(r *ptadmit.Request) { r.Quota = 0 }, ptreason.QuotaZero},
+		"queue full":                   {func(r *ptadmit.Request) { r.MaxQueued = 9 }, ptreason.QueueFull},
+		"nothing known":                {func(r *ptadmit.Request) { r.Run, r.Queued, r.TeamQueued = 0, 500, 500 }, ""},
+		"too long by the run time":     {func(r *ptadmit.Request) { r.Free, r.Queued, r.TeamQueued = 0, 100, 100 }, ptreason.PredictedWait},
+		"too long by the rate":         {func(r *ptadmit.Request) { r.Free, r.Queued, r.TeamQueued, r.Rate = 0, 30, 30, 20 }, ptreason.PredictedWait},
+		"another team floods":          {func(r *ptadmit.Request) { r.Free, r.Queued, r.Teams = 0, 900, 2 }, ""},
+		"the quota lets too few start": {func(r *ptadmit.Request) { r.Quota = 1 }, ptreason.PredictedWait},
+	} {
+		request := base
+		test.change(&request)
+		refusal := ptadmit.Decide(request)
+		NewWithT(t).Expect(refusal.Reason).To(Equal(test.reason), name)
+		if test.reason != "" {
+			NewWithT(t).Expect(refusal.RetryAfter).To(BeNumerically(">=", ptadmit.ShortestRetry), name)
+		}
+	}
+}
+
+func TestMeter(t *testing.T) {
+	expect := NewWithT(t)
+	var meter ptadmit.Meter
+	now := ptid.Instant(time.Hour)
+	for range 300 {
+		now = now.Add(10 * time.Millisecond)
+		meter.Ended(1, true, now)
+	}
+	expect.Expect(meter.Rate(now)).To(BeNumerically("~", 100, 5))
+	meter.Ended(1, false, now)
+	expect.Expect(meter.Rate(now.Add(time.Minute))).To(BeZero(), "an old rate is not believed")
+}
--- a/pthealth/pthealth.go
+++ b/pthealth/pthealth.go
@@ -55,6 +55,8 @@
 	MostQuarantined = 3
 	// learnRate is the weight of the newest run time.
 	learnRate = 0.05
+	// slowLearnRate is the weight of a slow one.
+	slowLearnRate = 0.005
 	// slowFloor is the run time in seconds below which nothing counts as slow.
 	slowFloor = 0.05
 )
@@ -109,7 +111,7 @@
 func (tracker *Tracker) Answered(name ptid.AgentName, profile ptid.ProfileName, run time.Duration, now ptid.Instant) {
 	seconds, known := tracker.learned[profile]
 	slow := known && run.Seconds() > slowFloor && run.Seconds() > SlowFactor*seconds
-	tracker.learn(profile, run.Seconds(), known)
+	tracker.learn(profile, run.Seconds(), known, slow)
 	found := tracker.upstreams[name]
 	if found == nil {
 		return
@@ -126,12 +128,19 @@
 	}
 }
 
-func (tracker *Tracker) learn(profile ptid.ProfileName, seconds float64, known bool) {
-	if !known {
+// learn takes in a run time. Slow ones count little, and no more than just slow: one
+// bad upstream must not teach that its pace is the usual one, while a change of all
+// of them is still learned.
+func (tracker *Tracker) learn(profile ptid.ProfileName, seconds float64, known, slow bool) {
+	learned := tracker.learned[profile]
+	switch {
+	case !known:
 		tracker.learned[profile] = seconds
-		return
+	case slow:
+		tracker.learned[profile] += slowLearnRate * (min(seconds, SlowFactor*learned) - learned)
+	default:
+		tracker.learned[profile] += learnRate * (seconds - learned)
 	}
-	tracker.learned[profile] += learnRate * (seconds - tracker.learned[profile])
 }
 
 // Failed records a task that failed at an upstream, or that it could not take.
--- /dev/null
+++ b/pthealth/pthealth_test.go
@@ -0,0 +1,80 @@
+package pthealth_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/primrosetiller/primrosetiller/pthealth"
+	"github.com/primrosetiller/primrosetiller/ptid"
+)
+
+const now = ptid.Instant(time.Hour)
+
+func tracker(upstreams ...ptid.AgentName) *pthealth.Tracker {
+	made := pthealth.New()
+	for _, name := range upstreams {
+		made.Join(name, 8)
+	}
+	return made
+}
+
+func fail(tracker *pthealth.Tracker, name ptid.AgentName, count int, at ptid.Instant) {
+	for range count {
+		tracker.Failed(name, at)
+	}
+}
+
+func TestBlackHoleAndProbe(t *testing.T) {
+	expect := NewWithT(t)
+	made := tracker("a", "b", "c", "d")
+	fail(made, "a", pthealth.StreakLimit-1, now)
+	expect.Expect(made.Status("a", now)).To(Equal(pthealth.Healthy))
+	made.Answered("a", "p", time.Millisecond, now)
+	fail(made, "a", pthealth.StreakLimit, now)
+	expect.Expect(made.Status("a", now)).To(Equal(pthealth.Quarantined))
+	later := now.Add(pthealth.FirstQuarantine)
+	expect.Expect(made.Status("a", later)).To(Equal(pthealth.Probing))
+	made.Failed("a", later)
+	expect.Expect(made.Status("a", later.Add(pthealth.FirstQuarantine))).To(Equal(pthealth.Quarantined), "a failed probe doubles the wait")
+	later = later.Add(2 * pthealth.FirstQuarantine)
+	expect.Expect(made.Status("a", later)).To(Equal(pthealth.Probing))
+	made.Answered("a", "p", time.Millisecond, later)
+	expect.Expect(made.Status("a", later)).To(Equal(pthealth.Healthy))
+}
+
+func TestAllBadStay(t *testing.T) {
+	expect := NewWithT(t)
+	made := tracker("a", "b", "c", "d", "e", "f")
+	for _, name := range []ptid.AgentName{"a", "b", "c", "d", "e", "f"} {
+		fail(made, name, 3*pthealth.StreakLimit, now)
+	}
+	expect.Expect(made.Isolated()).To(Equal(2), "a third of the slots at the most")
+}
+
+func TestUnreachableGoesAtOnce(t *testing.T) {
+	expect := NewWithT(t)
+	made := tracker("a")
+	made.Unreachable("a", now)
+	expect.Expect(made.Status("a", now)).To(Equal(pthealth.Quarantined), "also where it is the only one")
+	expect.Expect(made.Status("a", now.Add(pthealth.UnreachableQuarantine))).To(Equal(pthealth.Probing))
+}
+
+func TestSlowAndHanging(t *testing.T) {
+	expect := NewWithT(t)
+	made := tracker("a", "b", "c")
+	for range 200 {
+		made.Answered("b", "p", 100*time.Millisecond, now)
+	}
+	for range pthealth.SlowLimit {
+		made.Answered("a", "p", 2*time.Second, now)
+	}
+	expect.Expect(made.Status("a", now)).To(Equal(pthealth.Quarantined))
+	hanging := tracker("a", "b", "c")
+	hanging.Answered("b", "p", 50*time.Millisecond, now)
+	hanging.Outstanding("a", "p", now, now.Add(pthealth.HangAfter))
+	expect.Expect(hanging.Status("a", now)).To(Equal(pthealth.Healthy))
+	hanging.Outstanding("a", "p", now, now.Add(pthealth.HangAfter+1))
+	expect.Expect(hanging.Status("a", now.Add(pthealth.HangAfter+1))).To(Equal(pthealth.Quarantined))
+}
--- /dev/null
+++ b/ptlease/ptlease_test.go
@@ -0,0 +1,122 @@
+package ptlease_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/primrosetiller/primrosetiller/ptassert"
+	"github.com/primrosetiller/primrosetiller/ptid"
+	"github.com/primrosetiller/primrosetiller/ptlease"
+)
+
+const now = ptid.Instant(time.Hour)
+
+func TestSharing(t *testing.T) {
+	expect := NewWithT(t)
+	allocator := ptlease.New(ptlease.Setting{Slots: 4, Ahead: 2, MoveAfter: 10 * time.Millisecond})
+	allocator.Join("a")
+	allocator.Join("b")
+	expect.Expect(allocator.Window("a", now)).To(Equal(6), "an entry alone may use everything")
+	for range 6 {
+		allocator.Received("a")
+	}
+	expect.Expect(allocator.Window("b", now)).To(Equal(0))
+	allocator.Demand("a", 5, now, now)
+	allocator.Demand("b", 3, now.Add(-time.Second), now)
+	expect.Expect(allocator.Moves(now)).To(BeEmpty(), "no slot is idle")
+	allocator.Ended("a")
+	expect.Expect(allocator.Window("a", now)).To(Equal(5), "the older task of b gets what is freed")
+	expect.Expect(allocator.Window("b", now)).To(Equal(1))
+	for range 3 {
+		allocator.Ended("a")
+	}
+	allocator.Window("b", now)
+	allocator.Received("b")
+	allocator.Demand("b", 2, now.Add(-time.Second), now)
+	expect.Expect(allocator.Moves(now)).To(Equal([]ptlease.Move{ptlease.Grant{Entry: "b"}}), "an idle slot is worth a message")
+	later := now.Add(ptlease.DemandFor)
+	expect.Expect(allocator.Moves(later)).To(BeEmpty(), "an old demand is not believed")
+}
+
+func TestRecall(t *testing.T) {
+	expect := NewWithT(t)
+	allocator := ptlease.New(ptlease.Setting{Slots: 2, Recall: true})
+	allocator.Join("a")
+	allocator.Join("b")
+	allocator.Window("b", now)
+	allocator.Received("a")
+	allocator.Received("a")
+	allocator.Demand("a", 1, now, now)
+	expect.Expect(allocator.Moves(now)).To(Equal([]ptlease.Move{ptlease.Recall{Entry: "b"}}))
+	expect.Expect(allocator.Moves(now)).To(BeEmpty(), "once")
+	expect.Expect(allocator.Window("b", now)).To(Equal(0))
+}
+
+// TestWorkConserving checks that an idle slot never stands beside a waiting task
+// whose entry has neither room in its window nor a grant on its way.
+func TestWorkConserving(t *testing.T) {
+	ptassert.Fatal()
+	rapid.Check(t, func(t *rapid.T) {
+		setting := ptlease.Setting{Slots: rapid.IntRange(1, 4).Draw(t, "slots"), Ahead: rapid.IntRange(0, 3).Draw(t, "ahead"), MoveAfter: 5}
+		allocator := ptlease.New(setting)
+		entries := []ptid.EntryName{"a", "b", "c"}
+		windows, outstanding, queued := map[ptid.EntryName]int{}, map[ptid.EntryName]int{}, map[ptid.EntryName]int{}
+		for _, entry := range entries {
+			allocator.Join(entry)
+			windows[entry] = allocator.Window(entry, now)
+		}
+		pick := func(t *rapid.T) ptid.EntryName { return rapid.SampledFrom(entries).Draw(t, "entry") }
+		moves := func() {
+			for _, move := range allocator.Moves(now) {
+				if grant, ok := move.(ptlease.Grant); ok {
+					windows[grant.Entry] = allocator.Window(grant.Entry, now)
+				}
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"wait": func(t *rapid.T) {
+				entry := pick(t)
+				queued[entry] += rapid.IntRange(1, 3).Draw(t, "tasks")
+				allocator.Demand(entry, queued[entry], now+ptid.Instant(rapid.IntRange(-20, 20).Draw(t, "age")), now)
+				moves()
+			},
+			"send": func(t *rapid.T) {
+				entry := pick(t)
+				if queued[entry] > 0 && outstanding[entry] < windows[entry] {
+					queued[entry]--
+					outstanding[entry]++
+					allocator.Received(entry)
+					allocator.Demand(entry, queued[entry], now, now)
+					moves()
+				}
+			},
+			"end": func(t *rapid.T) {
+				if entry := pick(t); outstanding[entry] > 0 {
+					outstanding[entry]--
+					allocator.Ended(entry)
+					windows[entry] = allocator.Window(entry, now)
+					moves()
+				}
+			},
+			"": func(t *rapid.T) {
+				total, stuck := 0, ""
+				roomSomewhere := false
+				for _, entry := range entries {
+					total += outstanding[entry]
+					if queued[entry] > 0 && outstanding[entry] < windows[entry] {
+						roomSomewhere = true
+					} else if queued[entry] > 0 {
+						stuck += fmt.Sprint(entry, " ")
+					}
+				}
+				if total < setting.Slots && stuck != "" && !roomSomewhere {
+					t.Fatalf("%d of %d slots are used while %swait without room", total, setting.Slots, stuck)
+				}
+			},
+		})
+	})
+}
