--- a/ptcmd/operate.go
+++ b/ptcmd/operate.go
@@ -241,9 +241,14 @@
 }
 
 func runExplain(_ context.Context, call *invocation) (err error) {
+	reference := call.flags.Bool("reference", false, "print the reference page")
 	if err := call.parse(); err != nil {
 		return err
 	}
+	if *reference {
+		call.printf("%s", ptexplain.Reference())
+		return nil
+	}
 	if call.flags.NArg() == 0 {
 		for _, topic := range ptexplain.Topics() {
 			call.printf("%-10s %-45s %s\n", topic.Kind, topic.Name, topic.Title)
