Ask for slots in rounds, let eight tasks wait at an agent, and rate no early ends

Cause: with four entries demands went to three more agents with every frame, and leases stood idle; one job of 220 was refused at 80 % because the rate was taken in the first 200 ms of a busy time, when nothing had ended yet. A rate now needs a second and 20 ends (test failed first).

--- a/ptadmit/ptadmit.go
+++ b/ptadmit/ptadmit.go
@@ -6,7 +6,7 @@
 //  1. A job is admitted whole or not at all.
 //  2. The wait of its last task is predicted as the tasks that wait before it,
 //     itself included, over the rate at which tasks end while there is a queue.
-//  3. The rate is measured over [Window] while tasks wait. Without such a
+//  3. The rate is measured over [Window] or longer while tasks wait. Without such a
 //     measurement it is the number of slots over the learned run time.
 //  4. A job is refused where the prediction passes [Margin] of its profile's
 //     queueFor, or where the queue has reached its bound.
@@ -34,8 +34,9 @@
 	ShortestRetry = time.Second
 	// LongestRetry is the most that a refused caller is told to wait.
 	LongestRetry = 30 * time.Second
-	// leastMeasured is the least span of waiting that gives a rate.
-	leastMeasured = 200 * time.Millisecond
+	// leastEnded is how many tasks must have ended for a rate, unless it takes longer
+	// than a rate is believed: at the start of a busy time nothing has ended yet.
+	leastEnded = 20
 	// rateWeight is the weight of the newest window.
 	rateWeight = 0.5
 )
@@ -64,7 +65,7 @@
 	}
 	meter.ended += count
 	span := now.Sub(meter.busySince)
-	if span < leastMeasured || (meter.rate > 0 && span < Window) {
+	if span < Window || (meter.ended < leastEnded && span < rateFor) {
 		return
 	}
 	measured := float64(meter.ended) / span.Seconds()
--- a/ptadmit/ptadmit_test.go
+++ b/ptadmit/ptadmit_test.go
@@ -48,6 +48,12 @@
 		meter.Ended(1, true, now)
 	}
 	expect.Expect(meter.Rate(now)).To(BeNumerically("~", 100, 5))
+	var fresh ptadmit.Meter
+	for range 3 {
+		now = now.Add(300 * time.Millisecond)
+		fresh.Ended(1, true, now)
+	}
+	expect.Expect(fresh.Rate(now)).To(BeZero(), "a few ends at the start of a busy time are no rate")
 	meter.Ended(1, false, now)
 	expect.Expect(meter.Rate(now.Add(time.Minute))).To(BeZero(), "an old rate is not believed")
 }
--- a/ptcluster/ptcluster.go
+++ b/ptcluster/ptcluster.go
@@ -45,7 +45,7 @@
 	DefaultMaxQueued = 50_000
 	DefaultKeepBytes = 8 << 20
 	DefaultRetention = 24 * time.Hour
-	DefaultAhead     = 3
+	DefaultAhead     = 8
 	DefaultMoveAfter = 20 * time.Millisecond
 )
 
--- a/ptsched/ptsched.go
+++ b/ptsched/ptsched.go
@@ -15,7 +15,7 @@
 //  3. A new incarnation of an upstream takes the list of the old one with it; the
 //     owner gives those tasks up as unknown.
 //  4. While tasks wait and no upstream has room, a few upstreams are told of the
-//     demand, once, and again after [DemandAgain].
+//     demand, a few more after [DemandRound], and the same ones after [DemandAgain].
 //
 // # Usage
 //
@@ -46,6 +46,8 @@
 const (
 	// DemandAgain is how long a demand is not repeated.
 	DemandAgain = 400 * time.Millisecond
+	// DemandRound is the least time between two rounds of demands.
+	DemandRound = 100 * time.Millisecond
 	// DemandAfter is how long a favour for messages lets tasks wait before a demand.
 	DemandAfter = 20 * time.Millisecond
 	// demandTargets is how many upstreams are told of a demand at once.
@@ -115,6 +117,7 @@
 	sent      int
 	out       map[ptid.ProfileName]int
 	waitSince ptid.Instant
+	askedAt   ptid.Instant
 }
 
 // New returns a scheduler without jobs or upstreams.
@@ -416,7 +419,7 @@
 	if scheduler.waitSince == 0 {
 		scheduler.waitSince = now
 	}
-	if patient && now.Sub(scheduler.waitSince) < DemandAfter {
+	if patient && now.Sub(scheduler.waitSince) < DemandAfter || now.Sub(scheduler.askedAt) < DemandRound {
 		return nil
 	}
 	for _, upstream := range scheduler.ordered {
@@ -425,7 +428,7 @@
 		if !upstream.view.Usable || upstream.view.Outstanding > 0 || now.Sub(upstream.askedAt) < DemandAgain {
 			continue
 		}
-		upstream.askedAt = now
+		upstream.askedAt, scheduler.askedAt = now, now
 		upstreams = append(upstreams, upstream)
 		if len(upstreams) == demandTargets {
 			break
