Reply to oversize requests before closing; spans for the queue; a flood in load

Cause: a caller that sent 9 MB saw a reset connection instead of 413 (test, failed first); the wait at the entry had no span; ports that were reserved and given back could be taken by another listener of the tests. Measured: the 413 arrives; five spans in one trace; ptcluster and ptprocess pass.

--- a/ptcluster/ptcluster.go
+++ b/ptcluster/ptcluster.go
@@ -36,6 +36,7 @@
 	"github.com/primrosetiller/primrosetiller/ptplace"
 	"github.com/primrosetiller/primrosetiller/ptprofile"
 	"github.com/primrosetiller/primrosetiller/ptstandin"
+	"github.com/primrosetiller/primrosetiller/pttrace"
 )
 
 // Defaults of what entries and agents are started with, here and on the command line.
@@ -73,6 +74,8 @@
 	Retention time.Duration
 	Seed      uint64
 	Log       logr.Logger
+	// Tracer makes the spans of all parts; nil makes none.
+	Tracer *pttrace.Tracer
 	// Relay returns the address under which an agent reaches an entry, for tests
 	// with something in between; nil means directly.
 	Relay func(agentsAddress string) string
@@ -182,27 +185,18 @@
 	return nil
 }
 
-// reserve returns a free address on loopback.
-func reserve() (address string, err error) {
-	listener, err := net.Listen("tcp", loopback)
-	if err != nil {
-		return "", errors.Wrap(err, "find a free port")
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
-}
-
 // AddEntry starts one more entry.
 func (cluster *Cluster) AddEntry(name string) (started *Entry, err error) {
-	agents, err := reserve()
-	if err != nil {
-		return nil, err
-	}
-	return cluster.StartEntry(name, agents)
+	return cluster.StartEntry(name, loopback)
 }
 
 // StartEntry starts an entry whose agents dial a given address.
 func (cluster *Cluster) StartEntry(name, agents string) (started *Entry, err error) {
+	listener, err := net.Listen("tcp", agents)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for agents")
+	}
+	agents = listener.Addr().String()
 	callers, err := net.Listen("tcp", loopback)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for callers")
@@ -220,16 +214,16 @@
 		MaxQueued: setting.MaxQueued, MaxBody: DefaultMaxBody, KeepBytes: DefaultKeepBytes, Retention: setting.Retention,
 		Seed: setting.Seed + uint64(index),
 	}, ptentry.Dependencies{
-		Log: setting.Log.WithName(name), Metrics: metrics, Clock: ptid.NewClock(), Store: ptlog.New(cluster.LogURL),
+		Log: setting.Log.WithName(name), Metrics: metrics, Clock: ptid.NewClock(), Store: ptlog.New(cluster.LogURL), Tracer: setting.Tracer,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	started = &Entry{
 		Name: ptid.EntryName(name), Entry: entry, Metrics: metrics, Callers: callers.Addr().String(), Agents: agents,
-		front:  ptfront.New(entry, ptfront.Setting{MaxBody: DefaultMaxBody}, nil, metrics, setting.Log),
+		front:  ptfront.New(entry, ptfront.Setting{MaxBody: DefaultMaxBody}, setting.Tracer, metrics, setting.Log),
 		cancel: cancel, done: make(chan error, 1),
 	}
 	go func() { _ = started.front.Serve(callers) }()
-	go func() { started.done <- entry.Run(ctx) }()
+	go func() { started.done <- entry.RunOn(ctx, listener) }()
 	cluster.Entries = append(cluster.Entries, started)
 	return started, nil
 }
@@ -273,7 +267,7 @@
 		Name: ptid.AgentName(name), Zone: setting.Zones[index%len(setting.Zones)], Region: "region1", Service: service,
 		Upstream: url, Entries: entries, AdminListen: loopback, LogURL: cluster.LogURL, MaxAnswer: DefaultMaxAnswer,
 		Lease: ptlease.Setting{Slots: setting.Slots, Ahead: setting.Ahead, MoveAfter: setting.MoveAfter, Recall: setting.Recall},
-	}, ptagent.Dependencies{Log: setting.Log.WithName(name), Metrics: metrics, Clock: ptid.NewClock()})
+	}, ptagent.Dependencies{Log: setting.Log.WithName(name), Metrics: metrics, Clock: ptid.NewClock(), Tracer: setting.Tracer})
 	if err != nil {
 		return nil, err
 	}
--- a/ptcluster/ptcluster_test.go
+++ b/ptcluster/ptcluster_test.go
@@ -13,10 +13,13 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 
 	"github.com/primrosetiller/primrosetiller/ptassert"
 	"github.com/primrosetiller/primrosetiller/ptcluster"
 	"github.com/primrosetiller/primrosetiller/ptprofile"
+	"github.com/primrosetiller/primrosetiller/pttrace"
 )
 
 func TestCluster(t *testing.T) {
@@ -101,4 +104,76 @@
 			Expect(string(answer)).To(ContainSubstring(fmt.Sprintf(`"nonce":"a-%d"`, i)))
 		}
 	})
+
+	It("returns the upstream's answer to a single request as it is", func() {
+		cluster := start(ptcluster.Setting{Entries: 1, Agents: 1, Slots: 1})
+		response, err := cluster.Client.Post(cluster.Entries[0].URL()+"/v1/requests/plain", "application/json", strings.NewReader(`{"nonce":"single","answerBytes":100000}`))
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = response.Body.Close() }()
+		text, err := io.ReadAll(response.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response.Header.Get("Primrosetiller-Outcome")).To(Equal("complete"))
+		Expect(response.Header.Get("Primrosetiller-Job")).To(HavePrefix("entry1."))
+		Expect(len(text)).To(BeNumerically(">", 100_000))
+		Expect(string(text)).To(ContainSubstring(`"nonce":"single"`))
+	})
+
+	DescribeTable("refuses what it can't take with a true notRun", func(body string, status int, reason string) {
+		cluster := start(ptcluster.Setting{Entries: 1, Agents: 1, Slots: 1})
+		got := call(cluster, http.MethodPost, cluster.Entries[0].URL()+"/v1/jobs", body)
+		Expect(got.Status).To(Equal(status))
+		Expect(got.Outcome).To(Equal("notRun"))
+		Expect(got.Reason).To(Equal(reason))
+		Expect(cluster.Agents[0].Upstream.Counts().Starts).To(BeZero())
+	},
+		Entry("bad JSON", `{"profile":`, 400, "badInput"),
+		Entry("unknown profile", job("nosuch", "", 1, 1), 404, "unknownProfile"),
+		Entry("too many tasks", job("plain", "", 221, 1), 413, "tooManyTasks"),
+		Entry("no tasks", job("plain", "", 0, 1), 400, "badInput"),
+		Entry("no key", job("recorded", "", 1, 1), 400, "submissionKeyMissing"),
+		Entry("a deadline in the past", `{"profile":"plain","deadline":"2001-01-01T00:00:00Z","tasks":[{"payload":1}]}`, 400, "deadlinePassed"),
+		Entry("an oversize body", `{"profile":"plain","tasks":[{"payload":"`+strings.Repeat("x", ptcluster.DefaultMaxBody)+`"}]}`, 413, "tooLarge"),
+	)
+
+	It("makes a span for each hop, all in one trace", func() {
+		exporter := tracetest.NewInMemoryExporter()
+		provider := sdktrace.NewTracerProvider(sdktrace.WithSyncer(exporter))
+		cluster := start(ptcluster.Setting{Entries: 1, Agents: 1, Slots: 1, Tracer: pttrace.FromProvider(provider)})
+		call(cluster, http.MethodPost, cluster.Entries[0].URL()+"/v1/jobs", job("plain", "t", 1, 1))
+		Eventually(func() (names []string) {
+			for _, span := range exporter.GetSpans() {
+				names = append(names, span.Name)
+			}
+			return names
+		}).WithTimeout(patience).Should(ConsistOf("request", "queue", "dispatch", "agent", "upstream"))
+		for _, span := range exporter.GetSpans() {
+			Expect(span.SpanContext.TraceID()).To(Equal(exporter.GetSpans()[0].SpanContext.TraceID()))
+		}
+	})
 })
+
+func BenchmarkSingleRequest(b *testing.B) {
+	RegisterFailHandler(func(message string, _ ...int) { b.Fatal(message) })
+	cluster, err := ptcluster.Start(ptcluster.Setting{Entries: 1, Agents: 1, Slots: 8, Ahead: 1})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer cluster.Stop()
+	if err := cluster.Apply(context.Background(), declarations()); err != nil {
+		b.Fatal(err)
+	}
+	for _, target := range []struct{ name, url string }{
+		{"through", cluster.Entries[0].URL() + "/v1/requests/plain"}, {"direct", cluster.Agents[0].URL + "/run"},
+	} {
+		b.Run(target.name, func(b *testing.B) {
+			for range b.N {
+				response, err := cluster.Client.Post(target.url, "application/json", strings.NewReader(`{}`))
+				if err != nil {
+					b.Fatal(err)
+				}
+				_, _ = io.Copy(io.Discard, response.Body)
+				_ = response.Body.Close()
+			}
+		})
+	}
+}
--- a/ptcmd/load.go
+++ b/ptcmd/load.go
@@ -20,8 +20,9 @@
 )
 
 const (
-	loadProfile = "load"
-	warmUpJobs  = 20
+	loadProfile  = "load"
+	floodProfile = "flood"
+	warmUpJobs   = 20
 )
 
 // loadOptions are the settings of the load tool.
@@ -45,6 +46,7 @@
 	favour                 *ptprofile.Favour
 	recall                 *bool
 	faults                 *string
+	flood                  *float64
 }
 
 func loadFlags(flags *ptsetting.Flags) (options loadOptions) {
@@ -70,6 +72,7 @@
 	options.local.order = ptsetting.Choice(flags, "order", "which job goes first", ptorder.Orders...)
 	options.local.favour = ptsetting.Choice(flags, "favour", "what the profile favours", ptprofile.ResponseTime, ptprofile.Messages)
 	options.local.faults = flags.String("faults", "", "switches of upstream stand-ins, such as upstream1={\"fail\":true}, with semicolons between them")
+	options.local.flood = flags.Float64("flood", 0, "part of the slots that another team asks for at the same time; its jobs are not reported; without --entries only")
 	return options
 }
 
@@ -188,7 +191,9 @@
 	profile.Name, profile.Team, profile.Service = setting.Profile, "load", "service"
 	profile.MaxTasks, profile.QueueFor, profile.Favour = ptprofile.MostTasks, *local.queueFor, *local.favour
 	profile.RunFor = time.Minute
-	if err := cluster.Apply(ctx, ptprofile.Set{Profiles: []ptprofile.Profile{profile}}); err != nil {
+	flooding := profile
+	flooding.Name, flooding.Team = floodProfile, "flood"
+	if err := cluster.Apply(ctx, ptprofile.Set{Profiles: []ptprofile.Profile{profile, flooding}}); err != nil {
 		return nil, err
 	}
 	if err := setFaults(cluster, *local.faults); err != nil {
@@ -201,7 +206,29 @@
 	if _, err := ptload.Run(ctx, ptload.NewPlan(warmUp, *local.entries), targets); err != nil {
 		return nil, err
 	}
-	return ptload.Run(ctx, ptload.NewPlan(setting, *local.entries), targets)
+	plan := ptload.NewPlan(setting, *local.entries)
+	if *local.flood > 0 {
+		stop := startFlood(ctx, setting, plan, *local.flood, slots**local.agents, *local.entries, targets)
+		defer stop()
+	}
+	return ptload.Run(ctx, plan, targets)
+}
+
+// startFlood offers the jobs of another team for as long as a plan lasts. stop ends it.
+func startFlood(ctx context.Context, setting ptload.Setting, plan *ptload.Plan, part float64, slots, entries int, targets ptload.Targets) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	setting.Profile, setting.JobsPerSec, setting.Seed = floodProfile, -part, setting.Seed+2
+	fill(&setting, slots)
+	setting.Jobs = int(setting.JobsPerSec*plan.Jobs[len(plan.Jobs)-1].At.Seconds()) + 1
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _ = ptload.Run(ctx, ptload.NewPlan(setting, entries), targets)
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
 }
 
 // Targets returns the parts of a cluster that the load tool talks to.
--- a/ptentry/run.go
+++ b/ptentry/run.go
@@ -30,6 +30,11 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for agents")
 	}
+	return entry.RunOn(ctx, listener)
+}
+
+// RunOn is Run with a listener for agents and peers that is open already.
+func (entry *Entry) RunOn(ctx context.Context, listener net.Listener) (err error) {
 	entry.setting.AgentsListen = listener.Addr().String()
 	mux := drpcmux.New()
 	if err := ptwire.DRPCRegisterDispatcher(mux, entry); err != nil {
--- a/ptfront/ptfront.go
+++ b/ptfront/ptfront.go
@@ -51,6 +51,8 @@
 	idleTimeout    = 2 * time.Minute
 	callerInterval = 500 * time.Millisecond
 	mostConns      = 20_000
+	discardTimeout = 2 * time.Second
+	discardBuffer  = 32 << 10
 )
 
 // Setting is what an operator chooses.
@@ -98,6 +100,7 @@
 	var tooLarge *fasthttp.ErrSmallBuffer
 	switch {
 	case errors.Is(err, fasthttp.ErrBodyTooLarge), errors.As(err, &tooLarge):
+		discardBody(request)
 		writeNotRun(request, &ptentry.NotRun{Reason: ptreason.TooLarge, Message: "the request passes the limit of the entry"})
 	default:
 		writeNotRun(request, &ptentry.NotRun{Reason: ptreason.BadInput, Message: "the request can't be read: " + err.Error()})
@@ -105,6 +108,24 @@
 	request.SetConnectionClose()
 }
 
+// discardBody reads what a caller still sends of a body that is not taken, so that
+// the reply is not lost with a reset connection. It is bounded in time.
+func discardBody(request *fasthttp.RequestCtx) {
+	conn := request.Conn()
+	if conn.SetReadDeadline(time.Now().Add(discardTimeout)) != nil {
+		return
+	}
+	buffer := make([]byte, discardBuffer)
+	for left := request.Request.Header.ContentLength(); left > 0; {
+		size, err := conn.Read(buffer)
+		left -= size
+		// The server has read ahead, so the last bytes never come.
+		if err != nil || left <= discardBuffer {
+			return
+		}
+	}
+}
+
 func (front *Front) serve(request *fasthttp.RequestCtx) {
 	path := string(request.Path())
 	switch {
--- a/ptprocess/ptprocess_test.go
+++ b/ptprocess/ptprocess_test.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -73,14 +74,22 @@
 	Expect(process.command.Process.Signal(signal)).To(Succeed())
 }
 
+// nextPort lies below the range from which the kernel gives ports to others, so that
+// an address stays free until its process listens there, also across a restart.
+var nextPort = 21_000
+
 // ports returns free addresses on loopback.
 func ports(count int) (addresses []string) {
 	GinkgoHelper()
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		defer func() { _ = listener.Close() }()
-		addresses = append(addresses, listener.Addr().String())
+	for len(addresses) < count {
+		nextPort++
+		address := fmt.Sprint("127.0.0.1:", nextPort)
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		Expect(listener.Close()).To(Succeed())
+		addresses = append(addresses, address)
 	}
 	return addresses
 }
@@ -381,7 +390,8 @@
 					Expect(os.WriteFile(file, []byte(text), 0o600)).To(Succeed())
 					output, err := exec.Command(binary, "apply", "-f", file, "--log", system.log).Output()
 					status := 0
-					if exit, failed := err.(*exec.ExitError); failed {
+					exit := &exec.ExitError{}
+					if errors.As(err, &exit) {
 						status = exit.ExitCode()
 					}
 					Expect(status).To(BeElementOf(0, 3))
--- a/ptprofile/ptprofile_test.go
+++ b/ptprofile/ptprofile_test.go
@@ -9,7 +9,7 @@
 	. "github.com/onsi/gomega"
 	"gopkg.in/yaml.v3"
 
-	"github.com/primrosetiller/primrosetiller/examples"
+	ptexamples "github.com/primrosetiller/primrosetiller/examples"
 	"github.com/primrosetiller/primrosetiller/ptprofile"
 )
 
--- a/ptslope/agent.go
+++ b/ptslope/agent.go
@@ -74,19 +74,19 @@
 func startEntry(ctx context.Context, number int, first, logURL string) (entry *ptentry.Entry, err error) {
 	address := first
 	if number > 0 {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		address = listener.Addr().String()
-		_ = listener.Close()
+		address = "127.0.0.1:0"
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
 	}
+	address = listener.Addr().String()
 	entry = ptentry.New(ptentry.Setting{
 		Name: ptid.EntryName(fmt.Sprintf("entry%d", number)), Zone: "zone1", Region: "region1", AgentsListen: address,
 		LogURL: logURL, Peers: strings.Split(first, ","), Placement: ptplace.Leases, Order: ptorder.FirstCome,
 		MaxQueued: 1 << 20, MaxBody: 1 << 20, Retention: time.Hour, Seed: 1,
 	}, ptentry.Dependencies{Log: logr.Discard(), Metrics: ptmetric.New(), Clock: ptid.NewClock(), Store: ptlog.New(logURL)})
-	go func() { _ = entry.Run(ctx) }()
+	go func() { _ = entry.RunOn(ctx, listener) }()
 	return entry, nil
 }
 
--- a/pttrace/pttrace.go
+++ b/pttrace/pttrace.go
@@ -21,6 +21,7 @@
 	"net/url"
 	"os"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 	"go.opentelemetry.io/otel/attribute"
@@ -100,16 +101,23 @@
 	if tracer == nil {
 		return nil
 	}
+	return tracer.open(traceparent, name, job, index)
+}
+
+func (tracer *Tracer) open(traceparent, name, job string, index uint32, options ...trace.SpanStartOption) *Span {
 	parent := tracer.propagator.Extract(context.Background(), propagation.MapCarrier{traceparentKey: traceparent})
-	ctx, span := tracer.tracer.Start(parent, name, trace.WithAttributes(
-		attribute.String("job", job), attribute.Int64("task", int64(index)),
-	))
+	options = append(options, trace.WithAttributes(attribute.String("job", job), attribute.Int64("task", int64(index))))
+	ctx, span := tracer.tracer.Start(parent, name, options...)
 	return &Span{span: span, tracer: tracer, ctx: ctx}
 }
 
-// Upstream opens the span of a run at the upstream.
-func (tracer *Tracer) Upstream(traceparent, job string, index uint32) *Span {
-	return tracer.Start(traceparent, SpanUpstream, job, index)
+// Waited makes the span of a hop that ends now and took some time.
+func (tracer *Tracer) Waited(traceparent, name, job string, index uint32, span time.Duration) {
+	if tracer == nil {
+		return
+	}
+	now := time.Now()
+	tracer.open(traceparent, name, job, index, trace.WithTimestamp(now.Add(-span))).span.End(trace.WithTimestamp(now))
 }
 
 // Traceparent returns the text that makes other spans children of this one.
