ptslots: share slots fairly between teams at the agent, too

Cause: agents ordered their queues by arrival alone, so a flooding team's older tasks went before another team's at every agent. Ruled out: the entry's order, which chose the other team's task first.

--- a/ptagent/ptagent.go
+++ b/ptagent/ptagent.go
@@ -79,7 +79,6 @@
 	core     *ptslots.Core
 	calls    map[ptid.TaskID]*ptupstream.Call
 	peers    map[ptid.EntryName]*peer
-	teams    map[ptid.TeamName]int
 	stateRev uint64
 	sessions uint64
 	keeper   *ptquota.Keeper
@@ -102,7 +101,6 @@
 		setting: setting, deps: deps, incarnation: ptid.NewIncarnation(time.Now()),
 		upstream: upstream, core: ptslots.New(setting.Lease),
 		calls: make(map[ptid.TaskID]*ptupstream.Call), peers: make(map[ptid.EntryName]*peer),
-		teams:   make(map[ptid.TeamName]int),
 		keeper:  ptquota.NewKeeper(),
 		workers: pool{work: make(chan func())},
 		starts:  deps.Metrics.Counter(ptmetric.Starts),
@@ -167,7 +165,6 @@
 // start runs a task on a goroutine of its own. The caller holds the lock.
 func (agent *Agent) start(task *ptslots.Task) {
 	dispatch := task.Dispatch
-	agent.teams[ptid.TeamName(dispatch.Team)]++
 	span := agent.deps.Tracer.Start(dispatch.Traceparent, pttrace.SpanAgent, dispatch.Job, dispatch.Index)
 	traceparent := dispatch.Traceparent
 	if span != nil {
@@ -230,7 +227,6 @@
 	agent.mu.Lock()
 	defer agent.mu.Unlock()
 	delete(agent.calls, task.ID)
-	agent.teams[ptid.TeamName(task.Dispatch.Team)]--
 	agent.do(agent.core.Release(task, answer, refusal, agent.deps.Clock.Now()))
 }
 
@@ -271,11 +267,7 @@
 const teamReportEvery = 16
 
 func (agent *Agent) teamsRunning() (running []*ptwire.TeamRunning) {
-	for team, count := range agent.teams {
-		if count == 0 {
-			delete(agent.teams, team)
-			continue
-		}
+	for team, count := range agent.core.TeamsRunning() {
 		running = append(running, &ptwire.TeamRunning{Team: string(team), Running: uint32(count)})
 	}
 	return running
--- a/ptslots/backlog.go
+++ b/ptslots/backlog.go
@@ -1,33 +1,116 @@
 package ptslots
 
-// backlog is the heap of waiting tasks: the oldest order key first, and within
-// a job the lowest index. It implements heap.Interface.
-type backlog []*Task
+import (
+	"container/heap"
 
-func (backlog backlog) Len() int { return len(backlog) }
+	"github.com/primrosetiller/primrosetiller/ptid"
+)
 
-func (backlog backlog) Less(i, j int) bool {
-	left, right := backlog[i].Dispatch, backlog[j].Dispatch
+// backlog holds the waiting tasks: fair between teams, and within a team the oldest
+// order key first.
+type backlog struct {
+	teams map[ptid.TeamName]*teamHeap
+	// running counts the tasks of each team that hold a slot.
+	running map[ptid.TeamName]int
+}
+
+func newBacklog() backlog {
+	return backlog{teams: make(map[ptid.TeamName]*teamHeap), running: make(map[ptid.TeamName]int)}
+}
+
+func teamOf(task *Task) ptid.TeamName { return ptid.TeamName(task.Dispatch.Team) }
+
+func (backlog *backlog) push(task *Task) {
+	waiting := backlog.teams[teamOf(task)]
+	if waiting == nil {
+		waiting = &teamHeap{}
+		backlog.teams[teamOf(task)] = waiting
+	}
+	heap.Push(waiting, task)
+}
+
+// pop takes the first task of the team with the fewest tasks in slots, and counts it
+// as one that holds a slot. A team that floods so waits behind itself, here as at the
+// entry.
+func (backlog *backlog) pop() (next *Task) {
+	var best *teamHeap
+	var bestTeam ptid.TeamName
+	for team, waiting := range backlog.teams {
+		waiting.dropGone()
+		if waiting.Len() == 0 {
+			delete(backlog.teams, team)
+			continue
+		}
+		if best == nil || backlog.goesFirst(team, waiting, bestTeam, best) {
+			best, bestTeam = waiting, team
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	next, _ = heap.Pop(best).(*Task)
+	backlog.running[bestTeam]++
+	return next
+}
+
+func (backlog *backlog) goesFirst(team ptid.TeamName, waiting *teamHeap, than ptid.TeamName, other *teamHeap) bool {
+	if backlog.running[team] != backlog.running[than] {
+		return backlog.running[team] < backlog.running[than]
+	}
+	left, right := (*waiting)[0], (*other)[0]
+	if left.Dispatch.OrderNanos != right.Dispatch.OrderNanos {
+		return left.Dispatch.OrderNanos < right.Dispatch.OrderNanos
+	}
+	return team < than
+}
+
+// released counts a task that gives up its slot.
+func (backlog *backlog) released(task *Task) {
+	backlog.running[teamOf(task)]--
+	if backlog.running[teamOf(task)] == 0 {
+		delete(backlog.running, teamOf(task))
+	}
+}
+
+// teamHeap is the heap of one team's waiting tasks. It implements heap.Interface.
+type teamHeap []*Task
+
+// dropGone removes withdrawn tasks from the top.
+func (waiting *teamHeap) dropGone() {
+	for waiting.Len() > 0 && (*waiting)[0].gone {
+		heap.Pop(waiting)
+	}
+}
+
+// Len implements heap.Interface.
+func (waiting *teamHeap) Len() int { return len(*waiting) }
+
+// Less implements heap.Interface.
+func (waiting *teamHeap) Less(i, j int) bool {
+	left, right := (*waiting)[i].Dispatch, (*waiting)[j].Dispatch
 	if left.OrderNanos != right.OrderNanos {
 		return left.OrderNanos < right.OrderNanos
 	}
 	return left.Index < right.Index
 }
 
-func (backlog backlog) Swap(i, j int) { backlog[i], backlog[j] = backlog[j], backlog[i] }
+// Swap implements heap.Interface.
+func (waiting *teamHeap) Swap(i, j int) {
+	(*waiting)[i], (*waiting)[j] = (*waiting)[j], (*waiting)[i]
+}
 
 // Push implements heap.Interface.
-func (backlog *backlog) Push(item any) {
-	if waiting, ok := item.(*Task); ok {
-		*backlog = append(*backlog, waiting)
+func (waiting *teamHeap) Push(item any) {
+	if task, ok := item.(*Task); ok {
+		*waiting = append(*waiting, task)
 	}
 }
 
 // Pop implements heap.Interface.
-func (backlog *backlog) Pop() (item any) {
-	old := *backlog
+func (waiting *teamHeap) Pop() (item any) {
+	old := *waiting
 	last := old[len(old)-1]
 	old[len(old)-1] = nil
-	*backlog = old[:len(old)-1]
+	*waiting = old[:len(old)-1]
 	return last
 }
--- a/ptslots/ptslots.go
+++ b/ptslots/ptslots.go
@@ -4,7 +4,8 @@
 // # How it works
 //
 //  1. A dispatched task is offered to the start table (package ptstart). Accepted
-//     ones wait in a queue that is ordered by order key across all entries.
+//     ones wait in a queue that is ordered across all entries: fair between teams, and
+//     by order key within one.
 //  2. A free slot takes the first waiting task. The owner prepares the run, asks
 //     [Core.Begin] at the last moment, and reports the end. Where the run could not
 //     be prepared, the task is refused as not run.
@@ -30,8 +31,6 @@
 package ptslots
 
 import (
-	"container/heap"
-
 	"github.com/primrosetiller/primrosetiller/ptassert"
 	"github.com/primrosetiller/primrosetiller/ptid"
 	"github.com/primrosetiller/primrosetiller/ptlease"
@@ -113,7 +112,7 @@
 	return &Core{
 		slots: setting.Slots, table: ptstart.New(), lease: ptlease.New(setting),
 		waiting: make(map[ptid.TaskID]*Task), running: make(map[ptid.TaskID]*Task),
-		kept: make(map[ptid.TaskID]keptAnswer), entries: make(map[ptid.EntryName]ptid.Incarnation),
+		backlog: newBacklog(), kept: make(map[ptid.TaskID]keptAnswer), entries: make(map[ptid.EntryName]ptid.Incarnation),
 	}
 }
 
@@ -217,7 +216,7 @@
 		return refuse(ptreason.Draining, false)
 	}
 	core.waiting[task.ID] = task
-	heap.Push(&core.backlog, task)
+	core.backlog.push(task)
 	core.lease.Received(entry)
 	return nil
 }
@@ -245,16 +244,16 @@
 }
 
 func (core *Core) pop() (next *Task) {
-	for core.backlog.Len() > 0 {
-		next, _ = heap.Pop(&core.backlog).(*Task)
-		if !next.gone {
-			delete(core.waiting, next.ID)
-			return next
-		}
+	if next = core.backlog.pop(); next != nil {
+		delete(core.waiting, next.ID)
 	}
-	return nil
+	return next
 }
 
+// TeamsRunning returns how many tasks of each team hold a slot. The map is not to be
+// changed.
+func (core *Core) TeamsRunning() map[ptid.TeamName]int { return core.backlog.running }
+
 // Begin decides, at the last moment before the first byte goes to the upstream,
 // whether a task starts. It is safe for concurrent use.
 func (core *Core) Begin(task *Task, now ptid.Instant) (started bool) {
@@ -269,6 +268,7 @@
 // started; refusal says why.
 func (core *Core) Release(task *Task, answer *ptwire.Answer, refusal ptreason.Reason, now ptid.Instant) (effects []Effect) {
 	delete(core.running, task.ID)
+	core.backlog.released(task)
 	core.lease.Ended(task.Entry)
 	switch answer {
 	case nil:
--- /dev/null
+++ b/ptslots/ptslots_test.go
@@ -0,0 +1,83 @@
+package ptslots_test
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/primrosetiller/primrosetiller/ptassert"
+	"github.com/primrosetiller/primrosetiller/ptid"
+	"github.com/primrosetiller/primrosetiller/ptlease"
+	"github.com/primrosetiller/primrosetiller/ptreason"
+	"github.com/primrosetiller/primrosetiller/ptslots"
+	"github.com/primrosetiller/primrosetiller/ptwire"
+)
+
+const far = int64(1 << 60)
+
+func newCore(slots int) *ptslots.Core {
+	ptassert.Fatal()
+	core := ptslots.New(ptlease.Setting{Slots: slots, Ahead: 100})
+	core.Join("e", 1)
+	return core
+}
+
+func dispatch(sequence uint64, team string, order int64) *ptwire.Dispatch {
+	return &ptwire.Dispatch{
+		Job: string(ptid.NewJobID("e", 1, sequence)), Attempt: 1, Team: team, StartByNanos: far, FinishByNanos: far, OrderNanos: order,
+	}
+}
+
+// runs returns the teams of the tasks that are to run.
+func runs(effects []ptslots.Effect) (teams []string, tasks []*ptslots.Task) {
+	for _, effect := range effects {
+		if run, ok := effect.(ptslots.Run); ok {
+			teams = append(teams, run.Task.Dispatch.Team)
+			tasks = append(tasks, run.Task)
+		}
+	}
+	return teams, tasks
+}
+
+func TestFloodWaitsBehindItself(t *testing.T) {
+	core := newCore(2)
+	for i := range uint64(20) {
+		core.Dispatch("e", dispatch(i, "flood", int64(i)), 1)
+	}
+	_, running := runs(core.Fill(1))
+	core.Dispatch("e", dispatch(100, "small", 500), 1)
+	core.Begin(running[0], 1)
+	core.Finished(running[0])
+	teams, _ := runs(core.Release(running[0], &ptwire.Answer{}, "", 1))
+	NewWithT(t).Expect(teams).To(Equal([]string{"small"}))
+}
+
+func TestDrainRefusesAndFinishes(t *testing.T) {
+	expect := NewWithT(t)
+	core := newCore(1)
+	core.Dispatch("e", dispatch(1, "t", 1), 1)
+	_, running := runs(core.Fill(1))
+	core.SetDraining(true)
+	effects := core.Dispatch("e", dispatch(2, "t", 2), 1)
+	expect.Expect(effects).To(HaveLen(1))
+	expect.Expect(fmt.Sprint(effects[0])).To(ContainSubstring(string(ptreason.Draining)))
+	expect.Expect(core.Frame("e", 1).Window).To(BeZero())
+	expect.Expect(core.Begin(running[0], 1)).To(BeTrue(), "what has a slot goes on")
+	core.Finished(running[0])
+	core.Release(running[0], &ptwire.Answer{}, "", 1)
+	expect.Expect(core.Idle()).To(BeFalse(), "the answer has not been acknowledged")
+	core.Delivered(running[0].ID)
+	expect.Expect(core.Idle()).To(BeTrue())
+}
+
+func TestAnotherIncarnationsTaskIsDropped(t *testing.T) {
+	expect := NewWithT(t)
+	core := newCore(0)
+	core.Dispatch("e", dispatch(1, "t", 1), 1)
+	core.Leave("e")
+	core.Join("e", 2)
+	waiting, _, _ := core.Counts()
+	expect.Expect(waiting).To(BeZero())
+	expect.Expect(core.Dispatch("e", dispatch(3, "t", 1), 1)).To(BeEmpty())
+}
