--- a/ptcmd/operate.go
+++ b/ptcmd/operate.go
@@ -78,6 +78,21 @@
 	reader *ptfollow.Reader
 }
 
+// open parses the settings of a command that needs nothing but the configuration, and
+// reads it. cancel ends what it has bounded in time.
+func (call *invocation) open(ctx context.Context) (bounded context.Context, cancel context.CancelFunc, view loaded, err error) {
+	logURL := call.flags.URL("log", defaultLog, "URL of the platform's log")
+	if err := call.parse(); err != nil {
+		return nil, nil, loaded{}, err
+	}
+	bounded, cancel = context.WithTimeout(ctx, operateTimeout)
+	if view, err = call.load(bounded, *logURL); err != nil {
+		cancel()
+		return nil, nil, loaded{}, err
+	}
+	return bounded, cancel, view, nil
+}
+
 func (call *invocation) load(ctx context.Context, logURL string) (view loaded, err error) {
 	view.log = ptlog.New(logURL)
 	view.reader, err = ptfollow.Load(ctx, view.log)
@@ -164,16 +179,11 @@
 }
 
 func runGet(ctx context.Context, call *invocation) (err error) {
-	logURL := call.flags.URL("log", defaultLog, "URL of the platform's log")
-	if err := call.parse(); err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(ctx, operateTimeout)
-	defer cancel()
-	view, err := call.load(ctx, *logURL)
+	_, cancel, view, err := call.open(ctx)
 	if err != nil {
 		return err
 	}
+	defer cancel()
 	encoded, err := yaml.Marshal(view.reader.State().Set())
 	if err != nil {
 		return errors.Wrap(err, "write the declarations")
@@ -191,10 +201,11 @@
 }
 
 func setUpstream(ctx context.Context, call *invocation, state ptprofile.UpstreamState) (err error) {
-	logURL := call.flags.URL("log", defaultLog, "URL of the platform's log")
-	if err := call.parse(); err != nil {
+	ctx, cancel, view, err := call.open(ctx)
+	if err != nil {
 		return err
 	}
+	defer cancel()
 	name, err := call.argument("the name of an upstream")
 	if err != nil {
 		return err
@@ -202,12 +213,6 @@
 	if !ptprofile.IsName(name) {
 		return usageError{errors.Errorf("%q is not the name of an upstream", name)}
 	}
-	ctx, cancel := context.WithTimeout(ctx, operateTimeout)
-	defer cancel()
-	view, err := call.load(ctx, *logURL)
-	if err != nil {
-		return err
-	}
 	return call.publish(ctx, view, &ptconfig.Change{
 		ID: ptconfig.NewChangeID(), BasedOn: view.reader.State().Revision, Author: os.Getenv("USER"),
 		Set: ptprofile.Set{Upstreams: []ptprofile.Upstream{{Name: ptid.AgentName(name), State: state}}},
@@ -215,16 +220,11 @@
 }
 
 func runStatus(ctx context.Context, call *invocation) (err error) {
-	logURL := call.flags.URL("log", defaultLog, "URL of the platform's log")
-	if err := call.parse(); err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(ctx, operateTimeout)
-	defer cancel()
-	view, err := call.load(ctx, *logURL)
+	ctx, cancel, view, err := call.open(ctx)
 	if err != nil {
 		return err
 	}
+	defer cancel()
 	state := view.reader.State()
 	call.printf("revision   %d\nprofiles   %d\nteams      %d\n", state.Revision, len(state.Profiles), len(state.Teams))
 	for _, upstream := range state.Set().Upstreams {
--- /dev/null
+++ b/ptentry/quota.go
@@ -0,0 +1,66 @@
+package ptentry
+
+import (
+	"github.com/primrosetiller/primrosetiller/ptid"
+	"github.com/primrosetiller/primrosetiller/ptquota"
+	"github.com/primrosetiller/primrosetiller/ptwire"
+)
+
+// sendClaims sends the quota claims that are due to their keepers.
+func (entry *Entry) sendClaims() {
+	entry.mu.Lock()
+	stale := entry.keepersStale
+	entry.keepersStale = false
+	entry.mu.Unlock()
+	if stale {
+		entry.chooseKeepers()
+	}
+	for _, claim := range entry.ledger.Claims(false) {
+		entry.sendClaim(claim, false)
+	}
+}
+
+// chooseKeepers finds the keepers anew after agents have come or gone, and claims
+// at once from those that have changed.
+func (entry *Entry) chooseKeepers() {
+	entry.mu.Lock()
+	before := entry.keepers
+	entry.keepers = make(map[ptquota.Account]ptid.AgentName, len(before))
+	entry.mu.Unlock()
+	for _, claim := range entry.ledger.Claims(true) {
+		previous, known := before[claim.Account]
+		name := entry.keeper(claim.Account)
+		entry.sendClaim(claim, known && previous != "" && previous != name)
+	}
+}
+
+func (entry *Entry) sendClaim(claim ptquota.Claim, moved bool) {
+	name := entry.keeper(claim.Account)
+	entry.mu.Lock()
+	link := entry.links[name]
+	entry.mu.Unlock()
+	if link == nil {
+		return
+	}
+	message := &ptwire.QuotaClaim{
+		Account: string(claim.Account), Limit: uint32(claim.Limit), Want: uint32(claim.Want),
+		Holding: uint32(claim.Holding), Share: uint32(claim.Share), Moved: moved,
+	}
+	link.session.Post(func(frame *ptwire.Frame) { frame.QuotaClaims = append(frame.QuotaClaims, message) })
+}
+
+// keeper returns the agent that keeps an account; it is empty without agents.
+func (entry *Entry) keeper(account ptquota.Account) (name ptid.AgentName) {
+	entry.mu.Lock()
+	defer entry.mu.Unlock()
+	name, known := entry.keepers[account]
+	if !known {
+		names := make([]ptid.AgentName, 0, len(entry.links))
+		for agent := range entry.links {
+			names = append(names, agent)
+		}
+		name = ptquota.KeeperOf(account, names)
+		entry.keepers[account] = name
+	}
+	return name
+}
--- a/ptentry/session.go
+++ b/ptentry/session.go
@@ -10,7 +10,6 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/primrosetiller/primrosetiller/ptadmin"
-	"github.com/primrosetiller/primrosetiller/ptconfig"
 	"github.com/primrosetiller/primrosetiller/ptid"
 	"github.com/primrosetiller/primrosetiller/ptjob"
 	"github.com/primrosetiller/primrosetiller/ptlink"
@@ -262,26 +261,6 @@
 	}
 }
 
-// stop follows the declared state of the link's upstream. The caller holds the lock.
-func (service *service) stop(link *link, state *ptconfig.State) {
-	declared := state.UpstreamState(link.name())
-	service.core.Scheduler().Stop(link.upstream, declared != ptprofile.Active)
-	link.session.Post(func(frame *ptwire.Frame) {
-		frame.UpstreamState = &ptwire.UpstreamState{State: string(declared), Revision: uint64(state.Revision)}
-	})
-}
-
-// configured tells the agent what a new configuration means for its upstream.
-func (link *link) configured(state *ptconfig.State) {
-	link.service.mu.Lock()
-	defer link.service.mu.Unlock()
-	if link.service.links[link.upstream] != link || state.ChangedAt[ptconfig.UpstreamKey(link.name())] == 0 {
-		return
-	}
-	link.service.stop(link, state)
-	link.service.do(link.service.core.Place(link.entry.deps.Clock.Now()))
-}
-
 // intervalStep is the part by which the heartbeat interval must have changed before
 // an agent is told.
 const intervalStep = 0.25
@@ -357,119 +336,6 @@
 	link.service.receive(link, frame)
 }
 
-// exchangeConfiguration answers an agent's question for the configuration, and
-// asks for it where the agent's is newer: then the log is down and this entry has
-// restarted.
-func (link *link) exchangeConfiguration(frame *ptwire.Frame, now ptid.Instant) {
-	entry := link.entry
-	if frame.Configuration != nil {
-		entry.takeConfiguration(frame.Configuration)
-	}
-	own := entry.follower.State()
-	if query := frame.ConfigurationQuery; query != nil && uint64(own.Revision) > query.FromRevision {
-		if configuration := entry.configuration(); configuration != nil {
-			link.session.PostLarge(configuration.Snapshot, func(frame *ptwire.Frame, part uint64) {
-				frame.Configuration = &ptwire.Configuration{Revision: configuration.Revision, Part: part}
-			})
-		}
-	}
-	link.revision.Store(frame.Revision)
-	if frame.Revision > uint64(own.Revision) && int64(now)-link.askedAt.Load() > int64(time.Second) {
-		link.askedAt.Store(int64(now))
-		link.session.Post(func(frame *ptwire.Frame) {
-			frame.ConfigurationQuery = &ptwire.ConfigurationQuery{FromRevision: uint64(own.Revision)}
-		})
-	}
-}
-
-func (entry *Entry) takeConfiguration(offered *ptwire.Configuration) {
-	state, err := ptconfig.Unpack(offered.Snapshot)
-	if err != nil {
-		entry.deps.Log.Info("a peer sent a configuration that can't be read", "error", err.Error())
-		return
-	}
-	entry.follower.Offer(state)
-}
-
-// configuration returns the state in force as a message, nil where there is none. It
-// is packed once for each revision, not once for each agent.
-func (entry *Entry) configuration() *ptwire.Configuration {
-	state := entry.follower.State()
-	if state.Revision == 0 {
-		return nil
-	}
-	if packed := entry.packed.Load(); packed.GetRevision() == uint64(state.Revision) {
-		return packed
-	}
-	snapshot, err := ptconfig.Pack(state)
-	if err != nil {
-		entry.deps.Log.Error(err, "the configuration can't be packed")
-		return nil
-	}
-	packed := &ptwire.Configuration{Revision: uint64(state.Revision), Snapshot: snapshot}
-	entry.packed.Store(packed)
-	return packed
-}
-
-// sendClaims sends the quota claims that are due to their keepers.
-func (entry *Entry) sendClaims() {
-	entry.mu.Lock()
-	stale := entry.keepersStale
-	entry.keepersStale = false
-	entry.mu.Unlock()
-	if stale {
-		entry.chooseKeepers()
-	}
-	for _, claim := range entry.ledger.Claims(false) {
-		entry.sendClaim(claim, false)
-	}
-}
-
-// chooseKeepers finds the keepers anew after agents have come or gone, and claims
-// at once from those that have changed.
-func (entry *Entry) chooseKeepers() {
-	entry.mu.Lock()
-	before := entry.keepers
-	entry.keepers = make(map[ptquota.Account]ptid.AgentName, len(before))
-	entry.mu.Unlock()
-	for _, claim := range entry.ledger.Claims(true) {
-		previous, known := before[claim.Account]
-		name := entry.keeper(claim.Account)
-		entry.sendClaim(claim, known && previous != "" && previous != name)
-	}
-}
-
-func (entry *Entry) sendClaim(claim ptquota.Claim, moved bool) {
-	name := entry.keeper(claim.Account)
-	entry.mu.Lock()
-	link := entry.links[name]
-	entry.mu.Unlock()
-	if link == nil {
-		return
-	}
-	message := &ptwire.QuotaClaim{
-		Account: string(claim.Account), Limit: uint32(claim.Limit), Want: uint32(claim.Want),
-		Holding: uint32(claim.Holding), Share: uint32(claim.Share), Moved: moved,
-	}
-	link.session.Post(func(frame *ptwire.Frame) { frame.QuotaClaims = append(frame.QuotaClaims, message) })
-}
-
-// keeper returns the agent that keeps an account; it is empty without agents.
-func (entry *Entry) keeper(account ptquota.Account) (name ptid.AgentName) {
-	entry.mu.Lock()
-	defer entry.mu.Unlock()
-	name, known := entry.keepers[account]
-	if !known {
-		names := make([]ptid.AgentName, 0, len(entry.links))
-		for agent := range entry.links {
-			names = append(names, agent)
-		}
-		name = ptquota.KeeperOf(account, names)
-		entry.keepers[account] = name
-	}
-	return name
-}
-
 // Job implements the drpc service for peers.
 func (entry *Entry) Job(ctx context.Context, query *ptwire.JobQuery) (reply *ptwire.JobReply, err error) {
 	return entry.answerPeer(ctx, query)
