Keep outcomes of ended jobs without their payloads, and bound a drain's wait

Cause: an ended job kept its payloads for two minutes, bounded by nothing but time; and a drained agent waited until the last deadline for entries that never come back for their answers. A drain waits 10 s for lost entries; bad arguments are told before the log is asked.

--- a/ptagent/ptagent.go
+++ b/ptagent/ptagent.go
@@ -330,9 +330,10 @@
 	}
 }
 
-// idle reports whether nothing waits, runs or awaits its acknowledgement.
-func (agent *Agent) idle() bool {
+// drained reports whether nothing is left to be done for anybody who can be reached.
+// Entries without a session have until patientUntil to come back for their answers.
+func (agent *Agent) drained(patientUntil ptid.Instant) bool {
 	agent.mu.Lock()
 	defer agent.mu.Unlock()
-	return agent.core.Idle()
+	return agent.core.Idle() || (agent.deps.Clock.Now() > patientUntil && agent.core.OnlyUndeliverable())
 }
--- a/ptagent/serve.go
+++ b/ptagent/serve.go
@@ -23,6 +23,8 @@
 	expireInterval    = 50 * time.Millisecond
 	tableInterval     = time.Second
 	drainPollInterval = 20 * time.Millisecond
+	// drainPatience is how long a drain waits for lost entries to come for their answers.
+	drainPatience = 10 * time.Second
 	// leavingNotice is how long a leaving agent stays so that entries learn of it.
 	leavingNotice = 200 * time.Millisecond
 	// queryInterval is the shortest time between two questions for the configuration.
@@ -143,7 +145,7 @@
 	agent.announceState()
 	agent.mu.Unlock()
 	time.Sleep(leavingNotice)
-	for !agent.idle() {
+	for patientUntil := agent.deps.Clock.Now().Add(drainPatience); !agent.drained(patientUntil); {
 		time.Sleep(drainPollInterval)
 	}
 }
--- a/ptcmd/operate.go
+++ b/ptcmd/operate.go
@@ -78,13 +78,18 @@
 	reader *ptfollow.Reader
 }
 
-// open parses the settings of a command that needs nothing but the configuration, and
-// reads it. cancel ends what it has bounded in time.
-func (call *invocation) open(ctx context.Context) (bounded context.Context, cancel context.CancelFunc, view loaded, err error) {
+// open parses the settings of a command that needs nothing but the configuration,
+// makes further checks of them, and reads it. cancel ends what it has bounded in time.
+func (call *invocation) open(ctx context.Context, checks ...func() error) (bounded context.Context, cancel context.CancelFunc, view loaded, err error) {
 	logURL := call.flags.URL("log", defaultLog, "URL of the platform's log")
 	if err := call.parse(); err != nil {
 		return nil, nil, loaded{}, err
 	}
+	for _, check := range checks {
+		if err := check(); err != nil {
+			return nil, nil, loaded{}, err
+		}
+	}
 	bounded, cancel = context.WithTimeout(ctx, operateTimeout)
 	if view, err = call.load(bounded, *logURL); err != nil {
 		cancel()
@@ -201,18 +206,17 @@
 }
 
 func setUpstream(ctx context.Context, call *invocation, state ptprofile.UpstreamState) (err error) {
-	ctx, cancel, view, err := call.open(ctx)
-	if err != nil {
+	var name string
+	ctx, cancel, view, err := call.open(ctx, func() (err error) {
+		if name, err = call.argument("the name of an upstream"); err == nil && !ptprofile.IsName(name) {
+			err = usageError{errors.Errorf("%q is not the name of an upstream", name)}
+		}
 		return err
-	}
-	defer cancel()
-	name, err := call.argument("the name of an upstream")
+	})
 	if err != nil {
 		return err
 	}
-	if !ptprofile.IsName(name) {
-		return usageError{errors.Errorf("%q is not the name of an upstream", name)}
-	}
+	defer cancel()
 	return call.publish(ctx, view, &ptconfig.Change{
 		ID: ptconfig.NewChangeID(), BasedOn: view.reader.State().Revision, Author: os.Getenv("USER"),
 		Set: ptprofile.Set{Upstreams: []ptprofile.Upstream{{Name: ptid.AgentName(name), State: state}}},
--- a/ptcmd/ptcmd_test.go
+++ b/ptcmd/ptcmd_test.go
@@ -32,6 +32,7 @@
 		"bad flag":        {[]string{"agent", "--slots", "none"}, 2, "a whole number from 1 to 65536"},
 		"bad file":        {[]string{"entry", "--config", file}, 2, file + `:2: agentsListen: "nowhere" is not allowed; allowed: IP:PORT`},
 		"unknown setting": {[]string{"entry", "--config", file}, 2, file + ":3: colour: unknown field; allowed: adminListen, agentsListen"},
+		"no upstream":     {[]string{"drain", "--log", "http://127.0.0.1:1"}, 2, "want one argument"},
 		"no file":         {[]string{"validate"}, 2, "-f: missing"},
 		"unknown topic":   {[]string{"explain", "nothingLikeThis"}, 1, "nothing is named"},
 		"log unreachable": {[]string{"get", "--log", "http://127.0.0.1:1"}, 1, "read the configuration"},
--- a/ptentry/jobs.go
+++ b/ptentry/jobs.go
@@ -16,25 +16,37 @@
 	jobShards = 64
 	// keepOutcome is how long the outcome of an ended job can be asked for.
 	keepOutcome = 2 * time.Minute
+	// mostEnded bounds the ended jobs of a shard; the oldest go first.
+	mostEnded = 256
 )
 
-// heldJob is a job with what the entry needs beside its life cycle.
+// heldJob is an open job with what the entry needs beside its life cycle.
 type heldJob struct {
 	*ptjob.Job
 	service *service
 	timer   *time.Timer
-	endedAt time.Time
+}
+
+// endedJob is what is kept of a job that has ended: neither payloads nor, where memory
+// is short, answers.
+type endedJob struct {
+	id      ptid.JobID
+	at      time.Time
+	outcome ptjob.Outcome
 	size    int64
-	// dropped is true where the answers of an ended job are no longer kept.
-	dropped bool
+	// whole is false where the answers are not kept.
+	whole bool
 }
 
 type jobShard struct {
-	mu   sync.Mutex
-	jobs map[ptid.JobID]*heldJob
+	mu    sync.Mutex
+	open  map[ptid.JobID]*heldJob
+	ended map[ptid.JobID]*endedJob
+	// order holds the ended jobs, oldest first.
+	order []*endedJob
 }
 
-// jobTable holds open jobs, and ended ones for a while, sharded by job.
+// jobTable holds open jobs, and the outcomes of ended ones for a while, sharded by job.
 type jobTable struct {
 	shards    [jobShards]jobShard
 	openJobs  atomic.Int64
@@ -45,7 +57,8 @@
 func newJobTable(maxKept int64) *jobTable {
 	table := &jobTable{maxKept: maxKept}
 	for i := range table.shards {
-		table.shards[i].jobs = make(map[ptid.JobID]*heldJob)
+		table.shards[i].open = make(map[ptid.JobID]*heldJob)
+		table.shards[i].ended = make(map[ptid.JobID]*endedJob)
 	}
 	return table
 }
@@ -60,15 +73,16 @@
 	shard := table.shard(job.ID)
 	shard.mu.Lock()
 	defer shard.mu.Unlock()
-	shard.jobs[job.ID] = job
+	shard.open[job.ID] = job
 	table.openJobs.Add(1)
 }
 
-func (table *jobTable) get(id ptid.JobID) *heldJob {
+// find returns an open job or the outcome of an ended one; both are nil for others.
+func (table *jobTable) find(id ptid.JobID) (open *heldJob, ended *endedJob) {
 	shard := table.shard(id)
 	shard.mu.Lock()
 	defer shard.mu.Unlock()
-	return shard.jobs[id]
+	return shard.open[id], shard.ended[id]
 }
 
 // remove takes out a job that was not admitted.
@@ -76,40 +90,45 @@
 	shard := table.shard(job.ID)
 	shard.mu.Lock()
 	defer shard.mu.Unlock()
-	delete(shard.jobs, job.ID)
+	delete(shard.open, job.ID)
 	table.openJobs.Add(-1)
 }
 
-// ended counts a job as ended and keeps its answers while there is room.
+// ended keeps the outcome of a job that has ended, and its answers while there is room.
 func (table *jobTable) ended(id ptid.JobID) {
-	job := table.get(id)
+	shard := table.shard(id)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	job := shard.open[id]
 	if !ptassert.That(job != nil, "an open job is in the table", "job", id) {
 		return
 	}
 	job.timer.Stop()
-	size := int64(0)
-	for _, answer := range job.Outcome().Answers {
-		size += int64(len(answer.Body))
+	kept := &endedJob{id: id, at: time.Now(), outcome: job.Outcome()}
+	for _, answer := range kept.outcome.Answers {
+		kept.size += int64(len(answer.Body))
 	}
-	shard := table.shard(job.ID)
-	shard.mu.Lock()
-	defer shard.mu.Unlock()
-	job.endedAt = time.Now()
-	if table.keptBytes.Load()+size > table.maxKept {
-		job.dropped = true
-	} else {
-		job.size = size
-		table.keptBytes.Add(size)
+	kept.whole = table.keptBytes.Load()+kept.size <= table.maxKept
+	if !kept.whole {
+		kept.outcome.Answers, kept.size = nil, 0
 	}
+	table.keptBytes.Add(kept.size)
+	shard.ended[id] = kept
+	shard.order = append(shard.order, kept)
+	delete(shard.open, id)
 	table.openJobs.Add(-1)
+	if len(shard.order) > mostEnded {
+		table.forgetOldest(shard)
+	}
 }
 
-// outcome returns the end of a job, and whether its answers are still kept.
-func (table *jobTable) outcome(job *heldJob) (outcome ptjob.Outcome, whole bool) {
-	shard := table.shard(job.ID)
-	shard.mu.Lock()
-	defer shard.mu.Unlock()
-	return job.Outcome(), !job.dropped
+// forgetOldest removes the oldest ended job of a shard. The caller holds its lock.
+func (table *jobTable) forgetOldest(shard *jobShard) {
+	oldest := shard.order[0]
+	shard.order[0] = nil
+	shard.order = shard.order[1:]
+	delete(shard.ended, oldest.id)
+	table.keptBytes.Add(-oldest.size)
 }
 
 // expire forgets jobs that ended long ago.
@@ -117,11 +136,8 @@
 	for i := range table.shards {
 		shard := &table.shards[i]
 		shard.mu.Lock()
-		for id, job := range shard.jobs {
-			if !job.endedAt.IsZero() && now.Sub(job.endedAt) > keepOutcome {
-				table.keptBytes.Add(-job.size)
-				delete(shard.jobs, id)
-			}
+		for len(shard.order) > 0 && now.Sub(shard.order[0].at) > keepOutcome {
+			table.forgetOldest(shard)
 		}
 		shard.mu.Unlock()
 	}
--- a/ptentry/peers.go
+++ b/ptentry/peers.go
@@ -218,37 +218,44 @@
 	if entry.neverRan(id) {
 		return &ptwire.JobReply{Known: true, Ended: true, Whole: true, Result: string(ptjob.NotRunJob), Reason: string(ptreason.LogUnavailable)}, nil
 	}
-	ticket, err := entry.Lookup(id)
-	if err != nil {
+	open, ended := entry.jobs.find(id)
+	if open != nil {
+		ended, err = entry.awaitEnd(ctx, open, query)
+		if ended == nil || err != nil {
+			return &ptwire.JobReply{Known: true}, err
+		}
+	}
+	if ended == nil {
 		return &ptwire.JobReply{}, nil
 	}
+	return replyOf(ended), nil
+}
+
+// awaitEnd cancels an open job or waits for it, as asked. ended is nil where it is
+// still open then.
+func (entry *Entry) awaitEnd(ctx context.Context, open *heldJob, query *ptwire.JobQuery) (ended *endedJob, err error) {
 	if query.Cancel {
-		ticket.Cancel()
+		open.service.cancel(open.ID)
 	}
-	if query.Wait || query.Cancel {
-		select {
-		case <-ticket.Done():
-		case <-ctx.Done():
-			return &ptwire.JobReply{Known: true}, nil
-		}
+	if !query.Wait && !query.Cancel {
+		return nil, nil
 	}
 	select {
-	case <-ticket.Done():
-		return replyOf(ticket), nil
-	default:
-		return &ptwire.JobReply{Known: true}, nil
+	case <-open.Done():
+		// The job was open a moment ago, so its answers are all there.
+		return &endedJob{outcome: open.Outcome(), whole: true}, nil
+	case <-ctx.Done():
+		return nil, nil
 	}
 }
 
-func replyOf(ticket *Ticket) (reply *ptwire.JobReply) {
-	outcome, whole := ticket.Kept()
+func replyOf(ended *endedJob) (reply *ptwire.JobReply) {
+	outcome := ended.outcome
 	reply = &ptwire.JobReply{
-		Known: true, Ended: true, Result: string(outcome.Result), Reason: string(outcome.Reason), Whole: whole,
+		Known: true, Ended: true, Result: string(outcome.Result), Reason: string(outcome.Reason), Whole: ended.whole,
 	}
-	if whole {
-		for _, answer := range outcome.Answers {
-			reply.Answers = append(reply.Answers, &ptwire.Answer{ContentType: answer.ContentType, Body: answer.Body})
-		}
+	for _, answer := range outcome.Answers {
+		reply.Answers = append(reply.Answers, &ptwire.Answer{ContentType: answer.ContentType, Body: answer.Body})
 	}
 	for _, task := range outcome.Tasks {
 		reply.Tasks = append(reply.Tasks, &ptwire.TaskEnd{State: uint32(task.State), Reason: string(task.Reason)})
--- a/ptentry/submit.go
+++ b/ptentry/submit.go
@@ -148,23 +148,5 @@
 	}()
 }
 
-// ErrUnknownJob says that this incarnation does not know a job.
+// ErrUnknownJob says that nobody knows a job.
 var ErrUnknownJob = errors.New("no such job")
-
-// Lookup returns the ticket of a job of this entry.
-func (entry *Entry) Lookup(id ptid.JobID) (ticket *Ticket, err error) {
-	job := entry.jobs.get(id)
-	if job == nil {
-		return nil, ErrUnknownJob
-	}
-	return &Ticket{entry: entry, job: job}, nil
-}
-
-// Progress returns how many tasks of a job are in each state.
-func (ticket *Ticket) Progress() map[ptjob.State]int { return ticket.job.Progress() }
-
-// Kept returns the end of a job that may have been over for a while. whole is
-// false where its answers are no longer kept.
-func (ticket *Ticket) Kept() (outcome ptjob.Outcome, whole bool) {
-	return ticket.entry.jobs.outcome(ticket.job)
-}
--- a/ptslots/ptslots.go
+++ b/ptslots/ptslots.go
@@ -133,6 +133,20 @@
 // Idle reports whether nothing waits, runs or awaits its acknowledgement.
 func (core *Core) Idle() bool { return len(core.waiting)+len(core.running)+len(core.kept) == 0 }
 
+// OnlyUndeliverable reports whether all that is left is answers to entries without a
+// session.
+func (core *Core) OnlyUndeliverable() bool {
+	if len(core.waiting)+len(core.running) > 0 {
+		return false
+	}
+	for id := range core.kept {
+		if owner, _, ok := id.Job.Owner(); ok && core.owns(owner, id) {
+			return false
+		}
+	}
+	return true
+}
+
 // Frame is what a frame to an entry tells of the slots.
 type Frame struct {
 	Window      int
