--- a/ptagent/dial.go
+++ b/ptagent/dial.go
@@ -4,7 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
-	"sync"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -25,6 +25,9 @@
 	longestRetryWait = time.Second
 	aliasCheckWait   = time.Second
 	discoverInterval = 20 * time.Second
+	// forgetAfter is how long nobody may answer at an address that the settings do not
+	// name before it is given up. It is learned anew where an entry announces it.
+	forgetAfter = 5 * time.Minute
 )
 
 // protocolVersion is what greetings carry; entries refuse versions they don't know.
@@ -37,54 +40,6 @@
 	session     *ptsession.Session
 }
 
-// addressBook knows the addresses of entries and, once it has been told, which
-// entry answers at each.
-type addressBook struct {
-	mu     sync.Mutex
-	names  map[string]ptid.EntryName
-	signal chan struct{}
-}
-
-func (book *addressBook) learn(addresses ...string) {
-	book.mu.Lock()
-	defer book.mu.Unlock()
-	if book.names == nil {
-		book.names = make(map[string]ptid.EntryName)
-		book.signal = make(chan struct{}, 1)
-	}
-	for _, address := range addresses {
-		if _, known := book.names[address]; known || address == "" {
-			continue
-		}
-		book.names[address] = ""
-		select {
-		case book.signal <- struct{}{}:
-		default:
-		}
-	}
-}
-
-func (book *addressBook) learnEntries(entries []*ptwire.EntryAddress) {
-	for _, entry := range entries {
-		book.learn(entry.Address)
-	}
-}
-
-func (book *addressBook) name(address string, entry ptid.EntryName) {
-	book.mu.Lock()
-	defer book.mu.Unlock()
-	book.names[address] = entry
-}
-
-func (book *addressBook) all() (addresses []string) {
-	book.mu.Lock()
-	defer book.mu.Unlock()
-	for address := range book.names {
-		addresses = append(addresses, address)
-	}
-	return addresses
-}
-
 // peerOf returns the peer whose present session this is. The caller holds the lock.
 func (agent *Agent) peerOf(session *ptsession.Session) *peer {
 	for _, peer := range agent.peers {
@@ -95,18 +50,27 @@
 	return nil
 }
 
-// connected reports whether an entry has an open session.
-func (agent *Agent) connected(entry ptid.EntryName) bool {
+// connected reports whether an incarnation of an entry has an open session. An open
+// session with an earlier one is dead, however long it takes to show.
+func (agent *Agent) connected(entry ptid.EntryName, incarnation ptid.Incarnation) bool {
 	agent.mu.Lock()
 	defer agent.mu.Unlock()
-	return agent.peers[entry] != nil
+	peer := agent.peers[entry]
+	return peer != nil && peer.incarnation >= incarnation
 }
 
-// keepSession dials one address for as long as the agent runs.
+// keepSession dials one address for as long as the agent runs, or until nobody has
+// answered there for long and nothing but hearsay speaks for it.
 func (agent *Agent) keepSession(ctx context.Context, address string) {
-	wait := firstRetryWait
+	defer agent.addresses.ended(address)
+	wait, answeredAt := firstRetryWait, time.Now()
 	for ctx.Err() == nil {
 		opened, err := agent.connect(ctx, address)
+		if opened || errors.Is(err, errAlias) {
+			answeredAt = time.Now()
+		} else if time.Since(answeredAt) > forgetAfter && !slices.Contains(agent.setting.Entries, address) {
+			return
+		}
 		switch {
 		case errors.Is(err, errAlias):
 			pause(ctx, aliasCheckWait)
@@ -155,9 +119,8 @@
 	if err != nil {
 		return false, errors.Wrap(err, "ask who answers")
 	}
-	agent.addresses.name(address, ptid.EntryName(known.Entry))
 	agent.addresses.learnEntries(known.Entries)
-	if agent.connected(ptid.EntryName(known.Entry)) {
+	if agent.connected(ptid.EntryName(known.Entry), ptid.Incarnation(known.Incarnation)) {
 		return false, errAlias
 	}
 	stream, err := client.Session(ctx)
--- a/ptagent/serve.go
+++ b/ptagent/serve.go
@@ -164,21 +164,17 @@
 
 // dialAll keeps one dialing goroutine for each known address.
 func (agent *Agent) dialAll(ctx context.Context) {
-	dialing := make(map[string]bool)
 	var group errgroup.Group
 	for ctx.Err() == nil {
 		if agent.deps.Discover != nil {
 			agent.addresses.learn(agent.deps.Discover()...)
 		}
-		for _, address := range agent.addresses.all() {
-			if !dialing[address] {
-				dialing[address] = true
-				group.Go(func() error { agent.keepSession(ctx, address); return nil })
-			}
+		for _, address := range agent.addresses.take() {
+			group.Go(func() error { agent.keepSession(ctx, address); return nil })
 		}
 		select {
 		case <-ctx.Done():
-		case <-agent.addresses.signal:
+		case <-agent.addresses.news():
 		case <-time.After(discoverInterval):
 		}
 	}
