pthealth: judge slow upstreams by their average pace

Cause: twelve slow answers in a row hardly ever come from an upstream that is ten times slow where run times spread widely: one short task starts the count anew. An upstream whose answers only spread widely stays (pthealth test).

--- a/pthealth/pthealth.go
+++ b/pthealth/pthealth.go
@@ -3,9 +3,9 @@
 //
 // # How it works
 //
-//  1. An upstream goes into quarantine after [StreakLimit] failures in a row, after
-//     [SlowLimit] answers in a row that took [SlowFactor] times the learned run
-//     time of their profile, or where its oldest task is out for [HangFactor] times
+//  1. An upstream goes into quarantine after [StreakLimit] failures in a row, where its
+//     answers take [SlowPace] times the learned run time of their profiles on average,
+//     over [SlowSamples] answers at least, or where its oldest task is out for [HangFactor] times
 //     the learned run time (at least [HangAfter]) and nothing has come back since.
 //  2. A quarantine ends with a probe: a single real task. Its success readmits the
 //     upstream; its failure doubles the wait, up to [LongestQuarantine].
@@ -36,9 +36,12 @@
 const (
 	// StreakLimit is how many failures in a row lead to quarantine.
 	StreakLimit = 5
-	// SlowLimit is how many slow answers in a row lead to quarantine.
-	SlowLimit = 12
-	// SlowFactor is how much slower than learned an answer is slow.
+	// SlowPace is how many times the learned run time an upstream may take on average.
+	SlowPace = 4
+	// SlowSamples is how many answers an average needs.
+	SlowSamples = 20
+	// SlowFactor is how much slower than learned a single answer is slow: a probe that
+	// is fails, and it teaches little.
 	SlowFactor = 5
 	// HangFactor is how much longer than learned a task may be out.
 	HangFactor = 20
@@ -53,6 +56,8 @@
 	LongestQuarantine = time.Minute
 	// MostQuarantined is the largest part of the slots in quarantine, as a divisor.
 	MostQuarantined = 3
+	// paceRate is the least weight of the newest answer in an upstream's pace.
+	paceRate = 0.05
 	// learnRate is the weight of the newest run time.
 	learnRate = 0.05
 	// slowLearnRate is the weight of a slow one.
@@ -74,9 +79,11 @@
 )
 
 type upstream struct {
-	slots      int
-	failures   int
-	slow       int
+	slots    int
+	failures int
+	// pace is the average of run times over the learned ones.
+	pace       float64
+	samples    int
 	until      ptid.Instant
 	length     time.Duration
 	quarantine bool
@@ -117,14 +124,19 @@
 		return
 	}
 	found.failures = 0
-	if !slow {
-		found.slow = 0
-		found.quarantine, found.length = false, FirstQuarantine
-		return
-	}
-	found.slow++
-	if found.slow >= SlowLimit || found.quarantine {
+	switch {
+	case found.quarantine && slow:
 		tracker.isolate(found, now)
+	case found.quarantine:
+		found.quarantine, found.length = false, FirstQuarantine
+		found.pace, found.samples = 1, 0
+	case known:
+		found.samples++
+		sample := run.Seconds() / max(seconds, slowFloor)
+		found.pace += max(paceRate, 1/float64(found.samples)) * (sample - found.pace)
+		if found.samples >= SlowSamples && found.pace > SlowPace {
+			tracker.isolate(found, now)
+		}
 	}
 }
 
--- a/pthealth/pthealth_test.go
+++ b/pthealth/pthealth_test.go
@@ -67,9 +67,13 @@
 	for range 200 {
 		made.Answered("b", "p", 100*time.Millisecond, now)
 	}
-	for range pthealth.SlowLimit {
-		made.Answered("a", "p", 2*time.Second, now)
+	for i := range pthealth.SlowSamples {
+		// Half of its answers are not slow by themselves.
+		made.Answered("a", "p", time.Duration(300+i%2*1200)*time.Millisecond, now)
+		made.Answered("b", "p", 100*time.Millisecond, now)
+		made.Answered("c", "p", time.Duration(50+i%2*400)*time.Millisecond, now)
 	}
+	expect.Expect(made.Status("c", now)).To(Equal(pthealth.Healthy), "a wide spread is not slow")
 	expect.Expect(made.Status("a", now)).To(Equal(pthealth.Quarantined))
 	hanging := tracker("a", "b", "c")
 	hanging.Answered("b", "p", 50*time.Millisecond, now)
