Remove messages, reasons, a metric and settings that nothing uses

Mechanical: agents reported running tasks by team, which the keepers of quotas have made needless; greetings and welcomes carried fields that nobody read. Behaviour is unchanged but for shorter heartbeats.

--- a/ptagent/ptagent.go
+++ b/ptagent/ptagent.go
@@ -51,7 +51,6 @@
 	Upstream    string
 	Entries     []string
 	AdminListen string
-	LogURL      string
 	MaxAnswer   int
 	Lease       ptlease.Setting
 }
@@ -251,9 +250,6 @@
 		return
 	}
 	agent.stampSlots(peer.name, frame, now)
-	if frame.Heartbeat || frame.Sequence%teamReportEvery == 1 {
-		frame.Running = agent.teamsRunning()
-	}
 }
 
 // stampSlots fills what a frame tells of the slots. The caller holds the lock.
@@ -263,16 +259,6 @@
 	frame.Leaving = slots.Leaving
 }
 
-// teamReportEvery is how many frames lie between two reports of the teams' tasks.
-const teamReportEvery = 16
-
-func (agent *Agent) teamsRunning() (running []*ptwire.TeamRunning) {
-	for team, count := range agent.core.TeamsRunning() {
-		running = append(running, &ptwire.TeamRunning{Team: string(team), Running: uint32(count)})
-	}
-	return running
-}
-
 // Delivered implements [ptsession.Handler].
 func (agent *Agent) Delivered(_ *ptsession.Session, tasks []ptid.TaskID) {
 	agent.mu.Lock()
--- a/ptcluster/ptcluster.go
+++ b/ptcluster/ptcluster.go
@@ -210,8 +210,8 @@
 	metrics := ptmetric.New()
 	entry := ptentry.New(ptentry.Setting{
 		Name: ptid.EntryName(name), Zone: setting.Zones[index%len(setting.Zones)], Region: "region1",
-		AgentsListen: agents, LogURL: cluster.LogURL, Peers: peers, Placement: setting.Placement, Order: setting.Order,
-		MaxQueued: setting.MaxQueued, MaxBody: DefaultMaxBody, KeepBytes: DefaultKeepBytes, Retention: setting.Retention,
+		AgentsListen: agents, Peers: peers, Placement: setting.Placement, Order: setting.Order,
+		MaxQueued: setting.MaxQueued, KeepBytes: DefaultKeepBytes, Retention: setting.Retention,
 		Seed: setting.Seed + uint64(index),
 	}, ptentry.Dependencies{
 		Log: setting.Log.WithName(name), Metrics: metrics, Clock: ptid.NewClock(), Store: ptlog.New(cluster.LogURL), Tracer: setting.Tracer,
@@ -265,7 +265,7 @@
 	metrics := ptmetric.New()
 	agent, err := ptagent.New(ptagent.Setting{
 		Name: ptid.AgentName(name), Zone: setting.Zones[index%len(setting.Zones)], Region: "region1", Service: service,
-		Upstream: url, Entries: entries, AdminListen: loopback, LogURL: cluster.LogURL, MaxAnswer: DefaultMaxAnswer,
+		Upstream: url, Entries: entries, AdminListen: loopback, MaxAnswer: DefaultMaxAnswer,
 		Lease: ptlease.Setting{Slots: setting.Slots, Ahead: setting.Ahead, MoveAfter: setting.MoveAfter, Recall: setting.Recall},
 	}, ptagent.Dependencies{Log: setting.Log.WithName(name), Metrics: metrics, Clock: ptid.NewClock(), Tracer: setting.Tracer})
 	if err != nil {
--- a/ptcmd/serve.go
+++ b/ptcmd/serve.go
@@ -76,9 +76,9 @@
 	}
 	defer flush(stopTracer)
 	entry := ptentry.New(ptentry.Setting{
-		Name: ptid.EntryName(*name), Zone: ptid.Zone(*zone), Region: ptid.Region(*region), Listen: *listen,
-		AgentsListen: *agentsListen, AdminListen: *adminListen, LogURL: *logURL, Peers: *peers,
-		Placement: *placement, Order: *order, MaxQueued: *maxQueued, MaxBody: *maxBody, KeepBytes: int64(*keepBytes),
+		Name: ptid.EntryName(*name), Zone: ptid.Zone(*zone), Region: ptid.Region(*region),
+		AgentsListen: *agentsListen, Peers: *peers,
+		Placement: *placement, Order: *order, MaxQueued: *maxQueued, KeepBytes: int64(*keepBytes),
 		Retention: *retention, ShutdownDelay: *delay, Seed: *seed,
 	}, ptentry.Dependencies{Log: logger, Metrics: metrics, Tracer: tracer, Clock: ptid.NewClock(), Store: ptlog.New(*logURL)})
 	front := ptfront.New(entry, ptfront.Setting{MaxBody: *maxBody}, tracer, metrics, logger)
@@ -150,7 +150,7 @@
 	presence := ptpresence.New(ptlog.New(*logURL), logger)
 	agent, err := ptagent.New(ptagent.Setting{
 		Name: ptid.AgentName(*name), Zone: ptid.Zone(*zone), Region: ptid.Region(*region), Service: ptid.ServiceName(*service),
-		Upstream: *upstream, Entries: *entries, AdminListen: *adminListen, LogURL: *logURL, MaxAnswer: *maxAnswer,
+		Upstream: *upstream, Entries: *entries, AdminListen: *adminListen, MaxAnswer: *maxAnswer,
 		Lease: ptlease.Setting{Slots: *slots, Ahead: *ahead, MoveAfter: *moveAfter, Recall: *recall},
 	}, ptagent.Dependencies{
 		Log: logger, Metrics: ptmetric.New(), Tracer: tracer, Clock: ptid.NewClock(),
--- a/ptentry/ptentry.go
+++ b/ptentry/ptentry.go
@@ -51,15 +51,11 @@
 	Name         ptid.EntryName
 	Zone         ptid.Zone
 	Region       ptid.Region
-	Listen       string
 	AgentsListen string
-	AdminListen  string
-	LogURL       string
 	Peers        []string
 	Placement    ptplace.Policy
 	Order        ptorder.Order
 	MaxQueued    int
-	MaxBody      int
 	KeepBytes    int64
 	Retention    time.Duration
 	// ShutdownDelay is how long the entry serves on after it has become unready.
--- a/ptentry/session.go
+++ b/ptentry/session.go
@@ -146,7 +146,7 @@
 	}
 	err = stream.Send(&ptwire.Frame{Welcome: &ptwire.Welcome{
 		Entry: string(entry.setting.Name), Incarnation: uint64(entry.incarnation), Session: greeting.Session,
-		Placement: string(entry.setting.Placement), HeartbeatIntervalNanos: int64(interval), Entries: entry.entryAddresses(),
+		HeartbeatIntervalNanos: int64(interval), Entries: entry.entryAddresses(),
 	}})
 	if err != nil {
 		joining.session.Close(err)
--- a/ptmetric/ptmetric.go
+++ b/ptmetric/ptmetric.go
@@ -57,7 +57,6 @@
 	RunSeconds       Name = "primrosetiller_run_seconds"
 	LateFrames       Name = "primrosetiller_late_messages_total"
 	SessionBytes     Name = "primrosetiller_session_bytes_total"
-	QuotaShares      Name = "primrosetiller_quota_share"
 )
 
 // Entry documents one metric.
@@ -97,7 +96,6 @@
 	{RunSeconds, "Run time", "Seconds that tasks ran, as the agent measured them.", "1.0"},
 	{LateFrames, "Late messages", "Messages for tasks that this process no longer waits for; they are dropped.", "1.0"},
 	{SessionBytes, "Bytes of sessions", "Bytes on the sessions of this process, by direction: sent, received.", "1.0"},
-	{QuotaShares, "Quota share", "Tasks that this entry may run for a team at once, by team.", "1.0"},
 }
 
 // Lookup returns the entry of a metric.
--- a/ptreason/ptreason.go
+++ b/ptreason/ptreason.go
@@ -43,7 +43,6 @@
 	SubmissionKeyMissing Reason = "submissionKeyMissing"
 	SubmissionDiffers    Reason = "submissionDiffers"
 	SiblingFailed        Reason = "siblingFailed"
-	EntryGone            Reason = "entryGone"
 	RetryBudget          Reason = "retryBudget"
 	UnknownJob           Reason = "unknownJob"
 )
@@ -55,7 +54,6 @@
 	UpstreamUnreachable Reason = "upstreamUnreachable"
 	RunTimeout          Reason = "runTimeout"
 	AnswerTooLarge      Reason = "answerTooLarge"
-	AnswerDamaged       Reason = "answerDamaged"
 	AgentLost           Reason = "agentLost"
 	JobDeadline         Reason = "jobDeadline"
 	OutcomeLost         Reason = "outcomeLost"
@@ -82,7 +80,6 @@
 	{SubmissionKeyMissing, "No submission key", "The profile records submissions, and the request has no submission key.", "1.0", true},
 	{SubmissionDiffers, "The key belongs to another request", "The submission key was used before with another profile or other tasks.", "1.0", true},
 	{SiblingFailed, "Another task of the job failed", "A failed task cancels the tasks of its job that have not started.", "1.0", true},
-	{EntryGone, "The entry is gone", "The agent dropped a task that had not started because the entry's incarnation that sent it has ended.", "1.0", true},
 	{RetryBudget, "Too many placements", "The task was refused by upstreams more often than the retry budget allows. It never started.", "1.0", true},
 	{UnknownJob, "No such job", "The entry that minted the id does not know the job, or can't be reached.", "1.0", true},
 	{UpstreamStatus, "The upstream answered with an error", "The upstream answered with a status other than 2xx.", "1.0", false},
@@ -90,7 +87,6 @@
 	{UpstreamUnreachable, "The upstream can't be reached", "The agent could not open a connection to its upstream.", "1.0", false},
 	{RunTimeout, "The run took too long", "The task ran longer than the profile's runFor, or past the job's deadline, and was cut off.", "1.0", false},
 	{AnswerTooLarge, "The answer is too large", "The answer passes the agent's limit (maxAnswer).", "1.0", false},
-	{AnswerDamaged, "The answer was damaged", "The checksum over the whole answer does not match.", "1.0", false},
 	{AgentLost, "The agent is gone", "A new incarnation of the agent knows nothing of the task; it may have run.", "1.0", false},
 	{JobDeadline, "The deadline has passed", "The job did not end before its deadline. Tasks whose end is not known are shown as unknown.", "1.0", false},
 	{OutcomeLost, "The outcome is lost", "The submission was made before, and the entry that holds its outcome is gone or has forgotten it. It is not run again.", "1.0", false},
--- a/ptslope/agent.go
+++ b/ptslope/agent.go
@@ -83,8 +83,8 @@
 	address = listener.Addr().String()
 	entry = ptentry.New(ptentry.Setting{
 		Name: ptid.EntryName(fmt.Sprintf("entry%d", number)), Zone: "zone1", Region: "region1", AgentsListen: address,
-		LogURL: logURL, Peers: strings.Split(first, ","), Placement: ptplace.Leases, Order: ptorder.FirstCome,
-		MaxQueued: 1 << 20, MaxBody: 1 << 20, Retention: time.Hour, Seed: 1,
+		Peers: strings.Split(first, ","), Placement: ptplace.Leases, Order: ptorder.FirstCome,
+		MaxQueued: 1 << 20, Retention: time.Hour, Seed: 1,
 	}, ptentry.Dependencies{Log: logr.Discard(), Metrics: ptmetric.New(), Clock: ptid.NewClock(), Store: ptlog.New(logURL)})
 	go func() { _ = entry.RunOn(ctx, listener) }()
 	return entry, nil
--- a/ptslope/entry.go
+++ b/ptslope/entry.go
@@ -209,7 +209,7 @@
 	started := 0
 	for _, size := range sessionSizes {
 		for ; started < size; started++ {
-			if err := startAgent(ctx, fmt.Sprintf("agent%d", started), bench.target.Agents, bench.url, bench.target.Log, 1); err != nil {
+			if err := startAgent(ctx, fmt.Sprintf("agent%d", started), bench.target.Agents, bench.url, 1); err != nil {
 				return err
 			}
 		}
--- a/ptslots/ptslots.go
+++ b/ptslots/ptslots.go
@@ -264,10 +264,6 @@
 	return next
 }
 
-// TeamsRunning returns how many tasks of each team hold a slot. The map is not to be
-// changed.
-func (core *Core) TeamsRunning() map[ptid.TeamName]int { return core.backlog.running }
-
 // Begin decides, at the last moment before the first byte goes to the upstream,
 // whether a task starts. It is safe for concurrent use.
 func (core *Core) Begin(task *Task, now ptid.Instant) (started bool) {
