--- a/ptcluster/ptcluster_test.go
+++ b/ptcluster/ptcluster_test.go
@@ -19,6 +19,7 @@
 	"github.com/primrosetiller/primrosetiller/ptassert"
 	"github.com/primrosetiller/primrosetiller/ptcluster"
 	"github.com/primrosetiller/primrosetiller/ptprofile"
+	"github.com/primrosetiller/primrosetiller/ptstandin"
 	"github.com/primrosetiller/primrosetiller/pttrace"
 )
 
@@ -177,3 +178,34 @@
 		})
 	}
 }
+
+// BenchmarkSilentLink measures a job of one short task whose dispatch goes into a
+// session that has just gone silent both ways: finding out, dialing anew, resolving.
+// Run it with -benchtime 1x: the new session takes the entry's direct address, which
+// does not go silent.
+func BenchmarkSilentLink(b *testing.B) {
+	RegisterFailHandler(func(message string, _ ...int) { b.Fatal(message) })
+	var relay *ptstandin.Relay
+	cluster, err := ptcluster.Start(ptcluster.Setting{Entries: 1, Agents: 1, Slots: 8, Ahead: 1, Relay: func(address string) string {
+		made, err := ptstandin.NewRelay(address)
+		if err != nil {
+			b.Fatal(err)
+		}
+		relay = made
+		return made.Address()
+	}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer cluster.Stop()
+	if err := cluster.Apply(context.Background(), declarations()); err != nil {
+		b.Fatal(err)
+	}
+	for range b.N {
+		relay.Silence(ptstandin.ToServer | ptstandin.ToClient)
+		got := call(cluster, http.MethodPost, cluster.Entries[0].URL()+"/v1/jobs", job("plain", "", 1, 1))
+		if got.Outcome != "complete" {
+			b.Fatal(got.Reason)
+		}
+	}
+}
