Tell agents only of tasks that wait for nothing but room

Cause: frames told agents of every waiting task, also of those that their quota keeps from running. Agents then held slots back for an entry that could not use them, and another entry's jobs waited beside idle slots. Ruled out: the keeper of the quota, whose shares were right. A new share also lets the team's other services place at once.

--- a/ptcluster/faults_test.go
+++ b/ptcluster/faults_test.go
@@ -471,4 +471,24 @@
 		Expect(starts(cluster).Starts).To(Equal(90))
 		Expect(most).To(Equal(6))
 	})
+
+	It("does not hold slots back for tasks that their quota keeps from running", func() {
+		cluster := start(ptcluster.Setting{Entries: 2, Agents: 1, Slots: 4, Ahead: 2})
+		limited := ptprofile.NewProfile()
+		limited.Name, limited.Team, limited.Service = "limited", "small", "service"
+		limited.QueueFor = time.Minute
+		Expect(cluster.Apply(context.Background(), ptprofile.Set{
+			Profiles: []ptprofile.Profile{limited}, Teams: []ptprofile.Team{{Name: "small", MaxRunning: 1}},
+		})).To(Succeed())
+		blocked := background(cluster, 0, job("limited", "blocked", 100, 100))
+		Eventually(func() int { return starts(cluster).Starts }).WithTimeout(patience).Should(BeNumerically(">", 2))
+		for i := range 3 {
+			got := call(cluster, http.MethodPost, jobs(cluster, 1), job("plain", fmt.Sprint("other", i), 8, 10))
+			Expect(got.Outcome).To(Equal("complete"), got.Reason)
+		}
+		Expect(startsOf(cluster, "blocked-50")).To(BeZero(), "the other team did not wait for the blocked one")
+		id := ptid.NewJobID("entry1", cluster.Entries[0].Entry.Incarnation(), 1)
+		call(cluster, http.MethodDelete, jobs(cluster, 0)+"/"+string(id), "")
+		Eventually(blocked).WithTimeout(patience).Should(Receive())
+	})
 })
--- a/ptentry/ptentry.go
+++ b/ptentry/ptentry.go
@@ -183,7 +183,7 @@
 			return float64(total)
 		})
 	}
-	sum(ptmetric.QueuedTasks, func(service *service) int { waiting, _ := service.core.Scheduler().Waiting(); return waiting })
+	sum(ptmetric.QueuedTasks, func(service *service) int { return service.core.Scheduler().Waiting() })
 	sum(ptmetric.SentTasks, func(service *service) int { return service.core.Scheduler().Outstanding() })
 	sum(ptmetric.Slots, func(service *service) int { return service.core.Scheduler().Slots() })
 	sum(ptmetric.Quarantined, func(service *service) int { return service.core.Scheduler().Isolated() })
--- a/ptentry/quota.go
+++ b/ptentry/quota.go
@@ -64,3 +64,13 @@
 	}
 	return name
 }
+
+// placeElsewhere places what a new share lets through in the services that the frame
+// with it did not concern: a team's quota spans services.
+func (entry *Entry) placeElsewhere(except *service, now ptid.Instant) {
+	for _, service := range *entry.services.Load() {
+		if service != except {
+			service.place(now)
+		}
+	}
+}
--- a/ptentry/service.go
+++ b/ptentry/service.go
@@ -245,6 +245,13 @@
 	service.do(service.core.Cancel(id))
 }
 
+// place sends what can be sent.
+func (service *service) place(now ptid.Instant) {
+	service.mu.Lock()
+	defer service.mu.Unlock()
+	service.do(service.core.Place(now))
+}
+
 // tick does what is due at a steady pace.
 func (service *service) tick(now ptid.Instant) {
 	service.mu.Lock()
--- a/ptentry/session.go
+++ b/ptentry/session.go
@@ -284,7 +284,7 @@
 	link.countSent(frame)
 	link.service.mu.Lock()
 	defer link.service.mu.Unlock()
-	waiting, first := link.service.core.Scheduler().Waiting()
+	waiting, first := link.service.core.Ready()
 	frame.Queued, frame.FirstOrderNanos = uint32(waiting), int64(link.agentInstant(first))
 }
 
@@ -334,6 +334,9 @@
 		})
 	}
 	link.service.receive(link, frame)
+	if len(frame.QuotaShares) > 0 {
+		link.entry.placeElsewhere(link.service, now)
+	}
 }
 
 // Job implements the drpc service for peers.
--- a/ptorder/ptorder.go
+++ b/ptorder/ptorder.go
@@ -75,6 +75,8 @@
 	profile ptid.ProfileName
 	team    ptid.TeamName
 	items   []*item
+	// waiting counts the waiting tasks of all items.
+	waiting int
 }
 
 func (flow *flow) Len() int { return len(flow.items) }
@@ -158,11 +160,12 @@
 	return own, teams
 }
 
-func (queue *Queue) count(team ptid.TeamName, change int) {
+func (queue *Queue) count(flow *flow, change int) {
 	queue.waiting += change
-	queue.teams[team] += change
-	if queue.teams[team] == 0 {
-		delete(queue.teams, team)
+	flow.waiting += change
+	queue.teams[flow.team] += change
+	if queue.teams[flow.team] == 0 {
+		delete(queue.teams, flow.team)
 	}
 }
 
@@ -171,7 +174,7 @@
 	queue.pushed++
 	added := &item{job: job, number: queue.pushed}
 	queue.jobs[job.ID] = added
-	queue.count(job.Team, job.Tasks)
+	queue.count(queue.flow(job), job.Tasks)
 	heap.Push(queue.flow(job), added)
 }
 
@@ -194,7 +197,7 @@
 		heap.Push(queue.flow(job), item)
 	}
 	item.returned = append(item.returned, index)
-	queue.count(job.Team, 1)
+	queue.count(queue.flow(job), 1)
 	heap.Fix(queue.flow(job), item.position)
 }
 
@@ -209,8 +212,8 @@
 		return 0
 	}
 	dropped = item.waiting()
+	queue.count(queue.flow(item.job), -dropped)
 	queue.remove(item)
-	queue.count(item.job.Team, -dropped)
 	return dropped
 }
 
@@ -231,7 +234,7 @@
 	}
 	first := flow.items[0]
 	task = Task{Job: first.job, Index: first.take()}
-	queue.count(flow.team, -1)
+	queue.count(flow, -1)
 	queue.out[flow.team]++
 	if first.waiting() == 0 {
 		queue.remove(first)
@@ -282,12 +285,18 @@
 // Out returns how many tasks of a team are out.
 func (queue *Queue) Out(team ptid.TeamName) int { return queue.out[team] }
 
-// First returns the arrival of the oldest of the jobs that go first, and
-// whether any job waits.
-func (queue *Queue) First() (submitted ptid.Instant, ok bool) {
-	submitted = ptid.Never
+// Ready returns how many tasks could be placed if there were room, where headroom says
+// how many more of a profile and its team the quota lets run, and the arrival of the
+// oldest of the jobs that go first among them.
+func (queue *Queue) Ready(headroom func(profile ptid.ProfileName, team ptid.TeamName) int) (tasks int, first ptid.Instant) {
+	first = ptid.Never
 	for _, flow := range queue.flows {
-		submitted = min(submitted, flow.items[0].job.SubmittedAt)
+		allowed := headroom(flow.profile, flow.team)
+		if allowed <= 0 {
+			continue
+		}
+		first = min(first, flow.items[0].job.SubmittedAt)
+		tasks += min(allowed, flow.waiting)
 	}
-	return submitted, len(queue.flows) > 0
+	return tasks, first
 }
--- a/ptquota/ledger.go
+++ b/ptquota/ledger.go
@@ -57,6 +57,13 @@
 
 func (account *entryAccount) limited() bool { return account.limit.Load() < ptprofile.Unlimited }
 
+func (account *entryAccount) headroom() int {
+	if !account.limited() {
+		return ptprofile.Unlimited
+	}
+	return int(account.share.Load() - account.running.Load())
+}
+
 func (account *entryAccount) allows() bool {
 	return !account.limited() || account.running.Load() < account.share.Load()
 }
@@ -66,6 +73,11 @@
 	return ledger.account(ProfileAccount(profile)).allows() && ledger.account(TeamAccount(team)).allows()
 }
 
+// Headroom returns how many more tasks of a profile and its team may be sent.
+func (ledger *Ledger) Headroom(profile ptid.ProfileName, team ptid.TeamName) int {
+	return min(ledger.account(ProfileAccount(profile)).headroom(), ledger.account(TeamAccount(team)).headroom())
+}
+
 // Limit returns the lower limit of a profile and its team, over all entries.
 func (ledger *Ledger) Limit(profile ptid.ProfileName, team ptid.TeamName) int {
 	return int(min(ledger.account(ProfileAccount(profile)).limit.Load(), ledger.account(TeamAccount(team)).limit.Load()))
--- a/ptsched/ptsched.go
+++ b/ptsched/ptsched.go
@@ -101,6 +101,9 @@
 // Quota says how many more tasks of a profile and of its team may be sent.
 type Quota func(profile ptid.ProfileName, team ptid.TeamName) (allowed bool)
 
+// Headroom says how many more tasks of a profile and of its team may be sent.
+type Headroom func(profile ptid.ProfileName, team ptid.TeamName) int
+
 // Scheduler places the tasks of one service.
 type Scheduler struct {
 	setting   Setting
@@ -274,10 +277,14 @@
 	return scheduler.queue.Drop(job)
 }
 
-// Waiting returns how many tasks wait, and when the first of their jobs arrived.
-func (scheduler *Scheduler) Waiting() (tasks int, first ptid.Instant) {
-	first, _ = scheduler.queue.First()
-	return scheduler.queue.Len(), first
+// Waiting returns how many tasks wait.
+func (scheduler *Scheduler) Waiting() (tasks int) { return scheduler.queue.Len() }
+
+// Ready returns how many tasks wait for nothing but room, and when the first of their
+// jobs arrived. Agents are told of these alone: a slot that is held for a task which
+// its quota keeps from running would stand idle.
+func (scheduler *Scheduler) Ready(headroom Headroom) (tasks int, first ptid.Instant) {
+	return scheduler.queue.Ready(headroom)
 }
 
 // Outstanding returns how many tasks are with upstreams.
@@ -411,8 +418,8 @@
 
 // Demands returns the upstreams that are to be told of waiting tasks now.
 // patient tells that messages count more than time.
-func (scheduler *Scheduler) Demands(now ptid.Instant, patient bool) (upstreams []*Upstream) {
-	if scheduler.queue.Len() == 0 || scheduler.setting.Placement != ptplace.Leases {
+func (scheduler *Scheduler) Demands(now ptid.Instant, headroom Headroom, patient bool) (upstreams []*Upstream) {
+	if ready, _ := scheduler.queue.Ready(headroom); ready == 0 || scheduler.setting.Placement != ptplace.Leases {
 		scheduler.waitSince = 0
 		return nil
 	}
--- a/ptservice/ptservice.go
+++ b/ptservice/ptservice.go
@@ -116,6 +116,12 @@
 // Scheduler gives access to the scheduler, for reading.
 func (core *Core) Scheduler() *ptsched.Scheduler { return core.sched }
 
+// Ready returns how many tasks wait for nothing but room, and when the first of their
+// jobs arrived.
+func (core *Core) Ready() (tasks int, first ptid.Instant) {
+	return core.sched.Ready(core.ledger.Headroom)
+}
+
 // Open returns how many jobs have not ended.
 func (core *Core) Open() int { return len(core.jobs) }
 
@@ -159,7 +165,7 @@
 
 func (core *Core) place(now ptid.Instant) {
 	core.sched.Place(now, core.ledger.Allows, core.send)
-	for _, upstream := range core.sched.Demands(now, core.patient) {
+	for _, upstream := range core.sched.Demands(now, core.ledger.Headroom, core.patient) {
 		core.emit(Demand{Upstream: upstream})
 	}
 }
--- a/ptsoak/network.go
+++ b/ptsoak/network.go
@@ -95,7 +95,7 @@
 
 func (world *world) agentReceives(session *session, received message) {
 	agent, entry, now := session.agent, session.entry, world.clock(session.agent)
-	waiting, first := entry.core.Scheduler().Waiting()
+	waiting, first := entry.core.Ready()
 	agent.core.Demand(entry.name, waiting, first+agent.shift, now)
 	switch received := received.(type) {
 	case dispatchMessage:
