Let those who ask for a job that has just won its key wait for it

Cause: between a claim that had won and the admission of its job, another submission of the key was answered outcomeLost, although the job was about to run and completed. Ruled out: unknown addresses of peers (claims carry them now, and the failure stayed), readers that disagree. No task ran twice at any time; the answer was wrong.

--- a/ptclaim/book.go
+++ b/ptclaim/book.go
@@ -42,15 +42,19 @@
 
 // Record is one record of the stream: the claims of one group commit.
 type Record struct {
-	ID     string    `json:"id"`
-	At     time.Time `json:"at"`
-	Claims []Claim   `json:"claims"`
+	ID string    `json:"id"`
+	At time.Time `json:"at"`
+	// Address is where other entries reach the one that claims.
+	Address string  `json:"address,omitempty"`
+	Claims  []Claim `json:"claims"`
 }
 
 // Holder is the job that holds a key.
 type Holder struct {
 	Job     ptid.JobID
 	Request Fingerprint
+	// Address is where the entry that owns the job was reached when it claimed.
+	Address string
 }
 
 type heldKey struct {
@@ -86,17 +90,17 @@
 	}
 	book.expire(record.At)
 	for _, claim := range record.Claims {
-		holders = append(holders, book.claim(claim))
+		holders = append(holders, book.claim(claim, record.Address))
 	}
 	return record, holders, nil
 }
 
-func (book *Book) claim(claim Claim) Holder {
+func (book *Book) claim(claim Claim, address string) Holder {
 	held, found := book.held[claim.Key]
 	if found && (claim.Supersedes == "" || held.holder.Job != claim.Supersedes) {
 		return held.holder
 	}
-	holder := Holder{Job: claim.Job, Request: claim.Request}
+	holder := Holder{Job: claim.Job, Request: claim.Request, Address: address}
 	book.order = append(book.order, takenKey{key: claim.Key, at: book.newest})
 	book.held[claim.Key] = heldKey{holder: holder, at: book.newest}
 	return holder
--- a/ptclaim/ptclaim.go
+++ b/ptclaim/ptclaim.go
@@ -19,7 +19,7 @@
 // # Usage
 //
 //	claimer := ptclaim.New(log, "entry1", logger, metrics)
-//	go claimer.Run(ctx)
+//	go claimer.Run(ctx, address)
 //	holder, err := claimer.Claim(ctx, claim)
 //
 // # Limits
@@ -74,6 +74,7 @@
 	set    *ptmetric.Set
 
 	mu      sync.Mutex
+	address string
 	book    *Book
 	pending []*waiting
 	// sent holds the claims of each appended record by its id.
@@ -92,8 +93,12 @@
 	}
 }
 
-// Run follows the stream and appends claims until ctx ends.
-func (claimer *Claimer) Run(ctx context.Context) {
+// Run follows the stream and appends claims until ctx ends. The claims say that their
+// entry is reached at address.
+func (claimer *Claimer) Run(ctx context.Context, address string) {
+	claimer.mu.Lock()
+	claimer.address = address
+	claimer.mu.Unlock()
 	var group errgroup.Group
 	group.Go(func() error { claimer.appendLoop(ctx); return nil })
 	group.Go(func() error {
@@ -192,7 +197,7 @@
 	batch := claimer.pending[:count:count]
 	claimer.pending = claimer.pending[count:]
 	claimer.number++
-	record := Record{ID: claimer.prefix + "-" + strconv.FormatUint(claimer.number, 36), At: time.Now()}
+	record := Record{ID: claimer.prefix + "-" + strconv.FormatUint(claimer.number, 36), At: time.Now(), Address: claimer.address}
 	for _, waiter := range batch {
 		record.Claims = append(record.Claims, waiter.claim)
 	}
--- a/ptcluster/faults_test.go
+++ b/ptcluster/faults_test.go
@@ -324,7 +324,7 @@
 		for _, pending := range replies {
 			var got reply
 			Eventually(pending).WithTimeout(patience).Should(Receive(&got))
-			Expect(got.Outcome).To(Equal("complete"))
+			Expect(got.Outcome).To(Equal("complete"), "%+v", got)
 			ids[got.Job] = true
 		}
 		Expect(ids).To(HaveLen(1))
--- a/ptentry/peers.go
+++ b/ptentry/peers.go
@@ -215,6 +215,7 @@
 // answerPeer answers a question for a job of this entry.
 func (entry *Entry) answerPeer(ctx context.Context, query *ptwire.JobQuery) (reply *ptwire.JobReply, err error) {
 	id := ptid.JobID(query.Job)
+	entry.claiming.wait(ctx, id)
 	if entry.neverRan(id) {
 		return &ptwire.JobReply{Known: true, Ended: true, Whole: true, Result: string(ptjob.NotRunJob), Reason: string(ptreason.LogUnavailable)}, nil
 	}
--- a/ptentry/ptentry.go
+++ b/ptentry/ptentry.go
@@ -133,6 +133,7 @@
 	ledger      *ptquota.Ledger
 	count       counters
 	notRun      notRunMemory
+	claiming    claimingJobs
 	// unready stops the balancer from sending more; draining refuses what it sends.
 	unready  atomic.Bool
 	draining atomic.Bool
--- a/ptentry/record.go
+++ b/ptentry/record.go
@@ -52,6 +52,45 @@
 	}
 }
 
+// claimingJobs knows the jobs whose claim has been made and whose fate is not decided
+// yet. Who is told by the log that such a job holds a key may ask for it before it has
+// been admitted, and waits here.
+type claimingJobs struct {
+	mu   sync.Mutex
+	jobs map[ptid.JobID]chan struct{}
+}
+
+// begin records a job and returns the call that tells that it is decided.
+func (claiming *claimingJobs) begin(id ptid.JobID) (decided func()) {
+	claiming.mu.Lock()
+	defer claiming.mu.Unlock()
+	if claiming.jobs == nil {
+		claiming.jobs = make(map[ptid.JobID]chan struct{})
+	}
+	done := make(chan struct{})
+	claiming.jobs[id] = done
+	return func() {
+		claiming.mu.Lock()
+		defer claiming.mu.Unlock()
+		delete(claiming.jobs, id)
+		close(done)
+	}
+}
+
+// wait returns when a job's fate is decided, or when ctx ends.
+func (claiming *claimingJobs) wait(ctx context.Context, id ptid.JobID) {
+	claiming.mu.Lock()
+	done := claiming.jobs[id]
+	claiming.mu.Unlock()
+	if done == nil {
+		return
+	}
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
+
 func (entry *Entry) neverRan(id ptid.JobID) bool { return entry.notRun.has(id) }
 
 // Result is what became of a submission: either a job of this entry or, for a key
@@ -89,20 +128,18 @@
 	for range mostSupersedes {
 		job := entry.newJob(submission, profile)
 		claim.Job = job.ID
-		holder, err := entry.claims.Claim(ctx, claim)
-		if err != nil {
-			entry.notRun.add(job.ID)
-			return Result{}, entry.refuse(ptreason.LogUnavailable, unavailableRetry, "")
-		}
-		if holder.Job == job.ID {
-			return entry.runClaimed(job)
+		holder, result, err := entry.claimJob(ctx, claim, job)
+		if err != nil || holder.Job == job.ID {
+			return result, err
 		}
 		if holder.Request != claim.Request {
 			return Result{}, entry.refuse(ptreason.SubmissionDiffers, 0, "")
 		}
+		entry.learnOwner(holder)
 		report, err := entry.Ask(ctx, holder.Job, false, true)
 		switch {
 		case err != nil:
+			entry.deps.Log.Info("the outcome of an earlier submission is lost", "job", holder.Job, "error", err.Error())
 			return earlier(holder.Job, lostReport(len(submission.Tasks))), nil
 		case report.Outcome.Result == ptjob.Complete && !report.Whole:
 			return earlier(holder.Job, lostReport(len(submission.Tasks))), nil
@@ -116,6 +153,29 @@
 	return Result{}, entry.refuse(ptreason.LogUnavailable, unavailableRetry, "")
 }
 
+// claimJob claims a key for a job, and admits the job where it is the first holder.
+// Until it returns, whoever asks for the job waits.
+func (entry *Entry) claimJob(ctx context.Context, claim ptclaim.Claim, job *heldJob) (holder ptclaim.Holder, result Result, err error) {
+	defer entry.claiming.begin(job.ID)()
+	holder, err = entry.claims.Claim(ctx, claim)
+	switch {
+	case err != nil:
+		entry.notRun.add(job.ID)
+		return holder, Result{}, entry.refuse(ptreason.LogUnavailable, unavailableRetry, "")
+	case holder.Job == job.ID:
+		result, err = entry.runClaimed(job)
+	}
+	return holder, result, err
+}
+
+// learnOwner takes the address of a job's owner from its claim, which is certain to be
+// there when the job is asked for, whatever else the entries know of each other.
+func (entry *Entry) learnOwner(holder ptclaim.Holder) {
+	if holder.Address != entry.setting.AgentsListen {
+		entry.peers.learn(holder.Address)
+	}
+}
+
 func (entry *Entry) runClaimed(job *heldJob) (result Result, err error) {
 	// The waits of the profile count from before the claim: a slow log costs the
 	// caller nothing beyond its deadline.
--- a/ptentry/run.go
+++ b/ptentry/run.go
@@ -47,7 +47,7 @@
 	group.Go(func() error { return entry.accept(background, listener, server) })
 	// A read of the log may wait for seconds; the end of the entry does not.
 	go entry.follower.Run(background)
-	go entry.claims.Run(background)
+	go entry.claims.Run(background, entry.setting.AgentsListen)
 	group.Go(func() error { entry.tick(background); return nil })
 	go entry.keepPeers(background)
 	entry.deps.Log.Info("entry started", "agents", entry.setting.AgentsListen, "placement", entry.setting.Placement, "order", entry.setting.Order)
