--- a/ptagent/ptagent.go
+++ b/ptagent/ptagent.go
@@ -304,14 +304,14 @@
 func (agent *Agent) claimQuota(peer *peer, claim *ptwire.QuotaClaim) {
 	agent.sendShares(agent.keeper.Claim(peer.name, ptquota.Claim{
 		Account: ptquota.Account(claim.Account), Limit: int(claim.Limit), Want: int(claim.Want), Holding: int(claim.Holding),
-		Moved: claim.Moved, Share: int(claim.Share),
+		Moved: claim.Moved, Share: int(claim.Share), Version: claim.Version,
 	}, agent.deps.Clock.Now()))
 }
 
 // sendShares tells entries their shares of quotas. The caller holds the lock.
 func (agent *Agent) sendShares(shares []ptquota.Share) {
 	for _, share := range shares {
-		message := &ptwire.QuotaShare{Account: string(share.Account), Count: uint32(share.Count), Contended: share.Contended}
+		message := &ptwire.QuotaShare{Account: string(share.Account), Count: uint32(share.Count), Contended: share.Contended, Version: share.Version}
 		agent.post(share.Entry, func(frame *ptwire.Frame) { frame.QuotaShares = append(frame.QuotaShares, message) })
 	}
 }
--- a/ptentry/quota.go
+++ b/ptentry/quota.go
@@ -44,7 +44,7 @@
 	}
 	message := &ptwire.QuotaClaim{
 		Account: string(claim.Account), Limit: uint32(claim.Limit), Want: uint32(claim.Want),
-		Holding: uint32(claim.Holding), Share: uint32(claim.Share), Moved: moved,
+		Holding: uint32(claim.Holding), Share: uint32(claim.Share), Version: claim.Version, Moved: moved,
 	}
 	link.session.Post(func(frame *ptwire.Frame) { frame.QuotaClaims = append(frame.QuotaClaims, message) })
 }
--- a/ptentry/session.go
+++ b/ptentry/session.go
@@ -330,7 +330,7 @@
 	link.exchangeConfiguration(frame, now)
 	for _, share := range frame.QuotaShares {
 		link.entry.ledger.SetShare(ptquota.Share{
-			Account: ptquota.Account(share.Account), Count: int(share.Count), Contended: share.Contended,
+			Account: ptquota.Account(share.Account), Count: int(share.Count), Contended: share.Contended, Version: share.Version,
 		})
 	}
 	link.service.receive(link, frame)
--- a/ptquota/ledger.go
+++ b/ptquota/ledger.go
@@ -17,6 +17,7 @@
 	waiting atomic.Int64
 	// contended tells that unused parts of the share are wanted elsewhere.
 	contended atomic.Bool
+	version   atomic.Uint64
 	// lowered tells that the share was lowered since the last claim, which the keeper
 	// has to be told before it gives the difference to others.
 	lowered atomic.Bool
@@ -110,6 +111,7 @@
 	if before := account.share.Swap(int64(share.Count)); int64(share.Count) < before {
 		account.lowered.Store(true)
 	}
+	account.version.Store(share.Version)
 	account.contended.Store(share.Contended)
 }
 
@@ -140,7 +142,8 @@
 	limit, running := int(account.limit.Load()), int(account.running.Load())
 	return Claim{
 		Account: name, Limit: limit, Holding: running, Share: int(account.share.Load()),
-		Want: min(limit, running+max(0, int(account.waiting.Load()))),
+		Version: account.version.Load(),
+		Want:    min(limit, running+max(0, int(account.waiting.Load()))),
 	}
 }
 
--- a/ptquota/ptquota.go
+++ b/ptquota/ptquota.go
@@ -12,8 +12,9 @@
 //     keeper gives max-min fair shares of what is wanted.
 //  4. A share is raised only as far as the others' shares, and what they still hold
 //     above them, leave room. An entry that is told a lower share starts nothing
-//     more until it is below, and claims again: until that claim the keeper goes by
-//     the higher one.
+//     more until it is below, and claims again. Shares are numbered, and a claim names
+//     the one that it was made under: until then the keeper reserves the highest that
+//     the entry may still go by.
 //     While more is wanted than there is, it also gives back at once what it no
 //     longer wants; otherwise it keeps its share, which nobody misses.
 //  5. A keeper that takes an account over knows nothing of the shares that the
@@ -76,8 +77,9 @@
 	Want int
 	// Holding is how many it runs now.
 	Holding int
-	// Share is the share that the entry goes by.
-	Share int
+	// Share is the share that the entry goes by, and Version the one that it came with.
+	Share   int
+	Version uint64
 	// Moved tells that the entry had another keeper for the account before.
 	Moved bool
 }
@@ -87,6 +89,8 @@
 	Account Account
 	Entry   ptid.EntryName
 	Count   int
+	// Version numbers the shares that an entry is told.
+	Version uint64
 	// Contended tells that more is wanted than there is: then unused parts of a share
 	// are to be given back at once.
 	Contended bool
@@ -95,14 +99,32 @@
 type claimant struct {
 	want    int
 	holding int
-	// share is what the entry was told last, believed what it may still go by.
-	share    int
-	believed int
-	lostAt   ptid.Instant
+	// share is what the entry is to go by, sent what it may still go by: the share of
+	// its latest claim and all that were sent since.
+	share   int
+	sent    []sentShare
+	version uint64
+	lostAt  ptid.Instant
 }
 
-func (claimant *claimant) reserved() int {
-	return max(claimant.share, claimant.holding, claimant.believed)
+type sentShare struct {
+	version uint64
+	count   int
+}
+
+func (claimant *claimant) reserved() (reserved int) {
+	reserved = max(claimant.share, claimant.holding)
+	for _, sent := range claimant.sent {
+		reserved = max(reserved, sent.count)
+	}
+	return reserved
+}
+
+// seen forgets the shares before the one that a claim was made under.
+func (claimant *claimant) seen(version uint64) {
+	for len(claimant.sent) > 1 && claimant.sent[0].version < version {
+		claimant.sent = claimant.sent[1:]
+	}
 }
 
 type book struct {
@@ -133,10 +155,11 @@
 	}
 	own := accounts.claimants[entry]
 	if own == nil {
-		own = &claimant{}
+		own = &claimant{version: claim.Version, sent: []sentShare{{version: claim.Version, count: claim.Share}}}
 		accounts.claimants[entry] = own
 	}
-	own.want, own.holding, own.believed, own.lostAt = claim.Want, claim.Holding, claim.Share, 0
+	own.want, own.holding, own.lostAt = claim.Want, claim.Holding, 0
+	own.seen(claim.Version)
 	changed := accounts.share(now)
 	changed = append(changed, entry)
 	slices.Sort(changed)
@@ -174,7 +197,14 @@
 }
 
 func (book *book) shareOf(account Account, entry ptid.EntryName) Share {
-	return Share{Account: account, Entry: entry, Count: book.claimants[entry].share, Contended: book.contended}
+	claimant := book.claimants[entry]
+	claimant.version++
+	if last := &claimant.sent[len(claimant.sent)-1]; last.count == claimant.share {
+		last.version = claimant.version
+	} else {
+		claimant.sent = append(claimant.sent, sentShare{version: claimant.version, count: claimant.share})
+	}
+	return Share{Account: account, Entry: entry, Count: claimant.share, Version: claimant.version, Contended: book.contended}
 }
 
 // share computes the shares anew and returns whose have changed.
@@ -194,7 +224,6 @@
 	// Lower shares first: only they make room for higher ones.
 	for _, name := range names {
 		if claimant := book.claimants[name]; targets[name] < claimant.share {
-			claimant.believed = max(claimant.believed, claimant.share)
 			claimant.share = targets[name]
 			changed = append(changed, name)
 		}
