Let acknowledgements name the attempt that they are for

Cause: an acknowledgement of a refused attempt that came after the next attempt had run removed that one's answer and let its record expire, so that a later question about it was answered as sealed: a false notRun. Ruled out in service but for the reader of an ended session that is late by a whole run of the task.

--- a/ptagent/ptagent.go
+++ b/ptagent/ptagent.go
@@ -260,7 +260,7 @@
 }
 
 // Delivered implements [ptsession.Handler].
-func (agent *Agent) Delivered(_ *ptsession.Session, tasks []ptid.TaskID) {
+func (agent *Agent) Delivered(_ *ptsession.Session, tasks []ptid.AttemptID) {
 	agent.mu.Lock()
 	defer agent.mu.Unlock()
 	for _, id := range tasks {
--- a/ptentry/session.go
+++ b/ptentry/session.go
@@ -320,7 +320,7 @@
 }
 
 // Delivered implements [ptsession.Handler]. Entries send nothing that they wait for.
-func (link *link) Delivered(*ptsession.Session, []ptid.TaskID) {}
+func (link *link) Delivered(*ptsession.Session, []ptid.AttemptID) {}
 
 // Receive implements [ptsession.Handler].
 func (link *link) Receive(_ *ptsession.Session, frame *ptwire.Frame) {
--- a/ptid/ptid.go
+++ b/ptid/ptid.go
@@ -71,6 +71,12 @@
 	Index TaskIndex
 }
 
+// AttemptID names one attempt of a task.
+type AttemptID struct {
+	Task    TaskID
+	Attempt Attempt
+}
+
 // CompareTasks orders tasks by job and index, so that seeded runs do not depend on
 // the order of a map.
 func CompareTasks(left, right TaskID) int {
--- a/ptsession/ptsession.go
+++ b/ptsession/ptsession.go
@@ -81,7 +81,7 @@
 	// Receive handles a fresh frame. It must not block.
 	Receive(session *Session, frame *ptwire.Frame)
 	// Delivered tells which tasks' answers or refusals have been acknowledged.
-	Delivered(session *Session, tasks []ptid.TaskID)
+	Delivered(session *Session, tasks []ptid.AttemptID)
 }
 
 // Clock tells the time of this process.
@@ -89,7 +89,7 @@
 
 type delivery struct {
 	sequence ptid.Sequence
-	tasks    []ptid.TaskID
+	tasks    []ptid.AttemptID
 }
 
 type largePayload struct {
@@ -334,16 +334,20 @@
 	session.large = kept
 }
 
+func attemptID(job string, index, attempt uint32) ptid.AttemptID {
+	return ptid.AttemptID{Task: ptid.TaskID{Job: ptid.JobID(job), Index: ptid.TaskIndex(index)}, Attempt: ptid.Attempt(attempt)}
+}
+
 func (session *Session) remember(sequence ptid.Sequence, frame *ptwire.Frame) {
 	if len(frame.Answers)+len(frame.Refusals) == 0 {
 		return
 	}
-	tasks := make([]ptid.TaskID, 0, len(frame.Answers)+len(frame.Refusals))
+	tasks := make([]ptid.AttemptID, 0, len(frame.Answers)+len(frame.Refusals))
 	for _, answer := range frame.Answers {
-		tasks = append(tasks, ptid.TaskID{Job: ptid.JobID(answer.Job), Index: ptid.TaskIndex(answer.Index)})
+		tasks = append(tasks, attemptID(answer.Job, answer.Index, answer.Attempt))
 	}
 	for _, refusal := range frame.Refusals {
-		tasks = append(tasks, ptid.TaskID{Job: ptid.JobID(refusal.Job), Index: ptid.TaskIndex(refusal.Index)})
+		tasks = append(tasks, attemptID(refusal.Job, refusal.Index, refusal.Attempt))
 	}
 	session.deliveries = append(session.deliveries, delivery{sequence: sequence, tasks: tasks})
 }
@@ -371,7 +375,7 @@
 	}
 }
 
-func (session *Session) received(frame *ptwire.Frame) (fresh bool, delivered []ptid.TaskID) {
+func (session *Session) received(frame *ptwire.Frame) (fresh bool, delivered []ptid.AttemptID) {
 	session.mu.Lock()
 	defer session.mu.Unlock()
 	fresh = session.link.Received(session.clock.Now(), ptid.Sequence(frame.Sequence), ptid.Sequence(frame.Acknowledged))
--- a/ptsession/ptsession_test.go
+++ b/ptsession/ptsession_test.go
@@ -63,7 +63,7 @@
 	mu         sync.Mutex
 	dispatches []*ptwire.Dispatch
 	answers    []*ptwire.Answer
-	delivered  []ptid.TaskID
+	delivered  []ptid.AttemptID
 }
 
 func (*recorder) Stamp(*ptsession.Session, *ptwire.Frame) {}
@@ -75,7 +75,7 @@
 	recorder.answers = append(recorder.answers, frame.Answers...)
 }
 
-func (recorder *recorder) Delivered(_ *ptsession.Session, tasks []ptid.TaskID) {
+func (recorder *recorder) Delivered(_ *ptsession.Session, tasks []ptid.AttemptID) {
 	recorder.mu.Lock()
 	defer recorder.mu.Unlock()
 	recorder.delivered = append(recorder.delivered, tasks...)
--- a/ptslots/ptslots.go
+++ b/ptslots/ptslots.go
@@ -175,12 +175,12 @@
 	for _, id := range ptid.SortedTasks(core.waiting) {
 		waiting := core.waiting[id]
 		if waiting.Entry == entry && !core.owns(entry, waiting.ID) && core.withdraw(waiting) {
-			core.table.Acknowledge(waiting.ID)
+			core.table.Acknowledge(waiting.ID, waiting.Attempt())
 		}
 	}
-	for id := range core.kept {
+	for id, kept := range core.kept {
 		if owner, _, ok := id.Job.Owner(); ok && owner == entry && !core.owns(entry, id) {
-			core.delivered(id)
+			core.Delivered(ptid.AttemptID{Task: id, Attempt: ptid.Attempt(kept.answer.Attempt)})
 		}
 	}
 }
@@ -350,12 +350,13 @@
 	return effects
 }
 
-// Delivered records that an entry has acknowledged the answer to a task or its refusal.
-func (core *Core) Delivered(id ptid.TaskID) { core.delivered(id) }
-
-func (core *Core) delivered(id ptid.TaskID) {
-	delete(core.kept, id)
-	core.table.Acknowledge(id)
+// Delivered records that an entry has acknowledged the answer to an attempt of a task,
+// or its refusal.
+func (core *Core) Delivered(id ptid.AttemptID) {
+	if kept, found := core.kept[id.Task]; found && ptid.Attempt(kept.answer.Attempt) == id.Attempt {
+		delete(core.kept, id.Task)
+	}
+	core.table.Acknowledge(id.Task, id.Attempt)
 }
 
 // Expire refuses waiting tasks that are too late and forgets answers that nobody
--- a/ptslots/ptslots_test.go
+++ b/ptslots/ptslots_test.go
@@ -65,9 +65,9 @@
 	expect.Expect(core.Frame("e", 1).Window).To(BeZero())
 	expect.Expect(core.Begin(running[0], 1)).To(BeTrue(), "what has a slot goes on")
 	core.Finished(running[0])
-	core.Release(running[0], &ptwire.Answer{}, "", 1)
+	core.Release(running[0], &ptwire.Answer{Attempt: 1}, "", 1)
 	expect.Expect(core.Idle()).To(BeFalse(), "the answer has not been acknowledged")
-	core.Delivered(running[0].ID)
+	core.Delivered(ptid.AttemptID{Task: running[0].ID, Attempt: 1})
 	expect.Expect(core.Idle()).To(BeTrue())
 }
 
@@ -81,3 +81,23 @@
 	expect.Expect(waiting).To(BeZero())
 	expect.Expect(core.Dispatch("e", dispatch(3, "t", 1), 1)).To(BeEmpty())
 }
+
+func TestALateAcknowledgementLeavesTheNextAttemptAlone(t *testing.T) {
+	expect := NewWithT(t)
+	core := newCore(1)
+	refused := dispatch(1, "t", 1)
+	refused.StartByNanos = 0
+	expect.Expect(core.Dispatch("e", refused, 1)).To(HaveLen(1))
+	again := dispatch(1, "t", 1)
+	again.Attempt, again.StartByNanos = 2, 10
+	core.Dispatch("e", again, 1)
+	_, running := runs(core.Fill(1))
+	expect.Expect(core.Begin(running[0], 1)).To(BeTrue())
+	core.Finished(running[0])
+	core.Release(running[0], &ptwire.Answer{Job: again.Job, Attempt: 2}, "", 1)
+	core.Delivered(ptid.AttemptID{Task: running[0].ID, Attempt: 1})
+	core.ExpireRecords(20)
+	effects := core.Resolve("e", &ptwire.Resolve{Job: again.Job, Attempt: 2, StartByNanos: 10})
+	expect.Expect(effects).To(HaveLen(1))
+	expect.Expect(effects[0]).To(BeAssignableToTypeOf(ptslots.Send{}), "it has run, and its answer is still there")
+}
--- a/ptsoak/network.go
+++ b/ptsoak/network.go
@@ -119,14 +119,14 @@
 		world.heard(session, received.frame)
 		answer := received.answer
 		id := ptslots.TaskID(answer.Job, answer.Index)
-		entry.post(session.upstream, ackMessage{id})
+		entry.post(session.upstream, ackMessage{ptid.AttemptID{Task: id, Attempt: ptid.Attempt(answer.Attempt)}})
 		world.doEntry(entry, entry.core.Answer(session.upstream, id, ptid.Attempt(answer.Attempt), ptservice.End{
 			Answer: ptjob.Answer{Body: answer.Body}, Reason: ptreason.Reason(answer.Reason),
 		}, world.now))
 	case refusalMessage:
 		world.heard(session, received.frame)
 		refusal := received.refusal
-		entry.post(session.upstream, ackMessage{refusal.ID})
+		entry.post(session.upstream, ackMessage{ptid.AttemptID{Task: refusal.ID, Attempt: refusal.Attempt}})
 		world.doEntry(entry, entry.core.Refused(session.upstream, refusal.ID, refusal.Attempt, refusal.Reason, world.now))
 	case frameMessage:
 		world.heard(session, received.frame)
--- a/ptsoak/ptsoak.go
+++ b/ptsoak/ptsoak.go
@@ -127,7 +127,7 @@
 	dispatchMessage struct{ dispatch *ptwire.Dispatch }
 	cancelMessage   struct{ refs []*ptwire.TaskRef }
 	resolveMessage  struct{ ask *ptwire.Resolve }
-	ackMessage      struct{ id ptid.TaskID }
+	ackMessage      struct{ id ptid.AttemptID }
 	answerMessage   struct {
 		answer *ptwire.Answer
 		frame  ptslots.Frame
--- a/ptstart/ptstart.go
+++ b/ptstart/ptstart.go
@@ -206,13 +206,15 @@
 	shard.records[task] = known
 }
 
-// Acknowledge records that the entry has what it asked for: an answer or a refusal.
-func (table *Table) Acknowledge(task ptid.TaskID) {
+// Acknowledge records that the entry has what it asked for about an attempt: an answer
+// or a refusal. One that comes late, for an attempt before the present one, changes
+// nothing: the record must outlive the present one's answer.
+func (table *Table) Acknowledge(task ptid.TaskID, attempt ptid.Attempt) {
 	shard := table.shard(task)
 	shard.mu.Lock()
 	defer shard.mu.Unlock()
 	known, found := shard.records[task]
-	if !found || known.state == Waiting || known.state == Running {
+	if !found || known.attempt != attempt || known.state == Waiting || known.state == Running {
 		return
 	}
 	known.acknowledged = true
--- a/ptstart/ptstart_test.go
+++ b/ptstart/ptstart_test.go
@@ -66,7 +66,9 @@
 			"end": func(*rapid.T) { endIfRunning(table, task) },
 			"acknowledge": func(*rapid.T) {
 				answered = answered || table.State(task) == ptstart.Ended
-				table.Acknowledge(task)
+				for attempt := range highest {
+					table.Acknowledge(task, attempt+1)
+				}
 			},
 			"pass": func(t *rapid.T) {
 				// Nobody asks after the deadline, so the run ends before it.
@@ -194,7 +196,7 @@
 		table.Offer(task, 1, 100, 200, 1)
 		table.Start(task, 1, 2)
 		table.End(task)
-		table.Acknowledge(task)
+		table.Acknowledge(task, 1)
 		if i%10_000 == 0 {
 			table.Expire(300)
 		}
