--- a/ptjob/ptjob.go
+++ b/ptjob/ptjob.go
@@ -163,17 +163,6 @@
 	return job.outcome
 }
 
-// Progress returns how many tasks are in each state.
-func (job *Job) Progress() (counts map[State]int) {
-	job.mu.Lock()
-	defer job.mu.Unlock()
-	counts = make(map[State]int)
-	for i := range job.tasks {
-		counts[job.tasks[i].state]++
-	}
-	return counts
-}
-
 // Sent records that a queued task goes to an agent. It is false where the task
 // is no longer queued; then it must not be sent.
 func (job *Job) Sent(index ptid.TaskIndex, agent Agent) (attempt ptid.Attempt, ok bool) {
--- a/ptorder/ptorder.go
+++ b/ptorder/ptorder.go
@@ -282,9 +282,6 @@
 	}
 }
 
-// Out returns how many tasks of a team are out.
-func (queue *Queue) Out(team ptid.TeamName) int { return queue.out[team] }
-
 // Ready returns how many tasks could be placed if there were room, where headroom says
 // how many more of a profile and its team the quota lets run, and the arrival of the
 // oldest of the jobs that go first among them.
--- a/ptsched/ptsched.go
+++ b/ptsched/ptsched.go
@@ -118,7 +118,6 @@
 	rank      int
 	entries   int
 	sent      int
-	out       map[ptid.ProfileName]int
 	waitSince ptid.Instant
 	askedAt   ptid.Instant
 }
@@ -128,7 +127,7 @@
 	return &Scheduler{
 		setting: setting, queue: ptorder.New(setting.Order), health: pthealth.New(), budget: ptretry.New(),
 		random:    rand.New(rand.NewPCG(setting.Seed, uint64(len(setting.Placement)))),
-		upstreams: make(map[ptid.AgentName]*Upstream), entries: 1, out: make(map[ptid.ProfileName]int),
+		upstreams: make(map[ptid.AgentName]*Upstream), entries: 1,
 	}
 }
 
@@ -290,11 +289,6 @@
 // Outstanding returns how many tasks are with upstreams.
 func (scheduler *Scheduler) Outstanding() int { return scheduler.sent }
 
-// OutOf returns how many tasks of a profile, and of a team, are with upstreams.
-func (scheduler *Scheduler) OutOf(profile ptid.ProfileName, team ptid.TeamName) (ofProfile, ofTeam int) {
-	return scheduler.out[profile], scheduler.queue.Out(team)
-}
-
 // Isolated returns how many upstreams are in quarantine.
 func (scheduler *Scheduler) Isolated() int { return scheduler.health.Isolated() }
 
@@ -340,7 +334,6 @@
 	ptassert.That(!already, "a task is sent to an upstream once at a time", "job", id.Job, "task", id.Index)
 	upstream.Sent[id] = Sent{Job: task.Job, Index: task.Index, Attempt: attempt, At: now}
 	upstream.view.Outstanding++
-	scheduler.out[task.Job.Profile]++
 	scheduler.sent++
 	if attempt == 1 {
 		scheduler.budget.Placed()
@@ -401,10 +394,6 @@
 func (scheduler *Scheduler) ended(sent Sent) {
 	scheduler.queue.Done(sent.Job.Team)
 	scheduler.sent--
-	scheduler.out[sent.Job.Profile]--
-	if scheduler.out[sent.Job.Profile] == 0 {
-		delete(scheduler.out, sent.Job.Profile)
-	}
 }
 
 // MayReturn reports whether a task may be placed again after an attempt, and
--- a/ptstandin/log.go
+++ b/ptstandin/log.go
@@ -68,7 +68,6 @@
 	mu      sync.Mutex
 	streams map[string]*stream
 	faults  LogFaults
-	appends int
 	quit    chan struct{}
 }
 
@@ -95,13 +94,6 @@
 	log.faults = faults
 }
 
-// Appends returns how many records were appended to all streams.
-func (log *Log) Appends() int {
-	log.mu.Lock()
-	defer log.mu.Unlock()
-	return log.appends
-}
-
 func (log *Log) currentFaults() LogFaults {
 	log.mu.Lock()
 	defer log.mu.Unlock()
@@ -172,7 +164,6 @@
 	stream.records = append(stream.records, storedRecord{
 		data: append([]byte(nil), request.PostBody()...), appendedAt: time.Now(),
 	})
-	log.appends++
 	close(stream.changed)
 	stream.changed = make(chan struct{})
 	lose := log.faults.LoseAnswers
