--- /dev/null
+++ b/ptassign/ptassign.go
@@ -0,0 +1,581 @@
+// Package ptassign decides, at one entry, which jobs of tasks with demands are taken
+// in, in which order their tasks are placed, and on which worker. It has no I/O.
+//
+// # How it works
+//
+//  1. A job's tasks are ordered by the latest instant at which the job can start and
+//     still meet its objective, so that short work overtakes long work with time to
+//     spare. Jobs that can't meet it any more go after all that can.
+//  2. A task goes to a worker that has room for it, by all that is known: its capacity
+//     less what its agent said that others hold, less what this entry holds there now.
+//     Among these the one with the best pace and the least load is taken.
+//  3. A job is refused at once where the forecast of its start, from the work ahead of
+//     it and the room that ends free, lies past its objective; and as soon as it can't
+//     end in time any more, where it is untouched. Under overload that spends the room
+//     on jobs that still earn their answer in time.
+//  4. Run times are learned: the expected one is the geometric mean of the declared one
+//     and of the queue's average, since both are off by about as much.
+//  5. Workers that fail, hang or are slow get less or nothing (see fitness.go).
+//  6. A task is placed again only when its run is proved to be over: its end was told,
+//     another incarnation of the agent has joined, or nothing was heard from the agent
+//     for [ProvedAfter].
+//
+// # Usage
+//
+//	core := ptassign.New(seed)
+//	refusal, effects := core.Submit(spec, now)
+//	effects = core.RunEnded(agent, end, now)
+//
+// # Limits
+//
+// Placing scans the agents of the service for each task. Core is not safe for
+// concurrent use.
+package ptassign
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/primrosetiller/primrosetiller/ptgraph"
+	"github.com/primrosetiller/primrosetiller/ptid"
+	"github.com/primrosetiller/primrosetiller/ptqueue"
+	"github.com/primrosetiller/primrosetiller/ptrun"
+)
+
+const (
+	// ProvedAfter is how long after the last word of an agent its runs are over: it
+	// stops the runs of a silent entry, or its worker's lease lapses. The sum of the
+	// bounds stands in docs/design/10-platform.md.
+	ProvedAfter = 2500 * time.Millisecond
+	// UsefulFactor is how many times its objective a job may take and still be useful.
+	UsefulFactor = 3
+	// WaitAtAgent is how long an order may wait for room at its agent. Room that was
+	// free by the last report is taken by another entry at times, and freed soon.
+	WaitAtAgent = 40 * time.Millisecond
+	// FrameMargin is what a job's answer takes beside its work, both ways.
+	FrameMargin = 15 * time.Millisecond
+	// scanJobs bounds how many jobs that find no room are passed over for later ones.
+	scanJobs = 64
+	// learnRate is the weight of the newest run in averages.
+	learnRate = 0.05
+	// firstExpectation stands in for a run time that nobody has declared or seen.
+	firstExpectation = 200 * time.Millisecond
+	// retryAfter is the least time that refused callers are told to wait.
+	retryAfter = time.Second
+)
+
+// Spec is a job as it arrives.
+type Spec struct {
+	ptgraph.Spec
+	Queue ptqueue.Queue
+	// Deadline is when the caller stops waiting; Never where it does not.
+	Deadline ptid.Instant
+}
+
+// RefusalReason says why a job was not taken in or was put out untouched.
+type RefusalReason string
+
+// Reasons of refusals.
+const (
+	NoWorker  RefusalReason = "noWorker"
+	Unfitting RefusalReason = "unfitting"
+	Forecast  RefusalReason = "forecast"
+	TooLate   RefusalReason = "tooLate"
+)
+
+// Refusal says that nothing of a job has run or will.
+type Refusal struct {
+	Reason     RefusalReason
+	RetryAfter time.Duration
+	// Wait is the forecast that decided, and Ahead the work before the job.
+	Wait  time.Duration
+	Ahead ptrun.Millicores
+}
+
+// Job is a job that was taken in.
+type Job struct {
+	*ptgraph.Job
+	Queue       ptqueue.Queue
+	SubmittedAt ptid.Instant
+	// Objective is until when the answer is worth most; UsefulBy until when anything.
+	Objective ptid.Instant
+	UsefulBy  ptid.Instant
+	Deadline  ptid.Instant
+	// FirstPlacedAt is zero until a task was placed.
+	FirstPlacedAt ptid.Instant
+	span          time.Duration
+}
+
+// Effect is something that the owner has to do.
+type Effect interface{ isEffect() }
+
+// SendOrder sends a run to an agent.
+type SendOrder struct {
+	Agent   ptid.AgentName
+	Run     ptrun.ID
+	Job     *Job
+	Demand  ptrun.Demand
+	StartBy ptid.Instant
+	Key     ptid.Instant
+}
+
+// SendStop asks an agent to end a run.
+type SendStop struct {
+	Agent ptid.AgentName
+	Run   ptrun.ID
+	Why   ptrun.Reason
+}
+
+// SendQuery asks an agent over a new session what became of a run.
+type SendQuery struct {
+	Agent ptid.AgentName
+	Run   ptrun.ID
+}
+
+// JobEnded tells the end of a job. Refusal is set where it was put out untouched.
+type JobEnded struct {
+	Job     *Job
+	Refusal *Refusal
+}
+
+func (SendOrder) isEffect() {}
+func (SendStop) isEffect()  {}
+func (SendQuery) isEffect() {}
+func (JobEnded) isEffect()  {}
+
+// sent is a run that an agent has.
+type sent struct {
+	job      *Job
+	task     *ptgraph.Task
+	at       ptid.Instant
+	expected time.Duration
+	stopped  bool
+}
+
+// AgentState is what an agent tells of its worker.
+type AgentState struct {
+	Worker   ptrun.WorkerID
+	Capacity ptrun.Demand
+	// Held is what the runs of all entries hold, Own the part of this entry's.
+	Held     ptrun.Demand
+	Own      ptrun.Demand
+	Labels   []string
+	Unusable bool
+}
+
+type agent struct {
+	name        ptid.AgentName
+	incarnation ptid.Incarnation
+	service     ptid.ServiceName
+	near        bool
+	connected   bool
+	lostAt      ptid.Instant
+	state       AgentState
+	reported    bool
+	others      ptrun.Demand
+	own         ptrun.Demand
+	runs        map[ptrun.ID]*sent
+	fitness     fitness
+}
+
+// free returns the room by all that is known.
+func (agent *agent) free() ptrun.Demand {
+	return agent.state.Capacity.Minus(agent.others).Minus(agent.own)
+}
+
+func (agent *agent) usable(now ptid.Instant) bool {
+	return agent.connected && agent.reported && !agent.state.Unusable && agent.fitness.admits(len(agent.runs), now)
+}
+
+// Core is the state of one entry's jobs. Make it with [New].
+type Core struct {
+	agents  map[ptid.AgentName]*agent
+	ordered []*agent
+	jobs    map[ptid.JobID]*Job
+	waiting []*Job
+	average map[ptid.ProfileName]float64
+	bias    float64
+	random  *rand.Rand
+	effects []Effect
+}
+
+// New returns a core without jobs or agents.
+func New(seed uint64) *Core {
+	return &Core{
+		agents: make(map[ptid.AgentName]*agent), jobs: make(map[ptid.JobID]*Job),
+		average: make(map[ptid.ProfileName]float64), bias: 1,
+		random: rand.New(rand.NewPCG(seed, 1)),
+	}
+}
+
+func (core *Core) emit(effect Effect) { core.effects = append(core.effects, effect) }
+
+func (core *Core) take() (effects []Effect) {
+	effects, core.effects = core.effects, nil
+	return effects
+}
+
+// expected returns the run time of a step's tasks on a sound worker.
+func (core *Core) expected(queue ptid.ProfileName, step *ptgraph.Step) time.Duration {
+	average := core.average[queue]
+	switch {
+	case step.Estimate <= 0 && average == 0:
+		return firstExpectation
+	case step.Estimate <= 0:
+		return time.Duration(average * float64(time.Second))
+	case average == 0:
+		return step.Estimate
+	default:
+		return time.Duration(math.Sqrt(step.Estimate.Seconds()*core.bias*average) * float64(time.Second))
+	}
+}
+
+// chain returns the longest chain of expected work that is left of a job.
+func (core *Core) chain(job *ptgraph.Job, queue ptid.ProfileName) time.Duration {
+	declared := job.Chain()
+	if declared <= 0 || len(job.Steps) == 1 {
+		return core.expected(queue, &job.Steps[0])
+	}
+	return declared
+}
+
+// Submit takes a job in, or refuses it.
+func (core *Core) Submit(spec Spec, now ptid.Instant) (job *Job, refusal *Refusal, effects []Effect, err error) {
+	graph, err := ptgraph.New(spec.Spec)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	span := core.chain(graph, spec.Queue.Name)
+	objective := time.Duration(spec.Queue.Stretch*float64(span)) + spec.Queue.TargetLatency
+	job = &Job{
+		Job: graph, Queue: spec.Queue, SubmittedAt: now, Deadline: spec.Deadline, span: span,
+		Objective: now.Add(objective), UsefulBy: min(now.Add(UsefulFactor*objective), spec.Deadline),
+	}
+	if refusal = core.refuse(job, now); refusal != nil {
+		return nil, refusal, nil, nil
+	}
+	core.jobs[job.ID] = job
+	core.waiting = append(core.waiting, job)
+	core.place(now)
+	return job, nil, core.take(), nil
+}
+
+// latestStart returns when a job must start to meet its objective.
+func (job *Job) latestStart() ptid.Instant { return job.Objective.Add(-job.span - FrameMargin) }
+
+// key orders jobs: those that can meet their objective by their latest start, then the
+// others by their arrival.
+func (job *Job) key(now ptid.Instant) ptid.Instant {
+	if latest := job.latestStart(); latest >= now || job.Started() {
+		return latest
+	}
+	return job.SubmittedAt.Add(lateShift)
+}
+
+// lateShift puts late jobs behind all others in the order of keys.
+const lateShift = 24 * time.Hour
+
+// Waiting returns how many jobs have tasks that wait for a place.
+func (core *Core) Waiting() int { return len(core.waiting) }
+
+// Pending returns how many jobs of a queue have had no task placed.
+func (core *Core) Pending(queue ptid.ProfileName) (pending int) {
+	for _, job := range core.waiting {
+		if job.Queue.Name == queue && job.FirstPlacedAt == 0 {
+			pending++
+		}
+	}
+	return pending
+}
+
+// Open returns how many jobs have not ended.
+func (core *Core) Open() int { return len(core.jobs) }
+
+// Job returns an open job.
+func (core *Core) Job(id ptid.JobID) *Job { return core.jobs[id] }
+
+// place gives waiting tasks to agents with room.
+func (core *Core) place(now ptid.Instant) {
+	if len(core.waiting) == 0 {
+		return
+	}
+	slices.SortStableFunc(core.waiting, func(left, right *Job) int {
+		return cmp.Or(cmp.Compare(left.key(now), right.key(now)), cmp.Compare(left.Queue.Priority, right.Queue.Priority))
+	})
+	blocked := 0
+	kept := core.waiting[:0]
+	for _, job := range core.waiting {
+		if job.State().Ended() {
+			continue
+		}
+		if blocked < scanJobs && !core.placeJob(job, now) {
+			blocked++
+		}
+		if len(job.Ready()) > 0 || len(job.PlacedRuns()) == 0 {
+			kept = append(kept, job)
+		}
+	}
+	clear(core.waiting[len(kept):])
+	core.waiting = kept
+}
+
+// placeJob places the ready tasks of a job and reports whether all found room.
+func (core *Core) placeJob(job *Job, now ptid.Instant) (all bool) {
+	for _, task := range job.Ready() {
+		chosen := core.choose(job, task, now)
+		if chosen == nil {
+			return false
+		}
+		run := job.Place(task)
+		expected := core.expected(job.Queue.Name, task.Step)
+		chosen.runs[run] = &sent{job: job, task: task, at: now, expected: expected}
+		chosen.own = chosen.own.Plus(task.Step.Demand)
+		chosen.fitness.placed()
+		if job.FirstPlacedAt == 0 {
+			job.FirstPlacedAt = now
+		}
+		core.emit(SendOrder{
+			Agent: chosen.name, Run: run, Job: job, Demand: task.Step.Demand,
+			StartBy: min(now.Add(WaitAtAgent), job.Deadline), Key: job.key(now),
+		})
+	}
+	return true
+}
+
+// choose returns the agent for a task; nil where none has room.
+func (core *Core) choose(job *Job, task *ptgraph.Task, now ptid.Instant) (chosen *agent) {
+	best := math.Inf(1)
+	for _, candidate := range core.ordered {
+		if candidate.service != job.Queue.Service || !candidate.usable(now) || !candidate.free().Holds(task.Step.Demand) {
+			continue
+		}
+		if !fits(candidate, job, task) {
+			continue
+		}
+		if cost := core.cost(candidate, task); cost < best {
+			best, chosen = cost, candidate
+		}
+	}
+	return chosen
+}
+
+// fits reports whether the step's rules allow the worker.
+func fits(candidate *agent, job *Job, task *ptgraph.Task) bool {
+	step := task.Step
+	if step.Label != "" && !slices.Contains(candidate.state.Labels, step.Label) {
+		return false
+	}
+	if step.MostPerWorker <= 0 {
+		return true
+	}
+	count := 0
+	for id := range candidate.runs {
+		if id.Task.Job == job.ID && id.Task.Step == task.ID.Step {
+			count++
+		}
+	}
+	return count < step.MostPerWorker
+}
+
+const (
+	// farPenalty is the cost of another availability zone against a pace of 1.
+	farPenalty = 0.03
+	// remotePenalty is the cost of a worker away from the step's data.
+	remotePenalty = 0.5
+	// loadPenalty is the cost of a full worker; its room may be taken by the time that
+	// the order arrives.
+	loadPenalty = 0.3
+	// jitter keeps entries that see the same from choosing the same.
+	jitter = 0.1
+)
+
+func (core *Core) cost(candidate *agent, task *ptgraph.Task) (cost float64) {
+	capacity := candidate.state.Capacity
+	load := 1 - float64(candidate.free().CPU)/float64(max(1, capacity.CPU))
+	cost = candidate.fitness.pace + loadPenalty*load*load + jitter*core.random.Float64()
+	if !candidate.near {
+		cost += farPenalty
+	}
+	if task.Step.NearLabel != "" && !slices.Contains(candidate.state.Labels, task.Step.NearLabel) {
+		cost += remotePenalty
+	}
+	return cost
+}
+
+// Joined records that an incarnation of an agent has a session. Runs that an earlier
+// one had are over; what became of the others is asked.
+func (core *Core) Joined(name ptid.AgentName, incarnation ptid.Incarnation, service ptid.ServiceName, near bool, now ptid.Instant) (effects []Effect) {
+	known := core.agents[name]
+	if known == nil {
+		known = &agent{name: name, runs: make(map[ptrun.ID]*sent), fitness: newFitness()}
+		core.agents[name] = known
+		core.ordered = slices.SortedFunc(maps.Values(core.agents), func(left, right *agent) int { return cmp.Compare(left.name, right.name) })
+	}
+	if known.incarnation != incarnation {
+		core.lose(known, ptrun.ReasonRestarted, now)
+		known.fitness = newFitness()
+	}
+	known.incarnation, known.service, known.near, known.connected = incarnation, service, near, true
+	for _, run := range sortedRuns(known.runs) {
+		core.emit(SendQuery{Agent: name, Run: run})
+	}
+	core.place(now)
+	return core.take()
+}
+
+func sortedRuns(runs map[ptrun.ID]*sent) []ptrun.ID {
+	return slices.SortedFunc(maps.Keys(runs), ptrun.Compare)
+}
+
+// lose ends all runs of an agent as lost.
+func (core *Core) lose(lost *agent, reason ptrun.Reason, now ptid.Instant) {
+	for _, run := range sortedRuns(lost.runs) {
+		core.end(lost, ptrun.End{Run: run, Result: ptrun.Lost, Reason: reason}, now)
+	}
+}
+
+// Lost records that the session to an agent has ended.
+func (core *Core) Lost(name ptid.AgentName, now ptid.Instant) {
+	if known := core.agents[name]; known != nil {
+		known.connected, known.lostAt, known.reported = false, now, false
+	}
+}
+
+// Reported takes what an agent tells of its worker.
+func (core *Core) Reported(name ptid.AgentName, state AgentState, now ptid.Instant) (effects []Effect) {
+	known := core.agents[name]
+	if known == nil {
+		return nil
+	}
+	if known.state.Worker != state.Worker {
+		known.fitness = newFitness()
+	}
+	known.state, known.reported = state, true
+	known.others = state.Held.Minus(state.Own)
+	core.place(now)
+	return core.take()
+}
+
+// RunEnded takes the end of a run from its agent.
+func (core *Core) RunEnded(name ptid.AgentName, end ptrun.End, now ptid.Instant) (effects []Effect) {
+	if known := core.agents[name]; known != nil {
+		core.end(known, end, now)
+	}
+	core.place(now)
+	return core.take()
+}
+
+func (core *Core) end(known *agent, end ptrun.End, now ptid.Instant) {
+	run := known.runs[end.Run]
+	if run == nil {
+		return
+	}
+	delete(known.runs, end.Run)
+	known.own = known.own.Minus(run.task.Step.Demand)
+	core.learn(known, run, end, now)
+	job := run.job
+	change := job.End(end)
+	if !change.Accepted || job.State() == ptgraph.GivenUp {
+		return
+	}
+	if change.Ended {
+		core.conclude(job, nil)
+		return
+	}
+	if !job.State().Ended() && !slices.Contains(core.waiting, job) {
+		core.waiting = append(core.waiting, job)
+	}
+}
+
+// learn takes what an end tells of run times and of the worker.
+func (core *Core) learn(known *agent, run *sent, end ptrun.End, now ptid.Instant) {
+	switch end.Result {
+	case ptrun.Done:
+		seconds := end.RunTime.Seconds()
+		known.fitness.done(seconds/max(run.expected.Seconds(), 0.001), now)
+		queue := run.job.Queue.Name
+		if average, seen := core.average[queue]; seen {
+			core.average[queue] = average + learnRate*(min(seconds, 4*average)-average)
+		} else {
+			core.average[queue] = seconds
+		}
+		if declared := run.task.Step.Estimate.Seconds(); declared > 0 {
+			core.bias += learnRate * (min(seconds/declared, 4) - core.bias)
+		}
+	case ptrun.Failed:
+		known.fitness.failed(end.Run.Task.Job, now)
+	case ptrun.Stopped, ptrun.Lost, ptrun.NeverStarted:
+		known.fitness.returned()
+	}
+}
+
+// conclude takes an ended job off the books and stops what is left of it.
+func (core *Core) conclude(job *Job, refusal *Refusal) {
+	delete(core.jobs, job.ID)
+	if index := slices.Index(core.waiting, job); index >= 0 {
+		core.waiting = slices.Delete(core.waiting, index, index+1)
+	}
+	if len(job.PlacedRuns()) > 0 {
+		for _, known := range core.ordered {
+			for _, id := range sortedRuns(known.runs) {
+				if run := known.runs[id]; run.job == job {
+					core.stop(known, id, run, ptrun.ReasonByOrder)
+				}
+			}
+		}
+	}
+	core.emit(JobEnded{Job: job, Refusal: refusal})
+}
+
+func (core *Core) stop(known *agent, id ptrun.ID, run *sent, why ptrun.Reason) {
+	if run.stopped {
+		return
+	}
+	run.stopped = true
+	core.emit(SendStop{Agent: known.name, Run: id, Why: why})
+}
+
+// Cancel ends a job that nobody waits for any more.
+func (core *Core) Cancel(id ptid.JobID, now ptid.Instant) (effects []Effect) {
+	if job := core.jobs[id]; job != nil && job.GiveUp() {
+		core.conclude(job, nil)
+	}
+	core.place(now)
+	return core.take()
+}
+
+// Tick does what the passing of time asks for.
+func (core *Core) Tick(now ptid.Instant) (effects []Effect) {
+	for _, known := range core.ordered {
+		if !known.connected && len(known.runs) > 0 && now.Sub(known.lostAt) > ProvedAfter {
+			core.lose(known, ptrun.ReasonLeaseLapsed, now)
+		}
+		core.watch(known, now)
+	}
+	for _, id := range slices.Sorted(maps.Keys(core.jobs)) {
+		core.expire(core.jobs[id], now)
+	}
+	core.place(now)
+	return core.take()
+}
+
+// expire ends a job that can't end in time any more.
+func (core *Core) expire(job *Job, now ptid.Instant) {
+	untouched := job.Untouched()
+	ends := now
+	if untouched {
+		ends = now.Add(job.span)
+	}
+	if ends < job.UsefulBy || !job.GiveUp() {
+		return
+	}
+	var refusal *Refusal
+	if untouched {
+		refusal = &Refusal{Reason: TooLate, RetryAfter: retryAfter}
+	}
+	core.conclude(job, refusal)
+}
--- /dev/null
+++ b/ptbroker/session.go
@@ -0,0 +1,317 @@
+package ptbroker
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/primrosetiller/primrosetiller/ptassign"
+	"github.com/primrosetiller/primrosetiller/ptid"
+	"github.com/primrosetiller/primrosetiller/ptlink"
+	"github.com/primrosetiller/primrosetiller/ptmetric"
+	"github.com/primrosetiller/primrosetiller/ptprofile"
+	"github.com/primrosetiller/primrosetiller/ptrun"
+	"github.com/primrosetiller/primrosetiller/ptsession"
+	"github.com/primrosetiller/primrosetiller/pttransport"
+	"github.com/primrosetiller/primrosetiller/ptwire"
+)
+
+const (
+	greetingTimeout = 2 * time.Second
+	// shortestHeartbeat is the interval with few sessions; three of them without a frame
+	// end a session.
+	shortestHeartbeat = 300 * time.Millisecond
+	// heartbeatShare is what each session adds to the interval, so that the frames of
+	// all sessions stay within about a hundred a second.
+	heartbeatShare  = 8 * time.Millisecond
+	protocolVersion = 2
+)
+
+var errReplaced = errors.New("the session was replaced by a newer one")
+
+type connKey struct{}
+
+// link is one session with an agent. It implements ptsession.Handler.
+type link struct {
+	broker   *Broker
+	greeting *ptwire.Greeting
+	session  *ptsession.Session
+	clock    ptlink.Offset
+}
+
+func (link *link) name() ptid.AgentName { return ptid.AgentName(link.greeting.Agent) }
+
+func (link *link) order(effect ptassign.SendOrder) {
+	step := effect.Job.Steps[effect.Run.Task.Step]
+	order := &ptwire.RunOrder{
+		Run: effect.Run.Ref(), Spec: effect.Job.Payload, CpuMillicores: int64(effect.Demand.CPU),
+		MemoryMebibytes: int64(effect.Demand.Memory), Accelerators: step.Demand.Accelerators,
+		StartByNanos: int64(link.clock.Convert(effect.StartBy)), OrderNanos: int64(link.clock.Convert(effect.Key)),
+	}
+	link.session.Post(func(frame *ptwire.Frame) { frame.RunOrders = append(frame.RunOrders, order) })
+}
+
+func (link *link) stop(run ptrun.ID) {
+	link.session.Post(func(frame *ptwire.Frame) { frame.RunStops = append(frame.RunStops, run.Ref()) })
+}
+
+func (link *link) query(run ptrun.ID) {
+	link.session.Post(func(frame *ptwire.Frame) { frame.RunQueries = append(frame.RunQueries, run.Ref()) })
+}
+
+// Stamp implements [ptsession.Handler].
+func (link *link) Stamp(*ptsession.Session, *ptwire.Frame) {}
+
+// Delivered implements [ptsession.Handler].
+func (link *link) Delivered(*ptsession.Session, []ptid.AttemptID) {}
+
+// Receive implements [ptsession.Handler].
+func (link *link) Receive(_ *ptsession.Session, frame *ptwire.Frame) {
+	broker := link.broker
+	now := broker.deps.Clock.Now()
+	link.clock.Measure(frame.AgentClockNanos, now)
+	broker.mu.Lock()
+	defer broker.mu.Unlock()
+	if broker.links[link.name()] != link {
+		return
+	}
+	if frame.Room != nil {
+		broker.do(broker.core.Reported(link.name(), stateOf(frame.Room), now))
+	}
+	for _, message := range frame.RunEnds {
+		end := ptrun.FromEnd(message)
+		if end.Result != ptrun.Done {
+			broker.count.requeues.Inc()
+			broker.deps.Log.Info("run ended without success", "job", end.Run.Task.Job, "step", end.Run.Task.Step,
+				"task", end.Run.Task.Index, "run", end.Run.Number, "agent", link.name(), "result", end.Result, "reason", end.Reason,
+				"ran", end.RunTime.String())
+		}
+		broker.do(broker.core.RunEnded(link.name(), end, now))
+	}
+}
+
+func stateOf(room *ptwire.Room) ptassign.AgentState {
+	demand := func(cpu, memory, accelerators int64) ptrun.Demand {
+		return ptrun.Demand{CPU: ptrun.Millicores(cpu), Memory: ptrun.Mebibytes(memory), Accelerators: accelerators}
+	}
+	return ptassign.AgentState{
+		Worker:   ptrun.WorkerID(room.Worker),
+		Capacity: demand(room.CpuMillicores, room.MemoryMebibytes, room.Accelerators),
+		Held:     demand(room.HeldCpuMillicores, room.HeldMemoryMebibytes, room.HeldAccelerators),
+		Own:      demand(room.OwnCpuMillicores, room.OwnMemoryMebibytes, room.OwnAccelerators),
+		Labels:   room.Labels, Unusable: room.Unusable,
+	}
+}
+
+// Session implements the drpc service: it serves one agent until its session ends.
+func (broker *Broker) Session(stream ptwire.DRPCDispatcher_SessionStream) (err error) {
+	conn, _ := stream.Context().Value(connKey{}).(net.Conn)
+	if conn == nil {
+		return errors.New("a session needs its connection")
+	}
+	guard := time.AfterFunc(greetingTimeout, func() { _ = conn.Close() })
+	defer guard.Stop()
+	frame, err := stream.Recv()
+	if err != nil {
+		return errors.Wrap(err, "wait for the greeting")
+	}
+	joining, err := broker.welcome(stream, conn, frame)
+	if err != nil {
+		return err
+	}
+	guard.Stop()
+	broker.leave(joining, joining.session.Run())
+	return nil
+}
+
+func checkGreeting(greeting *ptwire.Greeting) (problem string) {
+	switch {
+	case greeting == nil:
+		return "the first frame has no greeting"
+	case greeting.Protocol != protocolVersion:
+		return "unknown protocol version"
+	case !ptprofile.IsName(greeting.Agent):
+		return "the agent has no proper name"
+	case greeting.Service == "":
+		return "the agent names no service"
+	case greeting.Incarnation == 0 || greeting.Session == 0:
+		return "the incarnation or the session number is missing"
+	default:
+		return ""
+	}
+}
+
+// welcome makes the greeting agent's session the present one.
+func (broker *Broker) welcome(stream ptwire.DRPCDispatcher_SessionStream, conn net.Conn, frame *ptwire.Frame) (joining *link, err error) {
+	greeting, now := frame.Greeting, broker.deps.Clock.Now()
+	joining = &link{broker: broker, greeting: greeting}
+	problem := checkGreeting(greeting)
+	interval := max(shortestHeartbeat, time.Duration(broker.sessions.Load())*heartbeatShare)
+	if problem == "" {
+		joining.clock.Measure(frame.AgentClockNanos, now)
+		joining.session = ptsession.New(ptlink.EntrySide, broker.deps.Clock, stream, func() { _ = conn.Close() }, interval, joining)
+		problem = broker.register(joining)
+	}
+	if problem != "" {
+		_ = stream.Send(&ptwire.Frame{Welcome: &ptwire.Welcome{Entry: string(broker.setting.Name), Refused: problem}})
+		return nil, errors.Wrap(ptsession.ErrProtocol, problem)
+	}
+	err = stream.Send(&ptwire.Frame{Welcome: &ptwire.Welcome{
+		Entry: string(broker.setting.Name), Incarnation: uint64(broker.incarnation), Session: greeting.Session,
+		HeartbeatIntervalNanos: int64(interval),
+	}})
+	if err != nil {
+		joining.session.Close(err)
+	}
+	broker.deps.Log.Info("agent joined", "agent", greeting.Agent, "incarnation", greeting.Incarnation, "session", greeting.Session)
+	broker.mu.Lock()
+	defer broker.mu.Unlock()
+	if broker.links[joining.name()] == joining {
+		broker.do(broker.core.Joined(joining.name(), ptid.Incarnation(greeting.Incarnation), ptid.ServiceName(greeting.Service),
+			ptid.Zone(greeting.AvailabilityZone) == broker.setting.Zone, now))
+		if frame.Room != nil {
+			broker.do(broker.core.Reported(joining.name(), stateOf(frame.Room), now))
+		}
+	}
+	return joining, nil
+}
+
+// register replaces the older session of an agent, or says why it does not.
+func (broker *Broker) register(joining *link) (problem string) {
+	broker.mu.Lock()
+	defer broker.mu.Unlock()
+	previous := broker.links[joining.name()]
+	if previous != nil {
+		known := previous.greeting
+		switch {
+		case known.Incarnation > joining.greeting.Incarnation:
+			return "a newer incarnation of the agent has a session"
+		case known.Incarnation == joining.greeting.Incarnation && known.Session >= joining.greeting.Session:
+			return "a newer session of the agent is open"
+		}
+		go previous.session.Close(errReplaced)
+	}
+	broker.links[joining.name()] = joining
+	broker.sessions.Store(int64(len(broker.links)))
+	return ""
+}
+
+// leave handles the end of a session.
+func (broker *Broker) leave(left *link, cause error) {
+	broker.deps.Metrics.Counter(ptmetric.SessionEnds, "cause", ptsession.Cause(cause)).Inc()
+	broker.mu.Lock()
+	defer broker.mu.Unlock()
+	if broker.links[left.name()] != left {
+		return
+	}
+	broker.deps.Log.Info("agent lost", "agent", left.name(), "session", left.greeting.Session, "cause", cause.Error())
+	delete(broker.links, left.name())
+	broker.sessions.Store(int64(len(broker.links)))
+	broker.core.Lost(left.name(), broker.deps.Clock.Now())
+}
+
+// Job implements the drpc service; graph jobs are asked for through their callers.
+func (broker *Broker) Job(context.Context, *ptwire.JobQuery) (reply *ptwire.JobReply, err error) {
+	return &ptwire.JobReply{}, nil
+}
+
+// Peer implements the drpc service.
+func (broker *Broker) Peer(context.Context, *ptwire.PeerQuery) (reply *ptwire.PeerReply, err error) {
+	return &ptwire.PeerReply{Entry: string(broker.setting.Name), Incarnation: uint64(broker.incarnation)}, nil
+}
+
+// Run serves agents until ctx ends and the shutdown is over.
+func (broker *Broker) Run(ctx context.Context, listener net.Listener) (err error) {
+	defer func() { err = errors.Wrapf(err, "entry %s", broker.setting.Name) }()
+	mux := drpcmux.New()
+	if err := ptwire.DRPCRegisterDispatcher(mux, broker); err != nil {
+		return errors.Wrap(err, "register the service")
+	}
+	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: pttransport.Options()})
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var group errgroup.Group
+	group.Go(func() error { return broker.accept(background, listener, server) })
+	group.Go(func() error { broker.tick(background); return nil })
+	broker.deps.Log.Info("entry started", "entry", broker.setting.Name, "agents", listener.Addr().String(), "incarnation", broker.incarnation)
+	<-ctx.Done()
+	broker.drain()
+	stop()
+	if err := listener.Close(); err != nil {
+		return errors.Wrap(err, "close the listener")
+	}
+	for _, link := range broker.allLinks() {
+		link.session.Close(ptsession.ErrClosed)
+	}
+	broker.deps.Log.Info("entry stopped", "entry", broker.setting.Name)
+	return group.Wait()
+}
+
+// drain waits until the balancer has learned of the shutdown and every job has ended.
+func (broker *Broker) drain() {
+	endBy := time.Now().Add(broker.setting.EndWithin)
+	broker.unready.Store(true)
+	broker.deps.Log.Info("entry drains", "openJobs", broker.open())
+	time.Sleep(broker.setting.ServeOn)
+	broker.draining.Store(true)
+	for broker.open() > 0 && time.Now().Before(endBy) {
+		time.Sleep(drainPollInterval)
+	}
+}
+
+func (broker *Broker) open() int {
+	broker.mu.Lock()
+	defer broker.mu.Unlock()
+	return broker.core.Open()
+}
+
+func (broker *Broker) allLinks() (links []*link) {
+	broker.mu.Lock()
+	defer broker.mu.Unlock()
+	for _, link := range broker.links {
+		links = append(links, link)
+	}
+	return links
+}
+
+func (broker *Broker) accept(ctx context.Context, listener net.Listener, server *drpcserver.Server) (err error) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return errors.Wrap(err, "accept a connection")
+		}
+		go func() {
+			defer func() { _ = conn.Close() }()
+			counted := pttransport.Count(conn, broker.deps.Metrics)
+			if err := server.ServeOne(context.WithValue(ctx, connKey{}, conn), counted); err != nil {
+				broker.deps.Log.V(1).Info("connection ended", "remote", conn.RemoteAddr().String(), "error", err.Error())
+			}
+		}()
+	}
+}
+
+func (broker *Broker) tick(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		for _, link := range broker.allLinks() {
+			link.session.Tick()
+		}
+		broker.mu.Lock()
+		broker.do(broker.core.Tick(broker.deps.Clock.Now()))
+		broker.mu.Unlock()
+	}
+}
--- a/ptcmd/ptcmd.go
+++ b/ptcmd/ptcmd.go
@@ -70,6 +70,7 @@
 	return []command{
 		{"entry", "run an entry: take jobs, place tasks, return answers", runEntry},
 		{"agent", "run the agent beside one upstream", runAgent},
+		{"platform", "run a role on the users' platform: platform entry, platform agent", runPlatform},
 		{"apply", "publish a file of declarations: apply -f FILE", runApply},
 		{"validate", "check a file of declarations without publishing it: validate -f FILE", runValidate},
 		{"get", "print the declarations in force", runGet},
--- a/ptentry/session.go
+++ b/ptentry/session.go
@@ -32,9 +32,6 @@
 	heartbeatBudget = 4 << 10
 	// heartbeatBytes is what one heartbeat and its acknowledgement cost.
 	heartbeatBytes = 96
-	// clockDrift is how much an offset between two clocks may have drifted, as a
-	// divisor of the time since it was taken.
-	clockDrift = 5000
 )
 
 // connKey is the context key of a session's connection.
@@ -48,11 +45,10 @@
 	session  *ptsession.Session
 	upstream *ptsched.Upstream
 
-	// offset is the agent's clock less ours, at most; measuredAt is when it was taken.
-	offset     atomic.Int64
-	measuredAt atomic.Int64
-	revision   atomic.Uint64
-	askedAt    atomic.Int64
+	// clock converts instants to the agent's clock.
+	clock    ptlink.Offset
+	revision atomic.Uint64
+	askedAt  atomic.Int64
 	// interval is the heartbeat interval that the agent was told last.
 	interval atomic.Int64
 }
@@ -63,29 +59,6 @@
 	return ptjob.Agent{Name: link.name(), Incarnation: ptid.Incarnation(link.greeting.Incarnation)}
 }
 
-// agentInstant converts an instant of ours to the agent's clock, erring early:
-// the offset was measured as too low by the time that the frame was on its way.
-func (link *link) agentInstant(instant ptid.Instant) ptid.Instant {
-	if instant == ptid.Never {
-		return ptid.Never
-	}
-	return instant + ptid.Instant(link.offset.Load())
-}
-
-// measure takes the stamp of a frame. The highest offset is the closest one;
-// older ones lose what the clocks may have drifted since.
-func (link *link) measure(stamp int64, now ptid.Instant) {
-	if stamp == 0 {
-		return
-	}
-	age := int64(now) - link.measuredAt.Load()
-	measured, kept := stamp-int64(now), link.offset.Load()-age/clockDrift
-	if link.measuredAt.Load() == 0 || measured > kept {
-		link.offset.Store(measured)
-		link.measuredAt.Store(int64(now))
-	}
-}
-
 // Session implements the drpc service: it serves one agent until its session ends.
 func (entry *Entry) Session(stream ptwire.DRPCDispatcher_SessionStream) (err error) {
 	conn, _ := stream.Context().Value(connKey{}).(net.Conn)
@@ -135,7 +108,7 @@
 		return nil, errors.Wrap(ptsession.ErrProtocol, problem)
 	}
 	joining = &link{entry: entry, greeting: greeting, service: entry.service(ptid.ServiceName(greeting.Service))}
-	joining.measure(frame.AgentClockNanos, entry.deps.Clock.Now())
+	joining.clock.Measure(frame.AgentClockNanos, entry.deps.Clock.Now())
 	joining.revision.Store(frame.Revision)
 	interval := entry.heartbeatInterval()
 	joining.session = ptsession.New(ptlink.EntrySide, entry.deps.Clock, stream, func() { _ = conn.Close() }, interval, joining)
@@ -285,7 +258,7 @@
 	link.service.mu.Lock()
 	defer link.service.mu.Unlock()
 	waiting, first := link.service.core.Ready()
-	frame.Queued, frame.FirstOrderNanos = uint32(waiting), int64(link.agentInstant(first))
+	frame.Queued, frame.FirstOrderNanos = uint32(waiting), int64(link.clock.Convert(first))
 }
 
 func (link *link) countSent(frame *ptwire.Frame) {
@@ -325,7 +298,7 @@
 // Receive implements [ptsession.Handler].
 func (link *link) Receive(_ *ptsession.Session, frame *ptwire.Frame) {
 	now := link.entry.deps.Clock.Now()
-	link.measure(frame.AgentClockNanos, now)
+	link.clock.Measure(frame.AgentClockNanos, now)
 	link.countReceived(frame)
 	link.exchangeConfiguration(frame, now)
 	for _, share := range frame.QuotaShares {
--- /dev/null
+++ b/ptgraph/ptgraph.go
@@ -0,0 +1,307 @@
+// Package ptgraph is the life cycle of a job that is a graph of steps, at the entry
+// that owns it. It has no I/O.
+//
+// # How it works
+//
+//  1. A step is ready when every task of the steps that it comes after is done.
+//  2. A task is pending, then placed under a run number that rises, then done. A run
+//     that failed uses up an attempt; every other end puts the task back at no cost.
+//  3. A task that has failed as often as the queue allows fails the job.
+//  4. A job ends when all tasks are done, when it fails, or when it is given up. The
+//     owner stops what is still placed.
+//  5. A job that has never had a run that may have started is untouched: refusing it
+//     is true. [Job.Untouched] says so.
+//
+// # Usage
+//
+//	job, err := ptgraph.New(spec)
+//	for _, task := range job.Ready() { number := job.Placed(task) … }
+//	change := job.Ended(end)
+package ptgraph
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/primrosetiller/primrosetiller/ptid"
+	"github.com/primrosetiller/primrosetiller/ptrun"
+)
+
+const (
+	// MaxTasks bounds the tasks of a job; the target size has jobs of 220.
+	MaxTasks = 2000
+	// renumber is how far a run number jumps where a worker has seen a higher run:
+	// a caller that submits again may reach another entry.
+	renumber = 16
+)
+
+// Step is a part of a job whose tasks are alike.
+type Step struct {
+	Count    int
+	Demand   ptrun.Demand
+	Estimate time.Duration
+	// After lists earlier steps that must be done first.
+	After []ptrun.StepIndex
+	// Label is one that the worker must have; empty means any.
+	Label string
+	// NearLabel is the rack that holds the data; elsewhere the tasks take longer.
+	NearLabel string
+	// MostPerWorker bounds how many tasks of the step one worker may run; zero means any.
+	MostPerWorker int
+	Gang          bool
+	SameRack      bool
+	Checkpoints   bool
+	Speculative   bool
+	Endless       bool
+	Filling       bool
+}
+
+// Spec is what a job is made of.
+type Spec struct {
+	ID      ptid.JobID
+	Payload string
+	Steps   []Step
+	// MaxAttempts is how many failed runs of one task fail the job.
+	MaxAttempts int
+}
+
+// State is the state of a job.
+type State uint8
+
+const (
+	// Pending jobs have started nothing.
+	Pending State = iota
+	// Running jobs have started something.
+	Running
+	// Completed jobs have done all tasks.
+	Completed
+	// Failed jobs have a task that failed too often.
+	Failed
+	// GivenUp jobs are not wanted any more, or can't be done in time.
+	GivenUp
+)
+
+// String returns the name of the state, for logs.
+func (state State) String() string {
+	return [...]string{"pending", "running", "completed", "failed", "givenUp"}[state]
+}
+
+// Ended reports whether the state is final.
+func (state State) Ended() bool { return state >= Completed }
+
+// Task is one member of a step.
+type Task struct {
+	ID     ptrun.TaskID
+	Step   *Step
+	placed bool
+	done   bool
+	number ptrun.Number
+	fails  int
+}
+
+// Run returns the present run of a placed task.
+func (task *Task) Run() ptrun.ID { return ptrun.ID{Task: task.ID, Number: task.number} }
+
+// Pending reports whether the task waits for a place.
+func (task *Task) Pending() bool { return !task.placed && !task.done }
+
+// Placed reports whether the task has a run that has not ended.
+func (task *Task) Placed() bool { return task.placed }
+
+// Fails returns how many runs of the task have failed.
+func (task *Task) Fails() int { return task.fails }
+
+// Job is one job. It is not safe for concurrent use.
+type Job struct {
+	Spec
+	state     State
+	tasks     [][]Task
+	left      []int
+	remaining int
+	started   bool
+}
+
+// New returns a job whose tasks are all pending.
+func New(spec Spec) (job *Job, err error) {
+	defer func() { err = errors.Wrapf(err, "job %s", spec.ID) }()
+	if len(spec.Steps) == 0 {
+		return nil, errors.New("a job needs a step")
+	}
+	job = &Job{Spec: spec, tasks: make([][]Task, len(spec.Steps)), left: make([]int, len(spec.Steps))}
+	for i := range job.Steps {
+		step := &job.Steps[i]
+		if step.Count < 1 || job.remaining+step.Count > MaxTasks {
+			return nil, errors.Errorf("step %d: %d tasks are not allowed", i, step.Count)
+		}
+		if step.Demand.CPU < 0 || step.Demand.Memory < 0 || step.Demand.Accelerators < 0 {
+			return nil, errors.Errorf("step %d: a demand is negative", i)
+		}
+		for _, before := range step.After {
+			if int(before) >= i {
+				return nil, errors.Errorf("step %d comes after step %d, which is not an earlier one", i, before)
+			}
+		}
+		job.tasks[i] = make([]Task, step.Count)
+		for index := range job.tasks[i] {
+			job.tasks[i][index] = Task{Step: step, ID: ptrun.TaskID{Job: spec.ID, Step: ptrun.StepIndex(i), Index: ptid.TaskIndex(index)}}
+		}
+		job.left[i] = step.Count
+		job.remaining += step.Count
+	}
+	return job, nil
+}
+
+// State returns the state of the job.
+func (job *Job) State() State { return job.state }
+
+// Untouched reports whether no run of the job may have started.
+func (job *Job) Untouched() bool { return !job.started && job.placedTasks() == 0 }
+
+// Started reports whether a run of the job is known to have started.
+func (job *Job) Started() bool { return job.started }
+
+func (job *Job) placedTasks() (placed int) {
+	for _, tasks := range job.tasks {
+		for i := range tasks {
+			if tasks[i].placed {
+				placed++
+			}
+		}
+	}
+	return placed
+}
+
+// Ready returns the pending tasks whose step's turn has come.
+func (job *Job) Ready() (ready []*Task) {
+	if job.state.Ended() {
+		return nil
+	}
+	for i := range job.Steps {
+		if job.left[i] == 0 || !job.due(i) {
+			continue
+		}
+		for index := range job.tasks[i] {
+			if job.tasks[i][index].Pending() {
+				ready = append(ready, &job.tasks[i][index])
+			}
+		}
+	}
+	return ready
+}
+
+func (job *Job) due(step int) bool {
+	for _, before := range job.Steps[step].After {
+		if job.left[before] > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Task returns a task by its id; nil where the job has none.
+func (job *Job) Task(id ptrun.TaskID) *Task {
+	if int(id.Step) >= len(job.tasks) || int(id.Index) >= len(job.tasks[id.Step]) {
+		return nil
+	}
+	return &job.tasks[id.Step][id.Index]
+}
+
+// Place gives a pending task the next run number.
+func (job *Job) Place(task *Task) (run ptrun.ID) {
+	task.placed = true
+	task.number++
+	return task.Run()
+}
+
+// PlacedRuns returns the runs that have not ended.
+func (job *Job) PlacedRuns() (runs []ptrun.ID) {
+	for _, tasks := range job.tasks {
+		for i := range tasks {
+			if tasks[i].placed {
+				runs = append(runs, tasks[i].Run())
+			}
+		}
+	}
+	return runs
+}
+
+// Change tells what an end has done.
+type Change struct {
+	// Accepted is false where the run is not the present one of its task.
+	Accepted bool
+	// Ended is true once: where the job has ended with this end.
+	Ended bool
+}
+
+// End takes the end of a run.
+func (job *Job) End(end ptrun.End) (change Change) {
+	task := job.Task(end.Run.Task)
+	if task == nil || !task.placed || task.number != end.Run.Number {
+		return Change{}
+	}
+	task.placed = false
+	change.Accepted = true
+	if end.Result != ptrun.NeverStarted {
+		job.started = true
+		if job.state == Pending {
+			job.state = Running
+		}
+	}
+	switch end.Result {
+	case ptrun.Done:
+		task.done = true
+		job.left[end.Run.Task.Step]--
+		job.remaining--
+	case ptrun.Failed:
+		task.fails++
+	case ptrun.NeverStarted:
+		if end.Reason == ptrun.ReasonOutrun {
+			task.number += renumber
+		}
+	case ptrun.Stopped, ptrun.Lost:
+	}
+	if job.state.Ended() {
+		return change
+	}
+	switch {
+	case job.remaining == 0:
+		job.state, change.Ended = Completed, true
+	case task.fails >= max(1, job.MaxAttempts):
+		job.state, change.Ended = Failed, true
+	}
+	return change
+}
+
+// GiveUp ends the job where it has not ended, and reports whether it did.
+func (job *Job) GiveUp() (ended bool) {
+	if job.state.Ended() {
+		return false
+	}
+	job.state = GivenUp
+	return true
+}
+
+// Chain returns the longest chain of estimated work that is left.
+func (job *Job) Chain() (longest time.Duration) {
+	ends := make([]time.Duration, len(job.Steps))
+	for i := range job.Steps {
+		for _, before := range job.Steps[i].After {
+			ends[i] = max(ends[i], ends[before])
+		}
+		if job.left[i] > 0 {
+			ends[i] += job.Steps[i].Estimate
+		}
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// Work returns the estimated processor time that is left, in core-seconds.
+func (job *Job) Work() (coreSeconds float64) {
+	for i := range job.Steps {
+		step := &job.Steps[i]
+		coreSeconds += float64(job.left[i]) * step.Estimate.Seconds() * float64(step.Demand.CPU) / 1000
+	}
+	return coreSeconds
+}
--- a/ptmetric/ptmetric.go
+++ b/ptmetric/ptmetric.go
@@ -57,6 +57,13 @@
 	RunSeconds       Name = "primrosetiller_run_seconds"
 	LateFrames       Name = "primrosetiller_late_messages_total"
 	SessionBytes     Name = "primrosetiller_session_bytes_total"
+	RunOrders        Name = "primrosetiller_run_orders_total"
+	RunEnds          Name = "primrosetiller_run_ends_total"
+	WaitingJobs      Name = "primrosetiller_waiting_jobs"
+	WaitingRuns      Name = "primrosetiller_waiting_runs"
+	HoldingRuns      Name = "primrosetiller_holding_runs"
+	JobSeconds       Name = "primrosetiller_job_seconds"
+	StoreCalls       Name = "primrosetiller_store_calls_total"
 )
 
 // Entry documents one metric.
@@ -95,6 +102,13 @@
 	{QueueSeconds, "Time to the dispatch", "Seconds from the arrival of a job to the dispatch of a task.", "1.0"},
 	{RunSeconds, "Run time", "Seconds that tasks ran, as the agent measured them.", "1.0"},
 	{LateFrames, "Late messages", "Messages for tasks that this process no longer waits for; they are dropped.", "1.0"},
+	{RunOrders, "Ordered runs", "Runs of tasks with demands that this entry has sent to agents.", "2.0"},
+	{RunEnds, "Ended runs", "Runs that ended at this agent, by result: done, failed, stopped, lost, neverStarted.", "2.0"},
+	{WaitingJobs, "Waiting jobs", "Jobs of this entry with tasks that wait for a place.", "2.0"},
+	{WaitingRuns, "Waiting runs", "Runs that wait at this agent for room on its worker.", "2.0"},
+	{HoldingRuns, "Runs that hold room", "Runs at this agent that hold room on its worker, those being stopped included.", "2.0"},
+	{JobSeconds, "Time of a job", "Seconds from the arrival of a graph job to its end.", "2.0"},
+	{StoreCalls, "Calls to the platform's store", "Calls to the platform's store, by operation and result: done, refused, failed.", "2.0"},
 	{SessionBytes, "Bytes of sessions", "Bytes on the sessions of this process, by direction: sent, received.", "1.0"},
 }
 
--- /dev/null
+++ b/ptroom/answers.go
@@ -0,0 +1,288 @@
+package ptroom
+
+import (
+	"github.com/pkg/errors"
+
+	"github.com/primrosetiller/primrosetiller/ptid"
+	"github.com/primrosetiller/primrosetiller/ptrun"
+)
+
+// Started takes the answer to a start order.
+func (core *Core) Started(id ptrun.ID, clock ptrun.WorkerTime, err error, now ptid.Instant) (effects []Effect) {
+	run := core.runs[id]
+	if run == nil || run.state != starting {
+		return nil
+	}
+	run.answeredAt = now
+	switch {
+	case err == nil:
+		core.tick(clock, now)
+		run.state, run.confirmed = running, true
+		if run.stopAsked {
+			core.orderStop(run, now)
+		}
+	case errors.Is(err, ptrun.ErrUnanswered):
+		run.state = unanswered
+		core.emit(Look{})
+	default:
+		core.neverStarted(run, refusalReason(err), now)
+		core.fill(now)
+	}
+	return core.take()
+}
+
+func refusalReason(err error) ptrun.Reason {
+	switch {
+	case errors.Is(err, ptrun.ErrOutrun):
+		return ptrun.ReasonOutrun
+	case errors.Is(err, ptrun.ErrNoRoom):
+		return ptrun.ReasonNoRoom
+	case errors.Is(err, ptrun.ErrTooLate):
+		return ptrun.ReasonUnanswered
+	case errors.Is(err, ptrun.ErrOtherWorker):
+		return ptrun.ReasonRestarted
+	default:
+		return ptrun.ReasonRejected
+	}
+}
+
+// StopAnswered takes the answer to a stop order.
+func (core *Core) StopAnswered(id ptrun.ID, clock ptrun.WorkerTime, err error, now ptid.Instant) (effects []Effect) {
+	if err == nil {
+		core.tick(clock, now)
+	}
+	run := core.runs[id]
+	if run == nil || run.state != stopping || err != nil {
+		return nil
+	}
+	run.stopAcked, run.answeredAt = true, now
+	core.emit(Look{})
+	return core.take()
+}
+
+// Listed takes a listing that was asked for at requestedAt.
+func (core *Core) Listed(listing ptrun.Listing, requestedAt, now ptid.Instant) (effects []Effect) {
+	if !core.known {
+		return nil
+	}
+	if !listing.BornAt.IsZero() && !listing.BornAt.Equal(core.worker.BornAt) {
+		if listing.BornAt.Before(core.worker.BornAt) {
+			return nil
+		}
+		core.replaced(now)
+		core.known = false
+		core.refuseWaiting(ptrun.ReasonWorkerAbsent, now)
+		return core.take()
+	}
+	core.reachable = true
+	core.tick(listing.Clock, now)
+	for _, listed := range listing.Ends {
+		core.seen = max(core.seen, listed.Sequence)
+		if run := core.runs[listed.End.Run]; run != nil && run.holdsRoom() {
+			core.finish(run, listed.End, now)
+		}
+		delete(core.strangers, listed.End.Run)
+	}
+	active := make(map[ptrun.ID]bool, len(listing.Active))
+	for _, id := range listing.Active {
+		active[id] = true
+		core.listedActive(id, now)
+	}
+	if len(active) == 0 {
+		core.clean = true
+	}
+	for _, run := range core.sorted() {
+		if !active[run.Run] {
+			core.absent(run, listing.Clock, requestedAt, now)
+		}
+	}
+	core.fill(now)
+	return core.take()
+}
+
+// listedActive handles a run that the worker says it runs.
+func (core *Core) listedActive(id ptrun.ID, now ptid.Instant) {
+	run := core.runs[id]
+	if run == nil {
+		if _, over := core.ends[id]; over {
+			// An older listing; the end has been listed since.
+			return
+		}
+		if again, asked := core.strangers[id]; !asked || now >= again {
+			core.strangers[id] = now.Add(StopAgainAfter)
+			core.emit(StopRun{Worker: core.worker.WorkerIdentity, Token: core.token, Run: id, Reason: ptrun.ReasonUnknownRun})
+		}
+		return
+	}
+	run.confirmed = true
+	if run.state == unanswered {
+		run.state = running
+		if run.stopAsked {
+			core.orderStop(run, now)
+		}
+	}
+}
+
+// absent handles a run that a listing lacks.
+func (core *Core) absent(run *run, clock ptrun.WorkerTime, requestedAt, now ptid.Instant) {
+	asked := requestedAt > run.answeredAt
+	switch run.state {
+	case waiting, starting:
+	case running:
+		if asked {
+			core.finish(run, ptrun.End{Run: run.Run, Result: ptrun.Lost, Reason: ptrun.ReasonUnknownRun}, now)
+		}
+	case unanswered:
+		switch {
+		case asked && clock > run.startBy:
+			core.neverStarted(run, ptrun.ReasonUnanswered, now)
+		case asked:
+			run.reason = ptrun.ReasonUnanswered
+			core.orderStop(run, now)
+		}
+	case stopping:
+		if !asked || !run.stopAcked && clock <= run.startBy {
+			return
+		}
+		result := ptrun.Stopped
+		if !run.confirmed {
+			result = ptrun.NeverStarted
+		}
+		core.finish(run, ptrun.End{Run: run.Run, Result: result, Reason: run.reason}, now)
+	}
+}
+
+// Unreachable records that a call to list has failed. Once every lease has lapsed that
+// may have been granted, the runs are over.
+func (core *Core) Unreachable(now ptid.Instant) (effects []Effect) {
+	core.reachable = false
+	core.refuseWaiting(ptrun.ReasonWorkerAbsent, now)
+	if now <= core.leaseLapsesBy() {
+		return core.take()
+	}
+	for _, run := range core.sorted() {
+		if run.holdsRoom() && run.state != starting {
+			core.finish(run, ptrun.End{Run: run.Run, Result: ptrun.Lost, Reason: ptrun.ReasonLeaseLapsed}, now)
+		}
+	}
+	return core.take()
+}
+
+// Join records that an incarnation of an entry has a session. The runs of an earlier
+// one are stopped.
+func (core *Core) Join(owner Owner, now ptid.Instant) (effects []Effect) {
+	core.owners[owner.Entry] = &ownerState{incarnation: owner.Incarnation, connected: true}
+	for _, run := range core.sorted() {
+		if run.Owner.Entry == owner.Entry && run.Owner.Incarnation != owner.Incarnation {
+			core.stop(run, ptrun.ReasonOwnerSilent, now)
+		}
+	}
+	for id, ended := range core.ends {
+		switch {
+		case ended.owner.Entry != owner.Entry:
+		case ended.owner.Incarnation != owner.Incarnation:
+			delete(core.ends, id)
+		case ended.forgetAt == ptid.Never:
+			ended.forgetAt = now.Add(RememberFor)
+		}
+	}
+	core.fill(now)
+	return core.take()
+}
+
+// Leave records that the session to an entry has ended.
+func (core *Core) Leave(entry ptid.EntryName, now ptid.Instant) {
+	owner := core.owners[entry]
+	if owner == nil {
+		return
+	}
+	owner.connected, owner.silentSince = false, now
+	for _, ended := range core.ends {
+		if ended.owner.Entry == entry && ended.forgetAt != ptid.Never {
+			ended.forgetAt = ptid.Never
+		}
+	}
+}
+
+// Query tells an entry over a new session what became of a run. A run that is not over
+// needs no message: its end is told as usual.
+func (core *Core) Query(owner Owner, id ptrun.ID, now ptid.Instant) (effects []Effect) {
+	if core.runs[id] != nil {
+		return nil
+	}
+	known := core.ends[id]
+	if known == nil {
+		known = &ended{owner: owner, at: now, end: ptrun.End{Run: id, Result: ptrun.NeverStarted, Reason: ptrun.ReasonUnknownRun}}
+		core.ends[id] = known
+	}
+	known.forgetAt = now.Add(RememberFor)
+	return []Effect{Tell{Owner: owner, End: known.end}}
+}
+
+// Drain makes the core refuse new orders and waiting runs.
+func (core *Core) Drain(now ptid.Instant) (effects []Effect) {
+	core.drain = true
+	core.refuseWaiting(ptrun.ReasonDraining, now)
+	return core.take()
+}
+
+// Idle reports whether no run is left.
+func (core *Core) Idle() bool { return len(core.runs) == 0 }
+
+// Tick does what the passing of time asks for.
+func (core *Core) Tick(now ptid.Instant) (effects []Effect) {
+	for _, run := range core.sorted() {
+		switch {
+		case run.state == waiting && now >= run.StartBy:
+			core.neverStarted(run, ptrun.ReasonStartDeadline, now)
+		case run.state == stopping && !run.stopAcked && now >= run.stopAgain:
+			core.orderStop(run, now)
+		default:
+			if owner := core.owners[run.Owner.Entry]; owner != nil && !owner.connected && now.Sub(owner.silentSince) > OrphanAfter {
+				core.stop(run, ptrun.ReasonOwnerSilent, now)
+			}
+		}
+	}
+	for id, ended := range core.ends {
+		if now >= ended.forgetAt || now.Sub(ended.at) > forgetAfter {
+			delete(core.ends, id)
+		}
+	}
+	core.fill(now)
+	return core.take()
+}
+
+// Report is what a frame to an entry tells of the room.
+type Report struct {
+	Worker   ptrun.WorkerID
+	Capacity ptrun.Demand
+	Held     ptrun.Demand
+	Own      ptrun.Demand
+	Labels   []string
+	Unusable bool
+}
+
+// Report returns what a frame to an entry tells now. Waiting runs count as held.
+func (core *Core) Report(entry ptid.EntryName) (report Report) {
+	report = Report{
+		Worker: core.worker.ID, Capacity: core.worker.Capacity, Labels: core.worker.Labels,
+		Unusable: !core.known || !core.reachable || core.drain || core.worker.Leaving,
+	}
+	for _, run := range core.runs {
+		report.Held = report.Held.Plus(run.Demand)
+		if run.Owner.Entry == entry {
+			report.Own = report.Own.Plus(run.Demand)
+		}
+	}
+	return report
+}
+
+// Counts returns how many runs wait and how many hold room.
+func (core *Core) Counts() (waitingRuns, holdingRuns int) {
+	for _, run := range core.runs {
+		if run.state == waiting {
+			waitingRuns++
+		}
+	}
+	return waitingRuns, len(core.runs) - waitingRuns
+}
--- /dev/null
+++ b/ptroom/ptroom.go
@@ -0,0 +1,430 @@
+// Package ptroom is the agent's decisions about the runs on its worker: what starts,
+// what waits, what is stopped, and when a run is known to be over. It has no I/O.
+//
+// # How it works
+//
+//  1. Nothing else calls the worker, so the core alone keeps its room. A run holds its
+//     demand from the start order until its end is proved; a stop in progress counts.
+//  2. Ordered runs that do not fit wait, in the order of their key, until their
+//     startBy; then they are refused as never started.
+//  3. Each start order carries a deadline on the worker's clock ([StartWithin]), so one
+//     that is carried out late does nothing. A start without an answer is resolved by a
+//     listing that was asked for afterwards: the run is in it, or it is stopped, or the
+//     deadline has passed.
+//  4. The lease of the worker is renewed up to [LeaseSpan] ahead of the earliest that
+//     its clock can show. A run is over when its end is listed; when a listing that was
+//     asked for after the answer to its start or stop lacks it; when another life of
+//     the worker answers; or when the last lease that may have been granted has lapsed
+//     on a clock that is [ClockSlowness] slow.
+//  5. The runs of an entry that has been silent for [OrphanAfter] are stopped, and those
+//     of an earlier incarnation of an entry at once.
+//  6. Runs that the worker lists and nobody here ordered are stopped. Until the worker
+//     has been seen without any, or every lease of a former agent has lapsed, the agent
+//     takes no orders ([Core.Clean]).
+//  7. Ends are remembered until the session that carried them has outlived them by
+//     [RememberFor], since the next session may ask for them.
+//
+// # Usage
+//
+//	core := ptroom.New(token, now)
+//	effects := core.Announced(worker, clock, now)
+//	effects = core.Order(order, now)
+//	effects = core.Listed(listing, requestedAt, now)
+//
+// # Limits
+//
+// Core is not safe for concurrent use.
+package ptroom
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/primrosetiller/primrosetiller/ptassert"
+	"github.com/primrosetiller/primrosetiller/ptid"
+	"github.com/primrosetiller/primrosetiller/ptrun"
+)
+
+const (
+	// LeaseSpan is how far ahead the worker's lease is renewed; workers cut it at one second.
+	LeaseSpan = 900 * time.Millisecond
+	// StartWithin bounds how late a start order may be carried out: a local call takes
+	// about a millisecond, and a paused worker some hundreds.
+	StartWithin = 300 * time.Millisecond
+	// ClockSlowness is how much slower than ours the worker's clock may run, as a divisor.
+	ClockSlowness = 50
+	// OrphanAfter is how long the runs of an entry without a session go on. Together
+	// with the time to find the silence it stays below the time after which callers
+	// submit again, see docs/design/10-platform.md.
+	OrphanAfter = 300 * time.Millisecond
+	// StopAgainAfter is when a stop without effect is repeated.
+	StopAgainAfter = 150 * time.Millisecond
+	// RememberFor is how long an end is kept beyond its delivery.
+	RememberFor = 5 * time.Second
+	// forgetAfter bounds the memory of ends that nobody has come for.
+	forgetAfter = 2 * time.Minute
+	// firstTokenStep is added to a token that the worker refuses, and doubles each
+	// time: a former agent's time of day may have been ahead by seconds.
+	firstTokenStep = 1000
+)
+
+// Owner is the incarnation of an entry that ordered a run.
+type Owner struct {
+	Entry       ptid.EntryName
+	Incarnation ptid.Incarnation
+}
+
+// Order asks for a run.
+type Order struct {
+	Run        ptrun.ID
+	Owner      Owner
+	Spec       string
+	Demand     ptrun.Demand
+	StartBy    ptid.Instant
+	Key        ptid.Instant
+	Checkpoint ptrun.Checkpoint
+}
+
+// Effect is something that the owner of the core has to do.
+type Effect interface{ isEffect() }
+
+// StartRun asks for a start order to the worker; report the answer with [Core.Started].
+type StartRun struct {
+	Worker ptrun.WorkerIdentity
+	Token  ptrun.FenceToken
+	Start  ptrun.Start
+}
+
+// StopRun asks for a stop order; report the answer with [Core.StopAnswered].
+type StopRun struct {
+	Worker ptrun.WorkerIdentity
+	Token  ptrun.FenceToken
+	Run    ptrun.ID
+	Reason ptrun.Reason
+}
+
+// Look asks for a listing at once.
+type Look struct{}
+
+// Tell tells an entry the end of a run.
+type Tell struct {
+	Owner Owner
+	End   ptrun.End
+}
+
+func (StartRun) isEffect() {}
+func (StopRun) isEffect()  {}
+func (Look) isEffect()     {}
+func (Tell) isEffect()     {}
+
+type state uint8
+
+const (
+	waiting state = iota
+	starting
+	unanswered
+	running
+	stopping
+)
+
+// run is an ordered run whose end is not proved.
+type run struct {
+	Order
+	state state
+	// startBy is the deadline of the start order on the worker's clock.
+	startBy   ptrun.WorkerTime
+	startedAt ptid.Instant
+	// answeredAt is when the last order for the run was answered or given up.
+	answeredAt ptid.Instant
+	// confirmed is true once the worker has said that it runs it.
+	confirmed bool
+	stopAsked bool
+	stopAcked bool
+	stopAgain ptid.Instant
+	reason    ptrun.Reason
+}
+
+func (run *run) holdsRoom() bool { return run.state != waiting }
+
+// ended is a remembered end.
+type ended struct {
+	owner Owner
+	end   ptrun.End
+	at    ptid.Instant
+	// forgetAt is Never until a session that carries the end is known to be alive.
+	forgetAt ptid.Instant
+}
+
+type ownerState struct {
+	incarnation ptid.Incarnation
+	connected   bool
+	silentSince ptid.Instant
+}
+
+// Core is the state of one agent's runs.
+type Core struct {
+	token     ptrun.FenceToken
+	tokenStep ptrun.FenceToken
+	createdAt ptid.Instant
+	clean     bool
+
+	worker     ptrun.Worker
+	known      bool
+	reachable  bool
+	clock      ptrun.WorkerTime
+	clockAt    ptid.Instant
+	leaseUntil ptrun.WorkerTime
+	seen       ptrun.EndSequence
+	strangers  map[ptrun.ID]ptid.Instant
+
+	runs   map[ptrun.ID]*run
+	ends   map[ptrun.ID]*ended
+	owners map[ptid.EntryName]*ownerState
+	drain  bool
+	held   ptrun.Demand
+
+	effects []Effect
+}
+
+// New returns a core that knows no worker. token is the first fence token to try; it
+// should be above those of former agents, and rises where it is not.
+func New(token ptrun.FenceToken, now ptid.Instant) *Core {
+	return &Core{
+		token: token, tokenStep: firstTokenStep, createdAt: now, strangers: make(map[ptrun.ID]ptid.Instant),
+		runs: make(map[ptrun.ID]*run), ends: make(map[ptrun.ID]*ended), owners: make(map[ptid.EntryName]*ownerState),
+	}
+}
+
+func (core *Core) emit(effect Effect) { core.effects = append(core.effects, effect) }
+
+func (core *Core) take() (effects []Effect) {
+	effects, core.effects = core.effects, nil
+	return effects
+}
+
+// Worker returns the worker, and whether there is one.
+func (core *Core) Worker() (worker ptrun.Worker, known bool) { return core.worker, core.known }
+
+// Token returns the fence token to call the worker with.
+func (core *Core) Token() ptrun.FenceToken { return core.token }
+
+// Clean reports whether no run of a former agent can be left on the worker.
+func (core *Core) Clean(now ptid.Instant) bool {
+	return core.clean || now.Sub(core.createdAt) > LeaseSpan+LeaseSpan/ClockSlowness+StartWithin
+}
+
+// Fenced raises the token after the worker has refused it.
+func (core *Core) Fenced(refused ptrun.FenceToken) {
+	if refused < core.token {
+		return
+	}
+	core.token += core.tokenStep
+	core.tokenStep *= 2
+}
+
+// Announced takes what the worker says of itself.
+func (core *Core) Announced(worker ptrun.Worker, clock ptrun.WorkerTime, now ptid.Instant) (effects []Effect) {
+	if core.known && core.worker.WorkerIdentity == worker.WorkerIdentity {
+		if worker.Sequence <= core.worker.Sequence {
+			return nil
+		}
+	} else {
+		if core.known && worker.BornAt.Before(core.worker.BornAt) {
+			return nil
+		}
+		core.replaced(now)
+		core.clock, core.clockAt = clock, now
+	}
+	core.worker, core.known, core.reachable = worker, true, true
+	core.tick(clock, now)
+	if worker.Leaving {
+		core.refuseWaiting(ptrun.ReasonDraining, now)
+	}
+	core.fill(now)
+	return core.take()
+}
+
+// replaced ends all runs of the former life of the worker.
+func (core *Core) replaced(now ptid.Instant) {
+	for _, run := range core.sorted() {
+		if run.holdsRoom() {
+			core.finish(run, ptrun.End{Run: run.Run, Result: ptrun.Lost, Reason: ptrun.ReasonRestarted}, now)
+		}
+	}
+	core.seen, core.leaseUntil, core.clock = 0, 0, 0
+	clear(core.strangers)
+}
+
+// Gone records that the worker has left or another life answered at its address.
+func (core *Core) Gone(worker ptrun.WorkerIdentity, now ptid.Instant) (effects []Effect) {
+	if core.known && core.worker.WorkerIdentity == worker {
+		core.known = false
+		core.refuseWaiting(ptrun.ReasonWorkerAbsent, now)
+	}
+	return core.take()
+}
+
+// tick takes a reading of the worker's clock.
+func (core *Core) tick(clock ptrun.WorkerTime, now ptid.Instant) {
+	if clock >= core.estimate(now) {
+		core.clock, core.clockAt = clock, now
+	}
+}
+
+// estimate returns the earliest that the worker's clock can show.
+func (core *Core) estimate(now ptid.Instant) ptrun.WorkerTime {
+	passed := now.Sub(core.clockAt)
+	passed -= passed / ClockSlowness
+	return core.clock + ptrun.WorkerTime(passed.Milliseconds())
+}
+
+// Hold returns what the next call that renews the lease should carry.
+func (core *Core) Hold(now ptid.Instant) (hold ptrun.Hold) {
+	hold.Acknowledged = core.seen
+	if core.clock > 0 {
+		hold.Until = core.extend(now)
+	}
+	return hold
+}
+
+func (core *Core) extend(now ptid.Instant) ptrun.WorkerTime {
+	until := core.estimate(now) + ptrun.WorkerTime(LeaseSpan.Milliseconds())
+	core.leaseUntil = max(core.leaseUntil, until)
+	return until
+}
+
+// leaseLapsesBy returns the instant by which every lease has lapsed that may have
+// been granted.
+func (core *Core) leaseLapsesBy() ptid.Instant {
+	left := time.Duration(max(0, core.leaseUntil-core.clock)) * time.Millisecond
+	return core.clockAt.Add(left + left/(ClockSlowness-1) + time.Millisecond)
+}
+
+// Order takes an order from an entry.
+func (core *Core) Order(order Order, now ptid.Instant) (effects []Effect) {
+	if core.runs[order.Run] != nil {
+		return nil
+	}
+	if known := core.ends[order.Run]; known != nil {
+		return []Effect{Tell{Owner: order.Owner, End: known.end}}
+	}
+	core.runs[order.Run] = &run{Order: order}
+	switch {
+	case core.drain || core.worker.Leaving:
+		core.neverStarted(core.runs[order.Run], ptrun.ReasonDraining, now)
+	case !core.known || !core.reachable:
+		core.neverStarted(core.runs[order.Run], ptrun.ReasonWorkerAbsent, now)
+	case !core.worker.Capacity.Holds(order.Demand):
+		core.neverStarted(core.runs[order.Run], ptrun.ReasonNoRoom, now)
+	default:
+		core.fill(now)
+	}
+	return core.take()
+}
+
+func (core *Core) neverStarted(run *run, reason ptrun.Reason, now ptid.Instant) {
+	core.finish(run, ptrun.End{Run: run.Run, Result: ptrun.NeverStarted, Reason: reason}, now)
+}
+
+func (core *Core) refuseWaiting(reason ptrun.Reason, now ptid.Instant) {
+	for _, run := range core.sorted() {
+		if run.state == waiting {
+			core.neverStarted(run, reason, now)
+		}
+	}
+}
+
+// sorted returns the runs in a fixed order.
+func (core *Core) sorted() (runs []*run) {
+	runs = slices.Collect(maps.Values(core.runs))
+	slices.SortFunc(runs, func(left, right *run) int {
+		if left.Key != right.Key {
+			return int(min(1, max(-1, left.Key-right.Key)))
+		}
+		return ptrun.Compare(left.Run, right.Run)
+	})
+	return runs
+}
+
+// fill starts the waiting runs that fit, in the order of their keys.
+func (core *Core) fill(now ptid.Instant) {
+	if !core.known || !core.reachable || core.worker.Leaving || core.clock == 0 {
+		return
+	}
+	for _, run := range core.sorted() {
+		if run.state == waiting && !core.taskActive(run) && core.worker.Capacity.Minus(core.held).Holds(run.Demand) {
+			core.start(run, now)
+		}
+	}
+}
+
+// taskActive reports whether another run of the same task may be on the worker.
+func (core *Core) taskActive(wanted *run) bool {
+	for id, run := range core.runs {
+		if id.Task == wanted.Run.Task && run != wanted && run.holdsRoom() {
+			return true
+		}
+	}
+	return false
+}
+
+func (core *Core) start(run *run, now ptid.Instant) {
+	if now >= run.StartBy {
+		core.neverStarted(run, ptrun.ReasonStartDeadline, now)
+		return
+	}
+	run.state, run.startedAt = starting, now
+	run.startBy = core.estimate(now) + ptrun.WorkerTime(StartWithin.Milliseconds())
+	core.leaseUntil = max(core.leaseUntil, run.startBy)
+	core.held = core.held.Plus(run.Demand)
+	ptassert.That(core.worker.Capacity.Holds(core.held), "runs hold no more than the worker's capacity", "held", core.held)
+	core.emit(StartRun{
+		Worker: core.worker.WorkerIdentity, Token: core.token,
+		Start: ptrun.Start{Run: run.Run, Spec: run.Spec, StartBy: run.startBy, Checkpoint: run.Checkpoint},
+	})
+}
+
+// Stop handles an entry's wish to end a run.
+func (core *Core) Stop(id ptrun.ID, reason ptrun.Reason, now ptid.Instant) (effects []Effect) {
+	if run := core.runs[id]; run != nil {
+		core.stop(run, reason, now)
+	}
+	core.fill(now)
+	return core.take()
+}
+
+func (core *Core) stop(run *run, reason ptrun.Reason, now ptid.Instant) {
+	if run.stopAsked {
+		return
+	}
+	run.stopAsked, run.reason = true, reason
+	switch run.state {
+	case waiting:
+		core.neverStarted(run, reason, now)
+	case starting:
+		// The answer to the start comes first; a stop that overtakes it would be wasted.
+	case unanswered, running, stopping:
+		core.orderStop(run, now)
+	}
+}
+
+func (core *Core) orderStop(run *run, now ptid.Instant) {
+	run.state = stopping
+	run.stopAgain = now.Add(StopAgainAfter)
+	core.emit(StopRun{Worker: core.worker.WorkerIdentity, Token: core.token, Run: run.Run, Reason: run.reason})
+}
+
+// finish takes a run off the books and tells its owner.
+func (core *Core) finish(run *run, end ptrun.End, now ptid.Instant) {
+	if run.holdsRoom() {
+		core.held = core.held.Minus(run.Demand)
+		end.RunTime = now.Sub(run.startedAt)
+	}
+	delete(core.runs, run.Run)
+	core.ends[run.Run] = &ended{owner: run.Owner, end: end, at: now, forgetAt: ptid.Never}
+	if owner := core.owners[run.Owner.Entry]; owner != nil && owner.connected && owner.incarnation == run.Owner.Incarnation {
+		core.ends[run.Run].forgetAt = now.Add(RememberFor)
+		core.emit(Tell{Owner: run.Owner, End: end})
+	}
+}
