--- a/ptrunner/ptrunner.go
+++ b/ptrunner/ptrunner.go
@@ -69,8 +69,6 @@
 	Zone    ptid.Zone
 	Region  ptid.Region
 	Service ptid.ServiceName
-	// Entries are addresses of entries that are always tried.
-	Entries []string
 	// EndWithin is how long after the start of a shutdown the runner returns.
 	EndWithin time.Duration
 }
--- a/ptrunner/session.go
+++ b/ptrunner/session.go
@@ -119,7 +119,6 @@
 		clean := runner.core.Clean(runner.deps.Clock.Now())
 		runner.mu.Unlock()
 		if clean {
-			runner.dialNew(ctx, runner.setting.Entries)
 			runner.dialNew(ctx, runner.deps.Discover())
 		}
 		wait := discoverInterval
