Keep jobs that must last in the platform's log

Cause: only best-effort jobs were served; all others were refused. Change: ptkept (records, port), owners of partitions through the log's group, fenced progress, adoption of runs by a later owner, ends acknowledged only after they were kept; gangs, endless and timed jobs, pace of filling runs. Ruled out: a home by rendezvous hash, since a kept job needs a writer that the log fences anyway. Before: 503 for every such job.

--- a/ptassign/fitness.go
+++ b/ptassign/fitness.go
@@ -87,7 +87,7 @@
 func (core *Core) watch(known *agent, now ptid.Instant) {
 	late := 0
 	for _, run := range known.runs {
-		if !run.stopped && run.at > known.fitness.lastEndAt && isLate(run, now) {
+		if !run.stopped && !run.task.Step.Endless && run.at > known.fitness.lastEndAt && isLate(run, now) {
 			late++
 		}
 	}
@@ -96,7 +96,7 @@
 	}
 	known.fitness.isolate(now)
 	for _, id := range sortedRuns(known.runs) {
-		if run := known.runs[id]; !run.stopped && isLate(run, now) {
+		if run := known.runs[id]; !run.stopped && !run.task.Step.Endless && isLate(run, now) {
 			core.stop(known, id, run, ptrun.ReasonUnanswered)
 		}
 	}
--- /dev/null
+++ b/ptassign/kept.go
@@ -0,0 +1,108 @@
+package ptassign
+
+import (
+	"time"
+
+	"github.com/primrosetiller/primrosetiller/ptgraph"
+	"github.com/primrosetiller/primrosetiller/ptid"
+	"github.com/primrosetiller/primrosetiller/ptrun"
+)
+
+// KeptProvedAfter is how long after the last word of an agent the runs of kept jobs are
+// over. They go on longer without their owner than others, so that a later owner can
+// adopt them; the sum of the bounds stands in docs/design/10-platform.md.
+const KeptProvedAfter = 4500 * time.Millisecond
+
+// Keep takes a kept job in, with the progress that an earlier owner has left; nil means
+// none. A frozen job is not placed before [Core.Thaw].
+func (core *Core) Keep(spec Spec, progress *ptgraph.Progress, frozen bool, now ptid.Instant) (job *Job, effects []Effect, err error) {
+	graph, err := ptgraph.New(spec.Spec)
+	if err != nil {
+		return nil, nil, err
+	}
+	if progress != nil {
+		graph.Restore(*progress)
+	}
+	span := core.chain(graph, spec.Queue.Name)
+	job = &Job{
+		Job: graph, Queue: spec.Queue, SubmittedAt: now, Deadline: ptid.Never, UsefulBy: ptid.Never, span: span,
+		Objective: now.Add(time.Duration(spec.Queue.Stretch*float64(span)) + spec.Queue.TargetLatency),
+		Kept:      true, Frozen: frozen,
+	}
+	if job.State().Ended() {
+		return job, nil, nil
+	}
+	core.jobs[job.Key()] = job
+	core.waiting = append(core.waiting, job)
+	core.place(now)
+	return job, core.take(), nil
+}
+
+// Thaw lets a job be placed: the runs of its earlier owner are known.
+func (core *Core) Thaw(job *Job, now ptid.Instant) (effects []Effect) {
+	job.Frozen = false
+	core.place(now)
+	return core.take()
+}
+
+// Drop forgets a job that has another owner now. Its runs go on: they are the other's.
+func (core *Core) Drop(job *Job) {
+	delete(core.jobs, job.Key())
+	core.unqueue(job)
+	for _, known := range core.ordered {
+		for id, run := range known.runs {
+			if run.job == job {
+				known.own = known.own.Minus(run.task.Step.Room())
+				delete(known.runs, id)
+			}
+		}
+	}
+}
+
+// Adopt takes a run of a kept job that an earlier owner has started. A run that is not
+// wanted any more is stopped.
+func (core *Core) Adopt(name ptid.AgentName, run ptrun.ID, now ptid.Instant) (effects []Effect) {
+	known, job := core.agents[name], core.jobs[keyOf(run.Task)]
+	if known == nil || known.runs[run] != nil {
+		return nil
+	}
+	if job == nil || !job.Adopt(run) {
+		core.emit(SendStop{Agent: name, Run: run, Why: ptrun.ReasonUnknownRun})
+		return core.take()
+	}
+	core.book(known, job, job.Task(run.Task), run, now)
+	return core.take()
+}
+
+// Absorb takes the end of a run of a kept job that this entry has not started. It is
+// false where the job is not open here.
+func (core *Core) Absorb(name ptid.AgentName, end ptrun.End, now ptid.Instant) (effects []Effect, found bool) {
+	job := core.jobs[keyOf(end.Run.Task)]
+	if job == nil {
+		return nil, false
+	}
+	change := job.Absorb(end)
+	core.emit(Progressed{Job: job, Agent: name, Run: end.Run})
+	if change.Ended {
+		core.conclude(job, nil)
+	}
+	core.place(now)
+	return core.take(), true
+}
+
+// Has reports whether a run is on an agent's list.
+func (core *Core) Has(name ptid.AgentName, run ptrun.ID) bool {
+	known := core.agents[name]
+	return known != nil && known.runs[run] != nil
+}
+
+// Absent returns which agents are known and have no session, and since when.
+func (core *Core) Absent() (absent map[ptid.AgentName]ptid.Instant) {
+	absent = make(map[ptid.AgentName]ptid.Instant)
+	for _, known := range core.ordered {
+		if !known.connected {
+			absent[known.name] = known.lostAt
+		}
+	}
+	return absent
+}
--- a/ptassign/ptassign.go
+++ b/ptassign/ptassign.go
@@ -76,6 +76,18 @@
 	Deadline ptid.Instant
 }
 
+// Key tells the occurrences of one job apart.
+type Key struct {
+	ID         ptid.JobID
+	Occurrence ptrun.Occurrence
+}
+
+func keyOf(task ptrun.TaskID) Key { return Key{ID: task.Job, Occurrence: task.Occurrence} }
+
+func compareKeys(left, right Key) int {
+	return cmp.Or(cmp.Compare(left.ID, right.ID), cmp.Compare(left.Occurrence, right.Occurrence))
+}
+
 // RefusalReason says why a job was not taken in or was put out untouched.
 type RefusalReason string
 
@@ -107,9 +119,16 @@
 	Deadline  ptid.Instant
 	// FirstPlacedAt is zero until a task was placed.
 	FirstPlacedAt ptid.Instant
-	span          time.Duration
+	// Kept jobs were accepted for good: they are never refused or given up.
+	Kept bool
+	// Frozen jobs wait until the runs of an earlier owner are known.
+	Frozen bool
+	span   time.Duration
 }
 
+// Key returns the key of the job.
+func (job *Job) Key() Key { return Key{ID: job.ID, Occurrence: job.Occurrence} }
+
 // Effect is something that the owner has to do.
 type Effect interface{ isEffect() }
 
@@ -121,6 +140,8 @@
 	Demand  ptrun.Demand
 	StartBy ptid.Instant
 	Key     ptid.Instant
+	// Checkpoint is what the run resumes from.
+	Checkpoint ptrun.Checkpoint
 }
 
 // SendStop asks an agent to end a run.
@@ -136,16 +157,25 @@
 	Run   ptrun.ID
 }
 
+// Progressed tells that a kept job has changed by the end of a run. The end is to be
+// acknowledged when the progress is kept.
+type Progressed struct {
+	Job   *Job
+	Agent ptid.AgentName
+	Run   ptrun.ID
+}
+
 // JobEnded tells the end of a job. Refusal is set where it was put out untouched.
 type JobEnded struct {
 	Job     *Job
 	Refusal *Refusal
 }
 
-func (SendOrder) isEffect() {}
-func (SendStop) isEffect()  {}
-func (SendQuery) isEffect() {}
-func (JobEnded) isEffect()  {}
+func (SendOrder) isEffect()  {}
+func (SendStop) isEffect()   {}
+func (SendQuery) isEffect()  {}
+func (Progressed) isEffect() {}
+func (JobEnded) isEffect()   {}
 
 // sent is a run that an agent has.
 type sent struct {
@@ -195,7 +225,7 @@
 type Core struct {
 	agents  map[ptid.AgentName]*agent
 	ordered []*agent
-	jobs    map[ptid.JobID]*Job
+	jobs    map[Key]*Job
 	waiting []*Job
 	average map[ptid.ProfileName]float64
 	bias    float64
@@ -206,7 +236,7 @@
 // New returns a core without jobs or agents.
 func New(seed uint64) *Core {
 	return &Core{
-		agents: make(map[ptid.AgentName]*agent), jobs: make(map[ptid.JobID]*Job),
+		agents: make(map[ptid.AgentName]*agent), jobs: make(map[Key]*Job),
 		average: make(map[ptid.ProfileName]float64), bias: 1,
 		random: rand.New(rand.NewPCG(seed, 1)),
 	}
@@ -258,7 +288,7 @@
 	if refusal = core.refuse(job, now); refusal != nil {
 		return nil, refusal, nil, nil
 	}
-	core.jobs[job.ID] = job
+	core.jobs[job.Key()] = job
 	core.waiting = append(core.waiting, job)
 	core.place(now)
 	return job, nil, core.take(), nil
@@ -296,7 +326,7 @@
 func (core *Core) Open() int { return len(core.jobs) }
 
 // Job returns an open job.
-func (core *Core) Job(id ptid.JobID) *Job { return core.jobs[id] }
+func (core *Core) Job(key Key) *Job { return core.jobs[key] }
 
 // place gives waiting tasks to agents with room.
 func (core *Core) place(now ptid.Instant) {
@@ -312,7 +342,7 @@
 		if job.State().Ended() {
 			continue
 		}
-		if blocked < scanJobs && !core.placeJob(job, now) {
+		if !job.Frozen && blocked < scanJobs && !core.placeJob(job, now) {
 			blocked++
 		}
 		if len(job.Ready()) > 0 || len(job.PlacedRuns()) == 0 {
@@ -325,32 +355,53 @@
 
 // placeJob places the ready tasks of a job and reports whether all found room.
 func (core *Core) placeJob(job *Job, now ptid.Instant) (all bool) {
-	for _, task := range job.Ready() {
+	ready := job.Ready()
+	for len(ready) > 0 {
+		task := ready[0]
+		if task.Step.Gang {
+			size := task.Step.Count
+			if !core.placeGang(job, ready[:size], now) {
+				return false
+			}
+			ready = ready[size:]
+			continue
+		}
+		ready = ready[1:]
 		chosen := core.choose(job, task, now)
 		if chosen == nil {
 			return false
 		}
-		run := job.Place(task)
-		expected := core.expected(job.Queue.Name, task.Step)
-		chosen.runs[run] = &sent{job: job, task: task, at: now, expected: expected}
-		chosen.own = chosen.own.Plus(task.Step.Demand)
-		chosen.fitness.placed()
-		if job.FirstPlacedAt == 0 {
-			job.FirstPlacedAt = now
-		}
-		core.emit(SendOrder{
-			Agent: chosen.name, Run: run, Job: job, Demand: task.Step.Demand,
-			StartBy: min(now.Add(WaitAtAgent), job.Deadline), Key: job.key(now),
-		})
+		core.order(chosen, job, task, job.Place(task), task.Checkpoint, now)
 	}
 	return true
 }
 
+// order books a run at an agent and sends it.
+func (core *Core) order(chosen *agent, job *Job, task *ptgraph.Task, run ptrun.ID, checkpoint ptrun.Checkpoint, now ptid.Instant) {
+	core.book(chosen, job, task, run, now)
+	chosen.fitness.placed()
+	if job.FirstPlacedAt == 0 {
+		job.FirstPlacedAt = now
+	}
+	startBy := now.Add(WaitAtAgent)
+	if !job.Kept {
+		startBy = min(startBy, job.Deadline)
+	}
+	core.emit(SendOrder{
+		Agent: chosen.name, Run: run, Job: job, Demand: task.Step.Room(), StartBy: startBy, Key: job.key(now), Checkpoint: checkpoint,
+	})
+}
+
+func (core *Core) book(chosen *agent, job *Job, task *ptgraph.Task, run ptrun.ID, now ptid.Instant) {
+	chosen.runs[run] = &sent{job: job, task: task, at: now, expected: core.expected(job.Queue.Name, task.Step)}
+	chosen.own = chosen.own.Plus(task.Step.Room())
+}
+
 // choose returns the agent for a task; nil where none has room.
 func (core *Core) choose(job *Job, task *ptgraph.Task, now ptid.Instant) (chosen *agent) {
 	best := math.Inf(1)
 	for _, candidate := range core.ordered {
-		if candidate.service != job.Queue.Service || !candidate.usable(now) || !candidate.free().Holds(task.Step.Demand) {
+		if candidate.service != job.Queue.Service || !candidate.usable(now) || !candidate.free().Holds(task.Step.Room()) {
 			continue
 		}
 		if !fits(candidate, job, task) {
@@ -416,7 +467,7 @@
 		core.ordered = slices.SortedFunc(maps.Values(core.agents), func(left, right *agent) int { return cmp.Compare(left.name, right.name) })
 	}
 	if known.incarnation != incarnation {
-		core.lose(known, ptrun.ReasonRestarted, now)
+		core.lose(known, ptrun.ReasonRestarted, Discarded, now)
 		known.fitness = newFitness()
 	}
 	known.incarnation, known.service, known.near, known.connected = incarnation, service, near, true
@@ -431,10 +482,22 @@
 	return slices.SortedFunc(maps.Keys(runs), ptrun.Compare)
 }
 
-// lose ends all runs of an agent as lost.
-func (core *Core) lose(lost *agent, reason ptrun.Reason, now ptid.Instant) {
+// which says which runs of an agent are meant.
+type which bool
+
+const (
+	// Discarded runs are those whose ends nobody keeps for their job.
+	Discarded which = false
+	// All are these and those of kept jobs, whose ends outlast their agent at the worker.
+	All which = true
+)
+
+// lose ends runs of an agent as lost.
+func (core *Core) lose(lost *agent, reason ptrun.Reason, meant which, now ptid.Instant) {
 	for _, run := range sortedRuns(lost.runs) {
-		core.end(lost, ptrun.End{Run: run, Result: ptrun.Lost, Reason: reason}, now)
+		if meant == All || !lost.runs[run].job.Kept {
+			core.end(lost, ptrun.End{Run: run, Result: ptrun.Lost, Reason: reason}, now)
+		}
 	}
 }
 
@@ -475,13 +538,19 @@
 		return
 	}
 	delete(known.runs, end.Run)
-	known.own = known.own.Minus(run.task.Step.Demand)
+	known.own = known.own.Minus(run.task.Step.Room())
 	core.learn(known, run, end, now)
 	job := run.job
 	change := job.End(end)
+	if job.Kept {
+		core.emit(Progressed{Job: job, Agent: known.name, Run: end.Run})
+	}
 	if !change.Accepted || job.State() == ptgraph.GivenUp {
 		return
 	}
+	if run.task.Step.Gang && end.Result != ptrun.Done {
+		core.stopGang(job, end.Run.Task.Step)
+	}
 	if change.Ended {
 		core.conclude(job, nil)
 		return
@@ -515,10 +584,8 @@
 
 // conclude takes an ended job off the books and stops what is left of it.
 func (core *Core) conclude(job *Job, refusal *Refusal) {
-	delete(core.jobs, job.ID)
-	if index := slices.Index(core.waiting, job); index >= 0 {
-		core.waiting = slices.Delete(core.waiting, index, index+1)
-	}
+	delete(core.jobs, job.Key())
+	core.unqueue(job)
 	if len(job.PlacedRuns()) > 0 {
 		for _, known := range core.ordered {
 			for _, id := range sortedRuns(known.runs) {
@@ -531,6 +598,12 @@
 	core.emit(JobEnded{Job: job, Refusal: refusal})
 }
 
+func (core *Core) unqueue(job *Job) {
+	if index := slices.Index(core.waiting, job); index >= 0 {
+		core.waiting = slices.Delete(core.waiting, index, index+1)
+	}
+}
+
 func (core *Core) stop(known *agent, id ptrun.ID, run *sent, why ptrun.Reason) {
 	if run.stopped {
 		return
@@ -540,8 +613,8 @@
 }
 
 // Cancel ends a job that nobody waits for any more.
-func (core *Core) Cancel(id ptid.JobID, now ptid.Instant) (effects []Effect) {
-	if job := core.jobs[id]; job != nil && job.GiveUp() {
+func (core *Core) Cancel(key Key, now ptid.Instant) (effects []Effect) {
+	if job := core.jobs[key]; job != nil && job.GiveUp() {
 		core.conclude(job, nil)
 	}
 	core.place(now)
@@ -552,12 +625,15 @@
 func (core *Core) Tick(now ptid.Instant) (effects []Effect) {
 	for _, known := range core.ordered {
 		if !known.connected && len(known.runs) > 0 && now.Sub(known.lostAt) > ProvedAfter {
-			core.lose(known, ptrun.ReasonLeaseLapsed, now)
+			core.lose(known, ptrun.ReasonLeaseLapsed, Discarded, now)
+		}
+		if !known.connected && len(known.runs) > 0 && now.Sub(known.lostAt) > KeptProvedAfter {
+			core.lose(known, ptrun.ReasonLeaseLapsed, All, now)
 		}
 		core.watch(known, now)
 	}
-	for _, id := range slices.Sorted(maps.Keys(core.jobs)) {
-		core.expire(core.jobs[id], now)
+	for _, key := range slices.SortedFunc(maps.Keys(core.jobs), compareKeys) {
+		core.expire(core.jobs[key], now)
 	}
 	core.place(now)
 	return core.take()
@@ -565,6 +641,9 @@
 
 // expire ends a job that can't end in time any more.
 func (core *Core) expire(job *Job, now ptid.Instant) {
+	if job.Kept {
+		return
+	}
 	untouched := job.Untouched()
 	ends := now
 	if untouched {
--- a/ptbroker/ptbroker.go
+++ b/ptbroker/ptbroker.go
@@ -30,6 +30,7 @@
 	"github.com/primrosetiller/primrosetiller/ptassign"
 	"github.com/primrosetiller/primrosetiller/ptgraph"
 	"github.com/primrosetiller/primrosetiller/ptid"
+	"github.com/primrosetiller/primrosetiller/ptkept"
 	"github.com/primrosetiller/primrosetiller/ptmetric"
 	"github.com/primrosetiller/primrosetiller/ptqueue"
 )
@@ -60,6 +61,10 @@
 	Metrics *ptmetric.Set
 	Clock   *ptid.Clock
 	Queues  *ptqueue.Holder
+	// Kept is the log of jobs that must last, nil where there is none, and Member the
+	// address by which other entries know this one as an owner.
+	Kept   ptkept.Store
+	Member string
 }
 
 type counters struct {
@@ -82,6 +87,8 @@
 	core    *ptassign.Core
 	links   map[ptid.AgentName]*link
 	tickets map[ptid.JobID]*Ticket
+	keeper  keeper
+	asking  *asking
 }
 
 // Outcome is the end of a job that was taken in.
@@ -110,7 +117,8 @@
 	broker := &Broker{
 		setting: setting, deps: deps, incarnation: ptid.NewIncarnation(time.Now()),
 		core: ptassign.New(setting.Seed), links: make(map[ptid.AgentName]*link),
-		tickets: make(map[ptid.JobID]*Ticket),
+		tickets: make(map[ptid.JobID]*Ticket), asking: newAsking(),
+		keeper: keeper{store: deps.Kept, member: deps.Member, owned: make(map[ptkept.Partition]*owned), born: deps.Clock.Now()},
 		count: counters{
 			orders: deps.Metrics.Counter(ptmetric.RunOrders), requeues: deps.Metrics.Counter(ptmetric.Retries),
 			queueTime: deps.Metrics.Histogram(ptmetric.QueueSeconds), jobTime: deps.Metrics.Histogram(ptmetric.JobSeconds),
@@ -182,7 +190,7 @@
 		return
 	}
 	broker.deps.Log.Info("job abandoned", "job", ticket.ID, "why", why)
-	broker.do(broker.core.Cancel(ticket.ID, broker.deps.Clock.Now()))
+	broker.do(broker.core.Cancel(ptassign.Key{ID: ticket.ID}, broker.deps.Clock.Now()))
 }
 
 // Cancel ends a job by its id and reports whether it was open.
@@ -193,7 +201,7 @@
 		return false
 	}
 	broker.deps.Log.Info("job cancelled", "job", id)
-	broker.do(broker.core.Cancel(id, broker.deps.Clock.Now()))
+	broker.do(broker.core.Cancel(ptassign.Key{ID: id}, broker.deps.Clock.Now()))
 	return true
 }
 
@@ -201,7 +209,7 @@
 func (broker *Broker) State(id ptid.JobID) (state ptgraph.State, found bool) {
 	broker.mu.Lock()
 	defer broker.mu.Unlock()
-	job := broker.core.Job(id)
+	job := broker.core.Job(ptassign.Key{ID: id})
 	if job == nil {
 		return 0, false
 	}
@@ -211,13 +219,6 @@
 	return job.State(), true
 }
 
-// Pending returns how many jobs of a queue wait for their first task to be placed.
-func (broker *Broker) Pending(queue ptid.ProfileName) int {
-	broker.mu.Lock()
-	defer broker.mu.Unlock()
-	return broker.core.Pending(queue)
-}
-
 // do carries out effects. The caller holds the lock.
 func (broker *Broker) do(effects []ptassign.Effect) {
 	for _, effect := range effects {
@@ -234,6 +235,8 @@
 			if link := broker.links[effect.Agent]; link != nil {
 				link.query(effect.Run)
 			}
+		case ptassign.Progressed:
+			broker.progressed(effect)
 		case ptassign.JobEnded:
 			broker.ended(effect)
 		}
@@ -262,6 +265,10 @@
 	}
 	broker.deps.Log.Info("job ended", "job", job.ID, "queue", job.Queue.Name, "state", job.State().String(),
 		"took", took.String(), "placedAfter", placedAfter.String(), "objective", job.Objective.Sub(job.SubmittedAt).String())
+	if job.Kept {
+		broker.occurrenceEnded(job)
+		return
+	}
 	ticket := broker.tickets[job.ID]
 	if ticket == nil {
 		return
--- a/ptbroker/session.go
+++ b/ptbroker/session.go
@@ -12,6 +12,7 @@
 
 	"github.com/primrosetiller/primrosetiller/ptassign"
 	"github.com/primrosetiller/primrosetiller/ptid"
+	"github.com/primrosetiller/primrosetiller/ptkept"
 	"github.com/primrosetiller/primrosetiller/ptlink"
 	"github.com/primrosetiller/primrosetiller/ptmetric"
 	"github.com/primrosetiller/primrosetiller/ptprofile"
@@ -47,11 +48,19 @@
 func (link *link) name() ptid.AgentName { return ptid.AgentName(link.greeting.Agent) }
 
 func (link *link) order(effect ptassign.SendOrder) {
-	step := effect.Job.Steps[effect.Run.Task.Step]
+	step := &effect.Job.Steps[effect.Run.Task.Step]
 	order := &ptwire.RunOrder{
 		Run: effect.Run.Ref(), Spec: effect.Job.Payload, CpuMillicores: int64(effect.Demand.CPU),
-		MemoryMebibytes: int64(effect.Demand.Memory), Accelerators: step.Demand.Accelerators,
+		MemoryMebibytes: int64(effect.Demand.Memory), Accelerators: effect.Demand.Accelerators,
 		StartByNanos: int64(link.clock.Convert(effect.StartBy)), OrderNanos: int64(link.clock.Convert(effect.Key)),
+		Checkpoint: string(effect.Checkpoint), Endless: step.Endless, Filling: step.Filling, TailTargetNanos: int64(step.TailTarget),
+	}
+	if effect.Job.Kept {
+		held, _ := link.broker.keptOf(effect.Job.ID)
+		if held == nil {
+			return
+		}
+		order.Partition, order.Epoch = uint32(held.number), uint64(held.epoch)
 	}
 	link.session.Post(func(frame *ptwire.Frame) { frame.RunOrders = append(frame.RunOrders, order) })
 }
@@ -64,6 +73,15 @@
 	link.session.Post(func(frame *ptwire.Frame) { frame.RunQueries = append(frame.RunQueries, run.Ref()) })
 }
 
+func (link *link) acknowledge(run ptrun.ID) {
+	link.session.Post(func(frame *ptwire.Frame) { frame.RunAcks = append(frame.RunAcks, run.Ref()) })
+}
+
+func (link *link) adopt(held *owned, partitions int) {
+	adoption := &ptwire.Adoption{Partition: uint32(held.number), Epoch: uint64(held.epoch), Partitions: uint32(partitions)}
+	link.session.Post(func(frame *ptwire.Frame) { frame.Adoptions = append(frame.Adoptions, adoption) })
+}
+
 // Stamp implements [ptsession.Handler].
 func (link *link) Stamp(*ptsession.Session, *ptwire.Frame) {}
 
@@ -91,8 +109,15 @@
 				"task", end.Run.Task.Index, "run", end.Run.Number, "agent", link.name(), "result", end.Result, "reason", end.Reason,
 				"ran", end.RunTime.String())
 		}
+		if ptkept.IsKept(end.Run.Number) && !broker.core.Has(link.name(), end.Run) {
+			broker.keptEnd(link, end, now)
+			continue
+		}
 		broker.do(broker.core.RunEnded(link.name(), end, now))
 	}
+	for _, message := range frame.Adopted {
+		broker.adopted(link, message, now)
+	}
 }
 
 func stateOf(room *ptwire.Room) ptassign.AgentState {
@@ -177,6 +202,11 @@
 		if frame.Room != nil {
 			broker.do(broker.core.Reported(joining.name(), stateOf(frame.Room), now))
 		}
+		for _, held := range broker.keeper.owned {
+			if held.loaded {
+				joining.adopt(held, broker.keeper.store.Partitions())
+			}
+		}
 	}
 	return joining, nil
 }
@@ -215,16 +245,6 @@
 	broker.core.Lost(left.name(), broker.deps.Clock.Now())
 }
 
-// Job implements the drpc service; graph jobs are asked for through their callers.
-func (broker *Broker) Job(context.Context, *ptwire.JobQuery) (reply *ptwire.JobReply, err error) {
-	return &ptwire.JobReply{}, nil
-}
-
-// Peer implements the drpc service.
-func (broker *Broker) Peer(context.Context, *ptwire.PeerQuery) (reply *ptwire.PeerReply, err error) {
-	return &ptwire.PeerReply{Entry: string(broker.setting.Name), Incarnation: uint64(broker.incarnation)}, nil
-}
-
 // Run serves agents until ctx ends and the shutdown is over.
 func (broker *Broker) Run(ctx context.Context, listener net.Listener) (err error) {
 	defer func() { err = errors.Wrapf(err, "entry %s", broker.setting.Name) }()
@@ -238,6 +258,7 @@
 	var group errgroup.Group
 	group.Go(func() error { return broker.accept(background, listener, server) })
 	group.Go(func() error { broker.tick(background); return nil })
+	group.Go(func() error { broker.keep(background); return nil })
 	broker.deps.Log.Info("entry started", "entry", broker.setting.Name, "agents", listener.Addr().String(), "incarnation", broker.incarnation)
 	<-ctx.Done()
 	broker.drain()
@@ -312,6 +333,7 @@
 		}
 		broker.mu.Lock()
 		broker.do(broker.core.Tick(broker.deps.Clock.Now()))
+		broker.tickKept(broker.deps.Clock.Now())
 		broker.mu.Unlock()
 	}
 }
--- a/ptgraph/ptgraph.go
+++ b/ptgraph/ptgraph.go
@@ -38,23 +38,42 @@
 
 // Step is a part of a job whose tasks are alike.
 type Step struct {
-	Count    int
-	Demand   ptrun.Demand
-	Estimate time.Duration
+	Count    int           `json:"count"`
+	Demand   ptrun.Demand  `json:"demand"`
+	Estimate time.Duration `json:"estimateNanos,omitempty"`
 	// After lists earlier steps that must be done first.
-	After []ptrun.StepIndex
+	After []ptrun.StepIndex `json:"after,omitempty"`
 	// Label is one that the worker must have; empty means any.
-	Label string
+	Label string `json:"label,omitempty"`
 	// NearLabel is the rack that holds the data; elsewhere the tasks take longer.
-	NearLabel string
+	NearLabel string `json:"nearLabel,omitempty"`
 	// MostPerWorker bounds how many tasks of the step one worker may run; zero means any.
-	MostPerWorker int
-	Gang          bool
-	SameRack      bool
-	Checkpoints   bool
-	Speculative   bool
-	Endless       bool
-	Filling       bool
+	MostPerWorker int `json:"mostPerWorker,omitempty"`
+	// Gang tasks work only together; they are placed, run and end as one.
+	Gang bool `json:"gang,omitempty"`
+	// SameRack tasks take longer where they run on several racks.
+	SameRack    bool `json:"sameRack,omitempty"`
+	Checkpoints bool `json:"checkpoints,omitempty"`
+	Speculative bool `json:"speculative,omitempty"`
+	// Endless tasks run until the job is cancelled, and are started again however they end.
+	Endless bool `json:"endless,omitempty"`
+	// Filling tasks take the processor time that others leave; it is not counted.
+	Filling bool `json:"filling,omitempty"`
+	// Image names what the tasks run; tasks of one image behave alike.
+	Image string `json:"image,omitempty"`
+	// TailTarget bounds the tail of the response times of tasks that serve users.
+	TailTarget time.Duration `json:"tailTargetNanos,omitempty"`
+	// MayMiss is how many endless tasks the system itself may keep from work at a time.
+	MayMiss int `json:"mayMiss,omitempty"`
+}
+
+// Room returns what a task of the step holds of a worker's capacity.
+func (step *Step) Room() ptrun.Demand {
+	room := step.Demand
+	if step.Filling {
+		room.CPU = 0
+	}
+	return room
 }
 
 // Spec is what a job is made of.
@@ -64,6 +83,11 @@
 	Steps   []Step
 	// MaxAttempts is how many failed runs of one task fail the job.
 	MaxAttempts int
+	// Occurrence numbers the repetitions of a timed job.
+	Occurrence ptrun.Occurrence
+	// NumberBase is the number below which no run of the job is started: a later owner
+	// of the job starts above all runs of earlier ones.
+	NumberBase ptrun.Number
 }
 
 // State is the state of a job.
@@ -98,6 +122,8 @@
 	done   bool
 	number ptrun.Number
 	fails  int
+	// Checkpoint is the newest that a run of the task has left.
+	Checkpoint ptrun.Checkpoint
 }
 
 // Run returns the present run of a placed task.
@@ -144,7 +170,7 @@
 		}
 		job.tasks[i] = make([]Task, step.Count)
 		for index := range job.tasks[i] {
-			job.tasks[i][index] = Task{Step: step, ID: ptrun.TaskID{Job: spec.ID, Step: ptrun.StepIndex(i), Index: ptid.TaskIndex(index)}}
+			job.tasks[i][index] = Task{Step: step, ID: ptrun.TaskID{Job: spec.ID, Occurrence: spec.Occurrence, Step: ptrun.StepIndex(i), Index: ptid.TaskIndex(index)}}
 		}
 		job.left[i] = step.Count
 		job.remaining += step.Count
@@ -181,6 +207,10 @@
 		if job.left[i] == 0 || !job.due(i) {
 			continue
 		}
+		if job.Steps[i].Gang && len(job.GangRuns(ptrun.StepIndex(i))) > 0 {
+			// The next run of a gang starts when every member of the last one is over.
+			continue
+		}
 		for index := range job.tasks[i] {
 			if job.tasks[i][index].Pending() {
 				ready = append(ready, &job.tasks[i][index])
@@ -210,10 +240,50 @@
 // Place gives a pending task the next run number.
 func (job *Job) Place(task *Task) (run ptrun.ID) {
 	task.placed = true
-	task.number++
+	task.number = max(task.number, job.NumberBase) + 1
 	return task.Run()
 }
 
+// PlaceGang gives all tasks of a gang's step the same next run number.
+func (job *Job) PlaceGang(step ptrun.StepIndex) (runs []ptrun.ID) {
+	tasks := job.tasks[step]
+	highest := job.NumberBase
+	for i := range tasks {
+		highest = max(highest, tasks[i].number)
+	}
+	for i := range tasks {
+		tasks[i].placed, tasks[i].number = true, highest+1
+		runs = append(runs, tasks[i].Run())
+	}
+	return runs
+}
+
+// Adopt takes a run that an earlier owner has started as the present one of its task.
+func (job *Job) Adopt(run ptrun.ID) (adopted bool) {
+	task := job.Task(run.Task)
+	if task == nil || task.done || task.placed || job.state.Ended() {
+		return false
+	}
+	task.placed, task.number, job.started = true, run.Number, true
+	job.run()
+	return true
+}
+
+// Absorb takes the end of a run that an earlier owner has started and that nobody has
+// taken note of.
+func (job *Job) Absorb(end ptrun.End) (change Change) {
+	if end.Result == ptrun.NeverStarted || !job.Adopt(end.Run) {
+		return Change{}
+	}
+	return job.End(end)
+}
+
+func (job *Job) run() {
+	if job.state == Pending {
+		job.state = Running
+	}
+}
+
 // PlacedRuns returns the runs that have not ended.
 func (job *Job) PlacedRuns() (runs []ptrun.ID) {
 	for _, tasks := range job.tasks {
@@ -244,15 +314,14 @@
 	change.Accepted = true
 	if end.Result != ptrun.NeverStarted {
 		job.started = true
-		if job.state == Pending {
-			job.state = Running
-		}
+		job.run()
+	}
+	if end.Checkpoint != "" {
+		task.Checkpoint = end.Checkpoint
 	}
 	switch end.Result {
 	case ptrun.Done:
-		task.done = true
-		job.left[end.Run.Task.Step]--
-		job.remaining--
+		job.done(task)
 	case ptrun.Failed:
 		task.fails++
 	case ptrun.NeverStarted:
@@ -267,12 +336,52 @@
 	switch {
 	case job.remaining == 0:
 		job.state, change.Ended = Completed, true
-	case task.fails >= max(1, job.MaxAttempts):
+	case !task.Step.Endless && task.fails >= max(1, job.MaxAttempts):
 		job.state, change.Ended = Failed, true
 	}
 	return change
 }
 
+// done takes a task as done; with one task of a gang all of them are.
+func (job *Job) done(task *Task) {
+	step := task.ID.Step
+	if task.Step.Endless {
+		return
+	}
+	if !task.Step.Gang {
+		task.done = true
+		job.left[step]--
+		job.remaining--
+		return
+	}
+	for i := range job.tasks[step] {
+		job.tasks[step][i].done = true
+	}
+	job.remaining -= job.left[step]
+	job.left[step] = 0
+}
+
+// GangRuns returns the runs of a gang's step that have not ended.
+func (job *Job) GangRuns(step ptrun.StepIndex) (runs []ptrun.ID) {
+	for i := range job.tasks[step] {
+		if task := &job.tasks[step][i]; task.placed {
+			runs = append(runs, task.Run())
+		}
+	}
+	return runs
+}
+
+// GangCheckpoint returns the newest checkpoint of any member of a gang's step.
+func (job *Job) GangCheckpoint(step ptrun.StepIndex) (checkpoint ptrun.Checkpoint) {
+	newest := ptrun.Number(0)
+	for i := range job.tasks[step] {
+		if task := &job.tasks[step][i]; task.Checkpoint != "" && task.number >= newest {
+			checkpoint, newest = task.Checkpoint, task.number
+		}
+	}
+	return checkpoint
+}
+
 // GiveUp ends the job where it has not ended, and reports whether it did.
 func (job *Job) GiveUp() (ended bool) {
 	if job.state.Ended() {
--- a/ptroom/answers.go
+++ b/ptroom/answers.go
@@ -77,16 +77,12 @@
 	core.reachable = true
 	core.tick(listing.Clock, now)
 	for _, listed := range listing.Ends {
-		core.seen = max(core.seen, listed.Sequence)
-		if run := core.runs[listed.End.Run]; run != nil && run.holdsRoom() {
-			core.finish(run, listed.End, now)
-		}
-		delete(core.strangers, listed.End.Run)
+		core.listedEnd(listed, now)
 	}
 	active := make(map[ptrun.ID]bool, len(listing.Active))
-	for _, id := range listing.Active {
-		active[id] = true
-		core.listedActive(id, now)
+	for _, listed := range listing.Active {
+		active[listed.Run] = true
+		core.listedActive(listed, now)
 	}
 	if len(active) == 0 {
 		core.clean = true
@@ -101,7 +97,8 @@
 }
 
 // listedActive handles a run that the worker says it runs.
-func (core *Core) listedActive(id ptrun.ID, now ptid.Instant) {
+func (core *Core) listedActive(listed ptrun.ListedRun, now ptid.Instant) {
+	id := listed.Run
 	run := core.runs[id]
 	if run == nil {
 		if _, over := core.ends[id]; over {
@@ -114,7 +111,10 @@
 		}
 		return
 	}
-	run.confirmed = true
+	run.confirmed, run.percent, run.tail = true, listed.Percent, listed.Tail
+	if listed.Checkpoint != "" {
+		run.Checkpoint = listed.Checkpoint
+	}
 	if run.state == unanswered {
 		run.state = running
 		if run.stopAsked {
@@ -173,7 +173,7 @@
 func (core *Core) Join(owner Owner, now ptid.Instant) (effects []Effect) {
 	core.owners[owner.Entry] = &ownerState{incarnation: owner.Incarnation, connected: true}
 	for _, run := range core.sorted() {
-		if run.Owner.Entry == owner.Entry && run.Owner.Incarnation != owner.Incarnation {
+		if run.Owner.Entry == owner.Entry && run.Owner.Incarnation != owner.Incarnation && !run.kept() {
 			core.stop(run, ptrun.ReasonOwnerSilent, now)
 		}
 	}
@@ -238,16 +238,18 @@
 		case run.state == stopping && !run.stopAcked && now >= run.stopAgain:
 			core.orderStop(run, now)
 		default:
-			if owner := core.owners[run.Owner.Entry]; owner != nil && !owner.connected && now.Sub(owner.silentSince) > OrphanAfter {
+			if owner := core.owners[run.Owner.Entry]; owner != nil && !owner.connected && now.Sub(owner.silentSince) > run.orphanAfter() {
 				core.stop(run, ptrun.ReasonOwnerSilent, now)
 			}
 		}
 	}
 	for id, ended := range core.ends {
-		if now >= ended.forgetAt || now.Sub(ended.at) > forgetAfter {
+		if core.unacked[id] == nil && (now >= ended.forgetAt || now.Sub(ended.at) > forgetAfter) {
 			delete(core.ends, id)
 		}
 	}
+	core.tellUnowned(now)
+	core.pace(now)
 	core.fill(now)
 	return core.take()
 }
--- a/ptroom/ptroom.go
+++ b/ptroom/ptroom.go
@@ -21,7 +21,13 @@
 //  6. Runs that the worker lists and nobody here ordered are stopped. Until the worker
 //     has been seen without any, or every lease of a former agent has lapsed, the agent
 //     takes no orders ([Core.Clean]).
-//  7. Ends are remembered until the session that carried them has outlived them by
+//  7. The end of a run of a kept job is acknowledged to the worker only when its owner
+//     has kept it ([Core.Acknowledge]). Ends that nobody here has ordered are told to
+//     every entry, again and again, until their owner does. An entry that takes over a
+//     partition adopts its runs ([Core.Adopt]); orders of a lower epoch are refused.
+//  8. A worker whose kept ends no entry can be told of is left to lapse: an owner that
+//     can't reach the agent starts those tasks again after that bound.
+//  9. Ends are remembered until the session that carried them has outlived them by
 //     [RememberFor], since the next session may ask for them.
 //
 // # Usage
@@ -43,6 +49,7 @@
 
 	"github.com/primrosetiller/primrosetiller/ptassert"
 	"github.com/primrosetiller/primrosetiller/ptid"
+	"github.com/primrosetiller/primrosetiller/ptkept"
 	"github.com/primrosetiller/primrosetiller/ptrun"
 )
 
@@ -58,6 +65,11 @@
 	// with the time to find the silence it stays below the time after which callers
 	// submit again, see docs/design/10-platform.md.
 	OrphanAfter = 300 * time.Millisecond
+	// KeptOrphanAfter is the same for runs of kept jobs, which a later owner may adopt: it
+	// gets a silent owner's partitions after about a second and a half.
+	KeptOrphanAfter = 2500 * time.Millisecond
+	// tellAgainAfter is when ends without an owner are told again.
+	tellAgainAfter = 500 * time.Millisecond
 	// StopAgainAfter is when a stop without effect is repeated.
 	StopAgainAfter = 150 * time.Millisecond
 	// RememberFor is how long an end is kept beyond its delivery.
@@ -84,8 +96,19 @@
 	StartBy    ptid.Instant
 	Key        ptid.Instant
 	Checkpoint ptrun.Checkpoint
+	Ticket     string
+	// Partition and Epoch are set for runs of kept jobs.
+	Partition ptkept.Partition
+	Epoch     ptkept.Epoch
+	// Filling runs take the processor time that others leave; TailTarget is set for runs
+	// that serve users.
+	Filling    bool
+	TailTarget time.Duration
 }
 
+// kept reports whether the run is of a kept job.
+func (order *Order) kept() bool { return ptkept.IsKept(order.Run.Number) }
+
 // Effect is something that the owner of the core has to do.
 type Effect interface{ isEffect() }
 
@@ -113,10 +136,32 @@
 	End   ptrun.End
 }
 
-func (StartRun) isEffect() {}
-func (StopRun) isEffect()  {}
-func (Look) isEffect()     {}
-func (Tell) isEffect()     {}
+// TellAll tells every entry the end of a run of a kept job that has no owner here.
+type TellAll struct{ End ptrun.End }
+
+// TellAdopted answers an adoption.
+type TellAdopted struct {
+	Owner     Owner
+	Partition ptkept.Partition
+	Epoch     ptkept.Epoch
+	Runs      []ptrun.ID
+}
+
+// PaceRun asks for an order that lets a run work at a share of what it could.
+type PaceRun struct {
+	Worker  ptrun.WorkerIdentity
+	Token   ptrun.FenceToken
+	Run     ptrun.ID
+	Percent int
+}
+
+func (StartRun) isEffect()    {}
+func (StopRun) isEffect()     {}
+func (Look) isEffect()        {}
+func (Tell) isEffect()        {}
+func (TellAll) isEffect()     {}
+func (TellAdopted) isEffect() {}
+func (PaceRun) isEffect()     {}
 
 type state uint8
 
@@ -143,6 +188,10 @@
 	stopAcked bool
 	stopAgain ptid.Instant
 	reason    ptrun.Reason
+	// percent is the share at which the run may work, asked the one that was ordered last.
+	percent int
+	asked   int
+	tail    time.Duration
 }
 
 func (run *run) holdsRoom() bool { return run.state != waiting }
@@ -176,11 +225,15 @@
 	clockAt    ptid.Instant
 	leaseUntil ptrun.WorkerTime
 	seen       ptrun.EndSequence
-	strangers  map[ptrun.ID]ptid.Instant
+	// unacked are the listed ends of kept jobs that the worker must not forget yet.
+	unacked   map[ptrun.ID]*unackedEnd
+	strangers map[ptrun.ID]ptid.Instant
 
 	runs   map[ptrun.ID]*run
 	ends   map[ptrun.ID]*ended
 	owners map[ptid.EntryName]*ownerState
+	epochs map[ptkept.Partition]ptkept.Epoch
+	pacing pacing
 	drain  bool
 	held   ptrun.Demand
 
@@ -193,6 +246,7 @@
 	return &Core{
 		token: token, tokenStep: firstTokenStep, createdAt: now, strangers: make(map[ptrun.ID]ptid.Instant),
 		runs: make(map[ptrun.ID]*run), ends: make(map[ptrun.ID]*ended), owners: make(map[ptid.EntryName]*ownerState),
+		unacked: make(map[ptrun.ID]*unackedEnd), epochs: make(map[ptkept.Partition]ptkept.Epoch),
 	}
 }
 
@@ -254,6 +308,7 @@
 	}
 	core.seen, core.leaseUntil, core.clock = 0, 0, 0
 	clear(core.strangers)
+	clear(core.unacked)
 }
 
 // Gone records that the worker has left or another life answered at its address.
@@ -281,8 +336,8 @@
 
 // Hold returns what the next call that renews the lease should carry.
 func (core *Core) Hold(now ptid.Instant) (hold ptrun.Hold) {
-	hold.Acknowledged = core.seen
-	if core.clock > 0 {
+	hold.Acknowledged = core.acknowledged()
+	if core.clock > 0 && !core.mustLapse(now) {
 		hold.Until = core.extend(now)
 	}
 	return hold
@@ -309,7 +364,10 @@
 	if known := core.ends[order.Run]; known != nil {
 		return []Effect{Tell{Owner: order.Owner, End: known.end}}
 	}
-	core.runs[order.Run] = &run{Order: order}
+	if order.kept() && order.Epoch < core.epochs[order.Partition] {
+		return []Effect{Tell{Owner: order.Owner, End: ptrun.End{Run: order.Run, Result: ptrun.NeverStarted, Reason: ptrun.ReasonOtherOwner}}}
+	}
+	core.runs[order.Run] = &run{Order: order, percent: fullPace, asked: fullPace}
 	switch {
 	case core.drain || core.worker.Leaving:
 		core.neverStarted(core.runs[order.Run], ptrun.ReasonDraining, now)
@@ -381,7 +439,7 @@
 	ptassert.That(core.worker.Capacity.Holds(core.held), "runs hold no more than the worker's capacity", "held", core.held)
 	core.emit(StartRun{
 		Worker: core.worker.WorkerIdentity, Token: core.token,
-		Start: ptrun.Start{Run: run.Run, Spec: run.Spec, StartBy: run.startBy, Checkpoint: run.Checkpoint},
+		Start: ptrun.Start{Run: run.Run, Spec: run.Spec, StartBy: run.startBy, Checkpoint: run.Checkpoint, Ticket: run.Ticket},
 	})
 }
 
@@ -421,6 +479,9 @@
 		core.held = core.held.Minus(run.Demand)
 		end.RunTime = now.Sub(run.startedAt)
 	}
+	if end.Checkpoint == "" {
+		end.Checkpoint = run.Checkpoint
+	}
 	delete(core.runs, run.Run)
 	core.ends[run.Run] = &ended{owner: run.Owner, end: end, at: now, forgetAt: ptid.Never}
 	if owner := core.owners[run.Owner.Entry]; owner != nil && owner.connected && owner.incarnation == run.Owner.Incarnation {
--- a/ptrun/ptrun.go
+++ b/ptrun/ptrun.go
@@ -54,9 +54,9 @@
 
 // Demand is a vector of resources.
 type Demand struct {
-	CPU          Millicores
-	Memory       Mebibytes
-	Accelerators int64
+	CPU          Millicores `json:"cpuMillicores,omitempty"`
+	Memory       Mebibytes  `json:"memoryMebibytes,omitempty"`
+	Accelerators int64      `json:"accelerators,omitempty"`
 }
 
 // Plus returns the sum of two vectors.
@@ -140,6 +140,8 @@
 	ReasonOwnerSilent   Reason = "ownerSilent"
 	ReasonByOrder       Reason = "byOrder"
 	ReasonUnknownRun    Reason = "unknownRun"
+	ReasonOtherOwner    Reason = "otherOwner"
+	ReasonGang          Reason = "gangIncomplete"
 )
 
 // WorkerIdentity tells the lives of a worker apart.
@@ -166,6 +168,8 @@
 	Spec       string
 	StartBy    WorkerTime
 	Checkpoint Checkpoint
+	// Ticket is what an advisor gave for the step and the worker; empty means none.
+	Ticket string
 }
 
 // ListedEnd is an end with its number in the worker's list.
@@ -174,11 +178,21 @@
 	End      End
 }
 
+// ListedRun is a run that a worker says it runs.
+type ListedRun struct {
+	Run        ID
+	Checkpoint Checkpoint
+	// Percent is the share at which the run may work; below 100 while it starts up.
+	Percent int
+	// Tail is the tail of the response times of a run that serves users.
+	Tail time.Duration
+}
+
 // Listing is what a worker runs, and which runs have ended.
 type Listing struct {
 	BornAt time.Time
 	Clock  WorkerTime
-	Active []ID
+	Active []ListedRun
 	Ends   []ListedEnd
 }
 
@@ -220,6 +234,8 @@
 	Start(ctx context.Context, worker WorkerIdentity, token FenceToken, start Start) (clock WorkerTime, err error)
 	// Stop ends a run, and bars it where it has not started.
 	Stop(ctx context.Context, worker WorkerIdentity, token FenceToken, run ID) (clock WorkerTime, err error)
+	// Pace lets a run work at a share of what it could, in percent.
+	Pace(ctx context.Context, worker WorkerIdentity, token FenceToken, run ID, percent int) (clock WorkerTime, err error)
 	// Hold renews the lease and lists.
 	Hold(ctx context.Context, worker WorkerIdentity, token FenceToken, hold Hold) (listing Listing, err error)
 }
--- a/ptrunner/ptrunner.go
+++ b/ptrunner/ptrunner.go
@@ -50,6 +50,8 @@
 	listTimeout = 200 * time.Millisecond
 	// retryWait is the pause after a failed listing.
 	retryWait = 20 * time.Millisecond
+	// withheldWait paces listings while ends wait for their owners.
+	withheldWait = 10 * time.Millisecond
 	// absentWait is the pause while there is no worker.
 	absentWait = 50 * time.Millisecond
 	// tickInterval paces stops, deadlines and the room's frames.
@@ -167,6 +169,15 @@
 			go func() { _ = runner.list(0) }()
 		case ptroom.Tell:
 			runner.tell(effect)
+		case ptroom.TellAll:
+			message := effect.End.Message()
+			for _, peer := range runner.peers {
+				peer.session.Post(func(frame *ptwire.Frame) { frame.RunEnds = append(frame.RunEnds, message) })
+			}
+		case ptroom.TellAdopted:
+			runner.tellAdopted(effect)
+		case ptroom.PaceRun:
+			go runner.pace(effect)
 		}
 	}
 }
@@ -186,6 +197,35 @@
 	peer.session.Post(func(frame *ptwire.Frame) { frame.RunEnds = append(frame.RunEnds, message) })
 }
 
+func (runner *Runner) tellAdopted(effect ptroom.TellAdopted) {
+	peer := runner.peers[effect.Owner.Entry]
+	if peer == nil || peer.owner != effect.Owner {
+		return
+	}
+	message := &ptwire.Adopted{Partition: uint32(effect.Partition), Epoch: uint64(effect.Epoch)}
+	for _, run := range effect.Runs {
+		message.Runs = append(message.Runs, run.Ref())
+	}
+	if len(effect.Runs) > 0 {
+		runner.deps.Log.Info("runs adopted", "entry", effect.Owner.Entry, "partition", effect.Partition, "epoch", effect.Epoch, "runs", len(effect.Runs))
+	}
+	peer.session.Post(func(frame *ptwire.Frame) { frame.Adopted = append(frame.Adopted, message) })
+}
+
+func (runner *Runner) pace(effect ptroom.PaceRun) {
+	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+	defer cancel()
+	_, err := runner.deps.Executor.Pace(ctx, effect.Worker, effect.Token, effect.Run, effect.Percent)
+	runner.deps.Log.Info("run paced", "job", effect.Run.Task.Job, "step", effect.Run.Task.Step, "task", effect.Run.Task.Index,
+		"percent", effect.Percent, "error", errorText(err))
+	if err != nil {
+		runner.mu.Lock()
+		defer runner.mu.Unlock()
+		runner.noteFenced(effect.Token, err)
+		runner.core.PaceFailed(effect)
+	}
+}
+
 func (runner *Runner) start(effect ptroom.StartRun) {
 	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
 	defer cancel()
@@ -266,6 +306,7 @@
 	for ctx.Err() == nil {
 		runner.mu.Lock()
 		_, known := runner.core.Worker()
+		withheld := runner.core.Withheld()
 		runner.mu.Unlock()
 		if !known {
 			select {
@@ -275,7 +316,13 @@
 			}
 			continue
 		}
-		if err := runner.list(listWait); err != nil {
+		wait := listWait
+		if withheld {
+			// The worker lists withheld ends again at once, however long it may wait.
+			wait = 0
+			pause(ctx, withheldWait)
+		}
+		if err := runner.list(wait); err != nil {
 			pause(ctx, retryWait)
 		}
 	}
--- a/ptrunner/session.go
+++ b/ptrunner/session.go
@@ -10,6 +10,7 @@
 	"storj.io/drpc/drpcconn"
 
 	"github.com/primrosetiller/primrosetiller/ptid"
+	"github.com/primrosetiller/primrosetiller/ptkept"
 	"github.com/primrosetiller/primrosetiller/ptlink"
 	"github.com/primrosetiller/primrosetiller/ptmetric"
 	"github.com/primrosetiller/primrosetiller/ptroom"
@@ -95,6 +96,12 @@
 	if runner.peers[peer.owner.Entry] != peer {
 		return
 	}
+	for _, ref := range frame.RunAcks {
+		runner.core.Acknowledge(ptrun.FromRef(ref))
+	}
+	for _, adoption := range frame.Adoptions {
+		runner.do(runner.core.Adopt(peer.owner, ptkept.Partition(adoption.Partition), int(adoption.Partitions), ptkept.Epoch(adoption.Epoch), now))
+	}
 	for _, ref := range frame.RunQueries {
 		runner.do(runner.core.Query(peer.owner, ptrun.FromRef(ref), now))
 	}
@@ -105,6 +112,8 @@
 				CPU: ptrun.Millicores(order.CpuMillicores), Memory: ptrun.Mebibytes(order.MemoryMebibytes), Accelerators: order.Accelerators,
 			},
 			StartBy: ptid.Instant(order.StartByNanos), Key: ptid.Instant(order.OrderNanos), Checkpoint: ptrun.Checkpoint(order.Checkpoint),
+			Partition: ptkept.Partition(order.Partition), Epoch: ptkept.Epoch(order.Epoch), Ticket: order.Ticket,
+			Filling: order.Filling, TailTarget: time.Duration(order.TailTargetNanos),
 		}, now))
 	}
 	for _, ref := range frame.RunStops {
