--- a/ptbroker/ask.go
+++ b/ptbroker/ask.go
@@ -111,7 +111,7 @@
 	owners, err := broker.owners(ctx)
 	if err == nil && owners[partition] != "" && owners[partition] != broker.keeper.member {
 		var reply *ptwire.JobReply
-		asked := broker.call(ctx, owners[partition], func(ctx context.Context, client ptwire.DRPCDispatcherClient) (err error) {
+		asked := broker.call(ctx, memberAddress(owners[partition]), func(ctx context.Context, client ptwire.DRPCDispatcherClient) (err error) {
 			reply, err = client.Job(ctx, &ptwire.JobQuery{Job: string(id)})
 			return err
 		})
@@ -212,7 +212,7 @@
 	others, complete := 0, true
 	for member := range members {
 		var reply *ptwire.PeerReply
-		asked := broker.call(ctx, member, func(ctx context.Context, client ptwire.DRPCDispatcherClient) (err error) {
+		asked := broker.call(ctx, memberAddress(member), func(ctx context.Context, client ptwire.DRPCDispatcherClient) (err error) {
 			reply, err = client.Peer(ctx, &ptwire.PeerQuery{PendingQueue: string(queue)})
 			return err
 		})
--- a/ptbroker/kept.go
+++ b/ptbroker/kept.go
@@ -4,6 +4,8 @@
 	"context"
 	"maps"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -51,6 +53,8 @@
 	// next is the first occurrence that is not due yet.
 	next ptrun.Occurrence
 	acks []ack
+	// changes counts what has happened to the job, kept how much of it the log has.
+	changes, kept int
 	// shown is the state that callers see: an end only after it was kept.
 	shown ptgraph.State
 }
@@ -75,6 +79,12 @@
 	takenAt ptid.Instant
 }
 
+// changed marks a job whose progress is to be kept.
+func (held *owned) changed(job *keptJob) {
+	job.changes++
+	held.dirty[job.spec.ID] = true
+}
+
 // keeper owns partitions of the kept jobs. Its fields are guarded by the broker's lock.
 type keeper struct {
 	store  ptkept.Store
@@ -144,6 +154,37 @@
 	}
 }
 
+// memberSeparator stands between a member's address and its incarnation. A process that
+// starts again is another member: with the name of the former one it would get its
+// epoch, and number its runs and saves anew within it.
+const memberSeparator = "/"
+
+func memberName(address string, incarnation ptid.Incarnation) string {
+	return address + memberSeparator + strconv.FormatUint(uint64(incarnation), 36)
+}
+
+// memberAddress returns the address of a member.
+func memberAddress(member string) string {
+	address, _, _ := strings.Cut(member, memberSeparator)
+	return address
+}
+
+// retire hands the partitions to other entries: what is not kept yet is told to them.
+func (broker *Broker) retire() {
+	if broker.keeper.store == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), putTimeout)
+	defer cancel()
+	err := broker.keeper.store.Leave(ctx, broker.keeper.member)
+	broker.deps.Log.Info("owners left", "error", errorText(err))
+	broker.mu.Lock()
+	defer broker.mu.Unlock()
+	for _, held := range broker.keeper.owned {
+		broker.release(held, "shutdown")
+	}
+}
+
 // assigned takes the partitions that the group gives us now.
 func (broker *Broker) assigned(ctx context.Context, membership ptkept.Membership) {
 	broker.mu.Lock()
@@ -345,7 +386,7 @@
 // endKept ends a job as a whole. The caller holds the lock.
 func (broker *Broker) endKept(held *owned, job *keptJob, state ptgraph.State) {
 	job.progress.State, job.progress.EndedAt = state, time.Now()
-	held.dirty[job.spec.ID] = true
+	held.changed(job)
 	for _, occurrence := range slices.Sorted(maps.Keys(job.open)) {
 		key := job.open[occurrence].Key()
 		delete(job.open, occurrence)
@@ -374,7 +415,7 @@
 		return
 	}
 	job.acks = append(job.acks, ack{agent: effect.Agent, run: effect.Run})
-	held.dirty[effect.Job.ID] = true
+	held.changed(job)
 }
 
 // occurrenceEnded takes the end of an occurrence. The caller holds the lock.
@@ -384,7 +425,7 @@
 		return
 	}
 	delete(job.open, ended.Occurrence)
-	held.dirty[ended.ID] = true
+	held.changed(job)
 	if ended.State() == ptgraph.Failed {
 		broker.endKept(held, job, ptgraph.Failed)
 		return
@@ -409,6 +450,8 @@
 	switch {
 	case held == nil || !held.loaded:
 		// The partition's owner, or we ourselves once it is loaded, will be told again.
+	case job != nil && job.kept < job.changes && (job.progress.State.Ended() || job.open[end.Run.Task.Occurrence] == nil):
+		// The end is in the progress that waits to be kept; its acknowledgement comes then.
 	case job == nil || job.progress.State.Ended() || job.open[end.Run.Task.Occurrence] == nil:
 		link.acknowledge(end.Run)
 	default:
@@ -491,7 +534,11 @@
 func (broker *Broker) save(held *owned) {
 	var records []ptkept.Record
 	var acks []ack
-	ended := make(map[ptid.JobID]ptgraph.State)
+	type mark struct {
+		state   ptgraph.State
+		changes int
+	}
+	marks := make(map[ptid.JobID]mark)
 	for _, id := range slices.Sorted(maps.Keys(held.dirty)) {
 		job := held.jobs[id]
 		delete(held.dirty, id)
@@ -506,16 +553,16 @@
 		records = append(records, ptkept.Record{Key: string(id), Value: record})
 		acks = append(acks, job.acks...)
 		job.acks = nil
-		ended[id] = job.progress.State
+		marks[id] = mark{state: job.progress.State, changes: job.changes}
 	}
 	held.saving = true
 	sequence := held.sequence
 	held.sequence++
 	go broker.put(held, sequence, records, func() {
 		held.saving = false
-		for id, state := range ended {
+		for id, mark := range marks {
 			if job := held.jobs[id]; job != nil {
-				job.shown = state
+				job.shown, job.kept = mark.state, mark.changes
 			}
 		}
 		for _, ack := range acks {
--- a/ptbroker/ptbroker.go
+++ b/ptbroker/ptbroker.go
@@ -118,12 +118,13 @@
 		setting: setting, deps: deps, incarnation: ptid.NewIncarnation(time.Now()),
 		core: ptassign.New(setting.Seed), links: make(map[ptid.AgentName]*link),
 		tickets: make(map[ptid.JobID]*Ticket), asking: newAsking(),
-		keeper: keeper{store: deps.Kept, member: deps.Member, owned: make(map[ptkept.Partition]*owned), born: deps.Clock.Now()},
+		keeper: keeper{store: deps.Kept, owned: make(map[ptkept.Partition]*owned), born: deps.Clock.Now()},
 		count: counters{
 			orders: deps.Metrics.Counter(ptmetric.RunOrders), requeues: deps.Metrics.Counter(ptmetric.Retries),
 			queueTime: deps.Metrics.Histogram(ptmetric.QueueSeconds), jobTime: deps.Metrics.Histogram(ptmetric.JobSeconds),
 		},
 	}
+	broker.keeper.member = memberName(deps.Member, broker.incarnation)
 	gauge := func(name ptmetric.Name, read func() int) {
 		deps.Metrics.Gauge(name, func() float64 {
 			broker.mu.Lock()
--- a/ptbroker/session.go
+++ b/ptbroker/session.go
@@ -258,10 +258,14 @@
 	var group errgroup.Group
 	group.Go(func() error { return broker.accept(background, listener, server) })
 	group.Go(func() error { broker.tick(background); return nil })
-	group.Go(func() error { broker.keep(background); return nil })
+	owning, retire := context.WithCancel(background)
+	defer retire()
+	group.Go(func() error { broker.keep(owning); return nil })
 	broker.deps.Log.Info("entry started", "entry", broker.setting.Name, "agents", listener.Addr().String(), "incarnation", broker.incarnation)
 	<-ctx.Done()
 	broker.drain()
+	retire()
+	broker.retire()
 	stop()
 	if err := listener.Close(); err != nil {
 		return errors.Wrap(err, "close the listener")
@@ -277,18 +281,19 @@
 func (broker *Broker) drain() {
 	endBy := time.Now().Add(broker.setting.EndWithin)
 	broker.unready.Store(true)
-	broker.deps.Log.Info("entry drains", "openJobs", broker.open())
+	broker.deps.Log.Info("entry drains", "callers", broker.callers())
 	time.Sleep(broker.setting.ServeOn)
 	broker.draining.Store(true)
-	for broker.open() > 0 && time.Now().Before(endBy) {
+	for broker.callers() > 0 && time.Now().Before(endBy) {
 		time.Sleep(drainPollInterval)
 	}
 }
 
-func (broker *Broker) open() int {
+// callers returns how many jobs have callers that wait for their end.
+func (broker *Broker) callers() int {
 	broker.mu.Lock()
 	defer broker.mu.Unlock()
-	return broker.core.Open()
+	return len(broker.tickets)
 }
 
 func (broker *Broker) allLinks() (links []*link) {
