ptprocess: wait for every upstream's stand-in before a test asks it

Ruled out: the product, nothing of it is asked. Conclusion: the test waits for what it asks; its checks are as before.

--- a/ptprocess/ptprocess_test.go
+++ b/ptprocess/ptprocess_test.go
@@ -136,9 +136,21 @@
 	for i := range entries {
 		system.waitReady(i)
 	}
+	for _, upstream := range system.upstreams {
+		Eventually(func() error { return reach(upstream + "/starts") }).WithTimeout(patience).Should(Succeed())
+	}
 	return system
 }
 
+// reach asks for a page; an entry is ready with one upstream, and tests ask all of them.
+func reach(url string) (err error) {
+	response, err := http.Get(url)
+	if err != nil {
+		return err
+	}
+	return response.Body.Close()
+}
+
 func (system *system) startEntry(i int) *process {
 	return run("entry", "--name", fmt.Sprint("entry", i), "--listen", system.callers[i], "--agents-listen", system.dialed[i],
 		"--admin-listen", system.admins[i], "--log", system.log, "--peers", strings.Join(system.dialed, ","), "--shutdown-delay", "0s")
