--- /dev/null
+++ b/ptassign/ptassign_test.go
@@ -0,0 +1,241 @@
+package ptassign_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/primrosetiller/primrosetiller/ptassert"
+	"github.com/primrosetiller/primrosetiller/ptassign"
+	"github.com/primrosetiller/primrosetiller/ptgraph"
+	"github.com/primrosetiller/primrosetiller/ptid"
+	"github.com/primrosetiller/primrosetiller/ptqueue"
+	"github.com/primrosetiller/primrosetiller/ptrun"
+)
+
+const (
+	start   = ptid.Instant(time.Hour)
+	service = ptid.ServiceName("service")
+)
+
+func at(millis int) ptid.Instant { return start.Add(time.Duration(millis) * time.Millisecond) }
+
+var queue = ptqueue.Queue{Name: "queue", Service: service, Stretch: 1.6, TargetLatency: 60 * time.Millisecond}
+
+// fixture is a core with agents whose workers run one task of 1,000 each.
+type fixture struct {
+	*ptassign.Core
+	expect *WithT
+	jobs   int
+}
+
+func newFixture(test *testing.T, agents int) *fixture {
+	ptassert.Fatal()
+	fixture := &fixture{Core: ptassign.New(1), expect: NewWithT(test)}
+	for i := range agents {
+		fixture.Joined(agentName(i), 1, service, true, start)
+		fixture.report(i, ptassign.AgentState{})
+	}
+	return fixture
+}
+
+func agentName(index int) ptid.AgentName { return ptid.AgentName(fmt.Sprint("agent", index)) }
+
+func (fixture *fixture) report(index int, state ptassign.AgentState) []ptassign.Effect {
+	state.Worker, state.Capacity = ptrun.WorkerID(fmt.Sprint("worker", index)), ptrun.Demand{CPU: 1000, Memory: 1000}
+	return fixture.Reported(agentName(index), state, start)
+}
+
+func (fixture *fixture) submit(tasks int, estimate time.Duration, now ptid.Instant) (*ptassign.Job, *ptassign.Refusal, []ptassign.Effect) {
+	fixture.jobs++
+	job, refusal, effects, err := fixture.Submit(ptassign.Spec{
+		Spec: ptgraph.Spec{
+			ID: ptid.JobID(fmt.Sprintf("%016x", fixture.jobs)), MaxAttempts: 3,
+			Steps: []ptgraph.Step{{Count: tasks, Demand: ptrun.Demand{CPU: 1000}, Estimate: estimate}},
+		},
+		Queue: queue, Deadline: now.Add(1500 * time.Millisecond),
+	}, now)
+	fixture.expect.Expect(err).NotTo(HaveOccurred())
+	return job, refusal, effects
+}
+
+func orders(effects []ptassign.Effect) (sent []ptassign.SendOrder) {
+	for _, effect := range effects {
+		if order, is := effect.(ptassign.SendOrder); is {
+			sent = append(sent, order)
+		}
+	}
+	return sent
+}
+
+func ended(effects []ptassign.Effect) (jobs []ptassign.JobEnded) {
+	for _, effect := range effects {
+		if end, is := effect.(ptassign.JobEnded); is {
+			jobs = append(jobs, end)
+		}
+	}
+	return jobs
+}
+
+func TestPlacesOneTaskAWorkerAndQueuesTheRest(test *testing.T) {
+	fixture := newFixture(test, 2)
+	job, _, effects := fixture.submit(3, 100*time.Millisecond, at(0))
+	sent := orders(effects)
+	fixture.expect.Expect(sent).To(HaveLen(2))
+	fixture.expect.Expect(sent[0].Agent).NotTo(Equal(sent[1].Agent))
+	after := fixture.RunEnded(sent[0].Agent, ptrun.End{Run: sent[0].Run, Result: ptrun.Done, RunTime: 100 * time.Millisecond}, at(100))
+	fixture.expect.Expect(orders(after)).To(HaveLen(1))
+	fixture.expect.Expect(job.State()).To(Equal(ptgraph.Running))
+}
+
+func TestRoomOfOtherEntriesCounts(test *testing.T) {
+	fixture := newFixture(test, 1)
+	fixture.report(0, ptassign.AgentState{Held: ptrun.Demand{CPU: 500}})
+	_, _, effects := fixture.submit(1, 100*time.Millisecond, at(0))
+	fixture.expect.Expect(orders(effects)).To(BeEmpty())
+	fixture.expect.Expect(orders(fixture.report(0, ptassign.AgentState{}))).To(HaveLen(1))
+}
+
+// The load: a burst of jobs of 100 ms, twenty times what two workers can do in time.
+// Callers of those that can't be served are told at once, and those that were taken in
+// are served in time.
+func TestBurstIsRefusedAtTheDoor(test *testing.T) {
+	fixture := newFixture(test, 2)
+	taken, refused := 0, 0
+	for range 40 {
+		_, refusal, _ := fixture.submit(1, 100*time.Millisecond, at(0))
+		if refusal == nil {
+			taken++
+			continue
+		}
+		refused++
+		fixture.expect.Expect(refusal.Reason).To(Equal(ptassign.Forecast))
+		fixture.expect.Expect(refusal.RetryAfter).To(BeNumerically(">=", time.Second))
+	}
+	// The objective is 1.6 times 100 ms and 60 ms more: one job runs and one waits for
+	// each worker.
+	fixture.expect.Expect(taken).To(BeNumerically(">=", 2))
+	fixture.expect.Expect(taken).To(BeNumerically("<=", 4))
+	fixture.expect.Expect(refused).To(Equal(40 - taken))
+}
+
+// The load: a long job waits for room, and a short one comes that must start first to
+// meet its objective.
+func TestShortWorkGoesBeforeLongWorkWithTimeToSpare(test *testing.T) {
+	fixture := newFixture(test, 1)
+	_, _, effects := fixture.submit(1, 40*time.Millisecond, at(0))
+	running := orders(effects)[0]
+	long, refusal, _ := fixture.submit(1, 900*time.Millisecond, at(0))
+	fixture.expect.Expect(refusal).To(BeNil())
+	short, refusal, _ := fixture.submit(1, 60*time.Millisecond, at(1))
+	fixture.expect.Expect(refusal).To(BeNil())
+	sent := orders(fixture.RunEnded(running.Agent, ptrun.End{Run: running.Run, Result: ptrun.Done, RunTime: 40 * time.Millisecond}, at(40)))
+	fixture.expect.Expect(sent).To(HaveLen(1))
+	fixture.expect.Expect(sent[0].Job).To(Equal(short))
+	fixture.expect.Expect(sent[0].Job).NotTo(Equal(long))
+}
+
+func TestUntouchedJobsAreRefusedAsSoonAsTheyCantEndInTime(test *testing.T) {
+	fixture := newFixture(test, 1)
+	fixture.submit(1, 40*time.Millisecond, at(0))
+	_, refusal, _ := fixture.submit(1, 100*time.Millisecond, at(0))
+	fixture.expect.Expect(refusal).To(BeNil())
+	// The objective is 220 ms at 100 ms of work; three times that less the work is 560.
+	fixture.expect.Expect(ended(fixture.Tick(at(300)))).To(BeEmpty())
+	over := ended(fixture.Tick(at(600)))
+	fixture.expect.Expect(over).NotTo(BeEmpty())
+	for _, end := range over {
+		if end.Job.FirstPlacedAt == 0 {
+			fixture.expect.Expect(end.Refusal).NotTo(BeNil())
+		} else {
+			fixture.expect.Expect(end.Refusal).To(BeNil(), "something of it may have run")
+		}
+	}
+}
+
+func TestNoRunIsPlacedAgainWithoutProof(test *testing.T) {
+	fixture := newFixture(test, 2)
+	_, _, effects := fixture.submit(1, 100*time.Millisecond, at(0))
+	sent := orders(effects)[0]
+	fixture.Lost(sent.Agent, at(10))
+	fixture.expect.Expect(orders(fixture.Tick(at(400)))).To(BeEmpty())
+	// The same incarnation is asked; another one proves that the run is over.
+	back := fixture.Joined(sent.Agent, 1, service, true, at(410))
+	fixture.expect.Expect(orders(back)).To(BeEmpty())
+	fixture.expect.Expect(back).To(ContainElement(ptassign.SendQuery{Agent: sent.Agent, Run: sent.Run}))
+	fixture.Lost(sent.Agent, at(420))
+	again := orders(fixture.Joined(sent.Agent, 2, service, true, at(430)))
+	fixture.expect.Expect(again).To(HaveLen(1))
+	fixture.expect.Expect(again[0].Run.Number).To(Equal(sent.Run.Number + 1))
+}
+
+func TestWorkersThatFailEverythingAreIsolated(test *testing.T) {
+	fixture := newFixture(test, 2)
+	bad := ptid.AgentName("")
+	counts := make(map[ptid.AgentName]int)
+	for now := 0; now < 400; now += 10 {
+		_, _, effects := fixture.submit(1, 5*time.Millisecond, at(now))
+		for pending := orders(effects); len(pending) > 0; {
+			order := pending[0]
+			pending = pending[1:]
+			if bad == "" {
+				bad = order.Agent
+			}
+			counts[order.Agent]++
+			result := ptrun.Done
+			if order.Agent == bad {
+				result = ptrun.Failed
+			}
+			pending = append(pending, orders(fixture.RunEnded(order.Agent, ptrun.End{Run: order.Run, Result: result, RunTime: 5 * time.Millisecond}, at(now+5)))...)
+		}
+	}
+	fixture.expect.Expect(counts[bad]).To(BeNumerically("<=", 4))
+}
+
+func TestTasksThatStandStillAreStoppedAndTheirWorkerIsolated(test *testing.T) {
+	fixture := newFixture(test, 1)
+	fixture.Reported(agentName(0), ptassign.AgentState{Worker: "wide", Capacity: ptrun.Demand{CPU: 4000}}, start)
+	fixture.submit(2, 60*time.Millisecond, at(0))
+	var stopped int
+	for _, effect := range fixture.Tick(at(300)) {
+		if _, is := effect.(ptassign.SendStop); is {
+			stopped++
+		}
+	}
+	fixture.expect.Expect(stopped).To(Equal(2))
+	_, _, effects := fixture.submit(1, 60*time.Millisecond, at(310))
+	fixture.expect.Expect(orders(effects)).To(BeEmpty())
+}
+
+func TestGangsArePlacedWholeOrNotAtAll(test *testing.T) {
+	fixture := newFixture(test, 2)
+	submit := func(id ptid.JobID, tasks int) []ptassign.Effect {
+		_, effects, err := fixture.Keep(ptassign.Spec{Queue: queue, Spec: ptgraph.Spec{ID: id, MaxAttempts: 3, Steps: []ptgraph.Step{
+			{Count: tasks, Demand: ptrun.Demand{CPU: 1000}, Gang: true},
+		}}}, nil, false, at(0))
+		fixture.expect.Expect(err).NotTo(HaveOccurred())
+		return effects
+	}
+	fixture.expect.Expect(orders(submit("00000000000000a1", 3))).To(BeEmpty())
+	sent := orders(submit("00000000000000a2", 2))
+	fixture.expect.Expect(sent).To(HaveLen(2))
+	fixture.expect.Expect(sent[0].Run.Number).To(Equal(sent[1].Run.Number))
+	// With one member refused, the other is stopped before it waits in vain.
+	effects := fixture.RunEnded(sent[0].Agent, ptrun.End{Run: sent[0].Run, Result: ptrun.NeverStarted}, at(10))
+	fixture.expect.Expect(effects).To(ContainElement(ptassign.SendStop{Agent: sent[1].Agent, Run: sent[1].Run, Why: ptrun.ReasonGang}))
+	fixture.expect.Expect(orders(effects)).To(BeEmpty())
+	fixture.expect.Expect(orders(fixture.RunEnded(sent[1].Agent, ptrun.End{Run: sent[1].Run, Result: ptrun.Stopped}, at(20)))).To(HaveLen(2))
+}
+
+func TestStepsKeepTheirWorkersApart(test *testing.T) {
+	fixture := newFixture(test, 0)
+	fixture.Joined("wide", 1, service, true, start)
+	fixture.Reported("wide", ptassign.AgentState{Worker: "w", Capacity: ptrun.Demand{CPU: 9000}, Labels: []string{"a", "r1"}}, start)
+	_, effects, err := fixture.Keep(ptassign.Spec{Queue: queue, Spec: ptgraph.Spec{ID: "00000000000000a1", Steps: []ptgraph.Step{
+		{Count: 4, Demand: ptrun.Demand{CPU: 1000}, MostPerWorker: 2}, {Count: 1, Label: "b"},
+	}}}, nil, false, at(0))
+	fixture.expect.Expect(err).NotTo(HaveOccurred())
+	fixture.expect.Expect(orders(effects)).To(HaveLen(2))
+}
--- a/ptroom/answers.go
+++ b/ptroom/answers.go
@@ -70,7 +70,7 @@
 			return nil
 		}
 		core.replaced(now)
-		core.known = false
+		core.worker.BornAt, core.known = listing.BornAt, false
 		core.refuseWaiting(ptrun.ReasonWorkerAbsent, now)
 		return core.take()
 	}
--- a/ptroom/ptroom.go
+++ b/ptroom/ptroom.go
@@ -284,7 +284,8 @@
 			return nil
 		}
 	} else {
-		if core.known && worker.BornAt.Before(core.worker.BornAt) {
+		if worker.BornAt.Before(core.worker.BornAt) {
+			// It was held up on its way, and another life has been heard of since.
 			return nil
 		}
 		core.replaced(now)
--- /dev/null
+++ b/ptroom/ptroom_test.go
@@ -0,0 +1,289 @@
+package ptroom_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/primrosetiller/primrosetiller/ptassert"
+	"github.com/primrosetiller/primrosetiller/ptid"
+	"github.com/primrosetiller/primrosetiller/ptkept"
+	"github.com/primrosetiller/primrosetiller/ptroom"
+	"github.com/primrosetiller/primrosetiller/ptrun"
+)
+
+const start = ptid.Instant(time.Hour)
+
+// at returns the instant so many milliseconds after the start.
+func at(millis int) ptid.Instant { return start.Add(time.Duration(millis) * time.Millisecond) }
+
+var owner = ptroom.Owner{Entry: "entry", Incarnation: 1}
+
+func run(index int, number ptrun.Number) ptrun.ID {
+	return ptrun.ID{Task: ptrun.TaskID{Job: "00000000000000aa", Index: ptid.TaskIndex(index)}, Number: number}
+}
+
+// fixture is a core with a worker of four cores whose clock shows a second.
+type fixture struct {
+	*ptroom.Core
+	expect *WithT
+}
+
+func newFixture(test *testing.T) *fixture {
+	ptassert.Fatal()
+	fixture := &fixture{Core: ptroom.New(100, start), expect: NewWithT(test)}
+	fixture.Announced(ptrun.Worker{
+		WorkerIdentity: ptrun.WorkerIdentity{ID: "worker", BornAt: time.UnixMilli(5)}, Capacity: ptrun.Demand{CPU: 4000, Memory: 1000}, Sequence: 1,
+	}, 1000, start)
+	fixture.Listed(ptrun.Listing{BornAt: time.UnixMilli(5), Clock: 1000}, start, start)
+	fixture.Join(owner, start)
+	return fixture
+}
+
+func (fixture *fixture) order(id ptrun.ID, cpu ptrun.Millicores, now ptid.Instant) []ptroom.Effect {
+	return fixture.Order(ptroom.Order{Run: id, Owner: owner, Demand: ptrun.Demand{CPU: cpu}, StartBy: now.Add(40 * time.Millisecond), Key: now}, now)
+}
+
+func (fixture *fixture) list(clock ptrun.WorkerTime, requested, now ptid.Instant, ends []ptrun.ListedEnd, active ...ptrun.ID) []ptroom.Effect {
+	listing := ptrun.Listing{BornAt: time.UnixMilli(5), Clock: clock, Ends: ends}
+	for _, id := range active {
+		listing.Active = append(listing.Active, ptrun.ListedRun{Run: id})
+	}
+	return fixture.Listed(listing, requested, now)
+}
+
+func told(effects []ptroom.Effect) (ends []ptrun.End) {
+	for _, effect := range effects {
+		if tell, is := effect.(ptroom.Tell); is {
+			ends = append(ends, tell.End)
+		}
+	}
+	return ends
+}
+
+func starts(effects []ptroom.Effect) (ids []ptrun.ID) {
+	for _, effect := range effects {
+		if started, is := effect.(ptroom.StartRun); is {
+			ids = append(ids, started.Start.Run)
+		}
+	}
+	return ids
+}
+
+func stops(effects []ptroom.Effect) (ids []ptrun.ID) {
+	for _, effect := range effects {
+		if stopped, is := effect.(ptroom.StopRun); is {
+			ids = append(ids, stopped.Run)
+		}
+	}
+	return ids
+}
+
+func TestStartsOnlyWhatFits(test *testing.T) {
+	fixture := newFixture(test)
+	expect := fixture.expect
+	expect.Expect(starts(fixture.order(run(0, 1), 3000, at(1)))).To(ConsistOf(run(0, 1)))
+	expect.Expect(starts(fixture.order(run(1, 1), 2000, at(1)))).To(BeEmpty())
+	fixture.Started(run(0, 1), 1002, nil, at(2))
+	// A stop still holds the room, until its end is listed.
+	expect.Expect(stops(fixture.Stop(run(0, 1), ptrun.ReasonByOrder, at(3)))).To(ConsistOf(run(0, 1)))
+	expect.Expect(starts(fixture.StopAnswered(run(0, 1), 1004, nil, at(4)))).To(BeEmpty())
+	ended := []ptrun.ListedEnd{{Sequence: 1, End: ptrun.End{Run: run(0, 1), Result: ptrun.Stopped}}}
+	expect.Expect(starts(fixture.list(1006, at(5), at(6), ended))).To(ConsistOf(run(1, 1)))
+}
+
+func TestRefusesWhatWaitsTooLong(test *testing.T) {
+	fixture := newFixture(test)
+	fixture.order(run(0, 1), 4000, at(1))
+	fixture.order(run(1, 1), 1000, at(1))
+	ends := told(fixture.Tick(at(42)))
+	fixture.expect.Expect(ends).To(HaveLen(1))
+	fixture.expect.Expect(ends[0].Result).To(Equal(ptrun.NeverStarted))
+}
+
+func TestUnansweredStartIsStoppedBeforeItIsGivenBack(test *testing.T) {
+	fixture := newFixture(test)
+	expect := fixture.expect
+	fixture.order(run(0, 1), 1000, at(1))
+	fixture.Started(run(0, 1), 0, ptrun.ErrUnanswered, at(61))
+	// A listing from before the time-out proves nothing.
+	expect.Expect(fixture.list(1050, at(50), at(62), nil)).To(BeEmpty())
+	effects := fixture.list(1065, at(62), at(63), nil)
+	expect.Expect(stops(effects)).To(ConsistOf(run(0, 1)))
+	expect.Expect(told(effects)).To(BeEmpty())
+	fixture.StopAnswered(run(0, 1), 1066, nil, at(64))
+	ends := told(fixture.list(1068, at(65), at(66), nil))
+	expect.Expect(ends).To(HaveLen(1))
+	expect.Expect(ends[0].Result).To(Equal(ptrun.NeverStarted))
+}
+
+func TestUnansweredStartThatWorksIsKept(test *testing.T) {
+	fixture := newFixture(test)
+	fixture.order(run(0, 1), 1000, at(1))
+	fixture.Started(run(0, 1), 0, ptrun.ErrUnanswered, at(61))
+	effects := fixture.list(1065, at(62), at(63), nil, run(0, 1))
+	fixture.expect.Expect(effects).To(BeEmpty())
+	fixture.expect.Expect(fixture.Idle()).To(BeFalse())
+}
+
+func TestUnansweredStartIsOverWhenItsDeadlineHasPassed(test *testing.T) {
+	fixture := newFixture(test)
+	fixture.order(run(0, 1), 1000, at(1))
+	fixture.Started(run(0, 1), 0, ptrun.ErrUnanswered, at(61))
+	ends := told(fixture.list(1400, at(400), at(401), nil))
+	fixture.expect.Expect(ends).To(HaveLen(1))
+	fixture.expect.Expect(ends[0].Result).To(Equal(ptrun.NeverStarted))
+}
+
+func TestRunsOfASilentEntryAreStopped(test *testing.T) {
+	fixture := newFixture(test)
+	fixture.order(run(0, 1), 1000, at(1))
+	fixture.Started(run(0, 1), 1002, nil, at(2))
+	fixture.Leave(owner.Entry, at(10))
+	fixture.expect.Expect(stops(fixture.Tick(at(300)))).To(BeEmpty())
+	fixture.expect.Expect(stops(fixture.Tick(at(311)))).To(ConsistOf(run(0, 1)))
+}
+
+func TestRunsOfAnEarlierIncarnationAreStoppedAtOnce(test *testing.T) {
+	fixture := newFixture(test)
+	fixture.order(run(0, 1), 1000, at(1))
+	fixture.Started(run(0, 1), 1002, nil, at(2))
+	effects := fixture.Join(ptroom.Owner{Entry: owner.Entry, Incarnation: 2}, at(5))
+	fixture.expect.Expect(stops(effects)).To(ConsistOf(run(0, 1)))
+}
+
+func TestRunsAreLostOnlyWhenTheLeaseHasLapsed(test *testing.T) {
+	fixture := newFixture(test)
+	fixture.order(run(0, 1), 1000, at(1))
+	fixture.Started(run(0, 1), 1001, nil, at(2))
+	until := fixture.Hold(at(10)).Until
+	fixture.expect.Expect(until).To(BeNumerically("<=", 1910))
+	fixture.expect.Expect(told(fixture.Unreachable(at(900)))).To(BeEmpty())
+	// The worker's clock is two parts in a hundred slow: 910 ms of it take 929 of ours.
+	fixture.expect.Expect(told(fixture.Unreachable(at(925)))).To(BeEmpty())
+	ends := told(fixture.Unreachable(at(935)))
+	fixture.expect.Expect(ends).To(HaveLen(1))
+	fixture.expect.Expect(ends[0].Result).To(Equal(ptrun.Lost))
+}
+
+func TestAnotherLifeOfTheWorkerEndsItsRuns(test *testing.T) {
+	fixture := newFixture(test)
+	fixture.order(run(0, 1), 1000, at(1))
+	fixture.Started(run(0, 1), 1001, nil, at(2))
+	effects := fixture.Listed(ptrun.Listing{BornAt: time.UnixMilli(9), Clock: 3}, at(5), at(6))
+	fixture.expect.Expect(told(effects)).To(HaveLen(1))
+	// An announcement that was held up, of the former life, changes nothing.
+	fixture.Announced(ptrun.Worker{WorkerIdentity: ptrun.WorkerIdentity{ID: "worker", BornAt: time.UnixMilli(5)}, Sequence: 2}, 1010, at(7))
+	_, known := fixture.Worker()
+	fixture.expect.Expect(known).To(BeFalse())
+}
+
+func TestStrangersAreStoppedAndTheAgentIsNotClean(test *testing.T) {
+	core := ptroom.New(100, start)
+	expect := NewWithT(test)
+	core.Announced(ptrun.Worker{WorkerIdentity: ptrun.WorkerIdentity{ID: "worker"}, Capacity: ptrun.Demand{CPU: 10}, Sequence: 1}, 1000, start)
+	effects := core.Listed(ptrun.Listing{Clock: 1001, Active: []ptrun.ListedRun{{Run: run(0, 3)}}}, start, at(1))
+	expect.Expect(stops(effects)).To(ConsistOf(run(0, 3)))
+	expect.Expect(core.Clean(at(1))).To(BeFalse())
+	core.Listed(ptrun.Listing{Clock: 1005}, at(4), at(5))
+	expect.Expect(core.Clean(at(5))).To(BeTrue())
+}
+
+func TestTokenRisesAboveARefusedOne(test *testing.T) {
+	core := ptroom.New(100, start)
+	core.Fenced(100)
+	raised := core.Token()
+	core.Fenced(100)
+	NewWithT(test).Expect(raised).To(BeNumerically(">", 100))
+	NewWithT(test).Expect(core.Token()).To(Equal(raised))
+}
+
+func TestLostEndsAreToldToTheNextSession(test *testing.T) {
+	fixture := newFixture(test)
+	fixture.order(run(0, 1), 1000, at(1))
+	fixture.Started(run(0, 1), 1001, nil, at(2))
+	fixture.Leave(owner.Entry, at(3))
+	fixture.list(1010, at(8), at(9), []ptrun.ListedEnd{{Sequence: 1, End: ptrun.End{Run: run(0, 1), Result: ptrun.Done}}})
+	fixture.Join(owner, at(20))
+	ends := told(fixture.Query(owner, run(0, 1), at(21)))
+	fixture.expect.Expect(ends).To(HaveLen(1))
+	fixture.expect.Expect(ends[0].Result).To(Equal(ptrun.Done))
+	// A run that never came is sealed: an order for it that comes later is refused.
+	fixture.expect.Expect(told(fixture.Query(owner, run(5, 1), at(22)))[0].Result).To(Equal(ptrun.NeverStarted))
+	late := fixture.order(run(5, 1), 100, at(23))
+	fixture.expect.Expect(starts(late)).To(BeEmpty())
+	fixture.expect.Expect(told(late)).To(HaveLen(1))
+}
+
+func TestKeptEndsWaitForTheirOwner(test *testing.T) {
+	fixture := newFixture(test)
+	expect := fixture.expect
+	kept := run(0, ptkept.FirstNumber(4)+1)
+	fixture.Order(ptroom.Order{Run: kept, Owner: owner, Demand: ptrun.Demand{CPU: 10}, StartBy: at(50), Epoch: 4, Partition: 2}, at(1))
+	fixture.Started(kept, 1001, nil, at(2))
+	done := []ptrun.ListedEnd{{Sequence: 7, End: ptrun.End{Run: kept, Result: ptrun.Done}}}
+	expect.Expect(told(fixture.list(1010, at(8), at(9), done))).To(HaveLen(1))
+	expect.Expect(fixture.Hold(at(10)).Acknowledged).To(Equal(ptrun.EndSequence(6)))
+	fixture.Acknowledge(kept)
+	expect.Expect(fixture.Hold(at(11)).Acknowledged).To(Equal(ptrun.EndSequence(7)))
+}
+
+func TestAdoptionMovesRunsAndBarsTheFormerOwner(test *testing.T) {
+	fixture := newFixture(test)
+	expect := fixture.expect
+	kept, next := run(0, ptkept.FirstNumber(4)+1), ptroom.Owner{Entry: "next", Incarnation: 1}
+	fixture.Order(ptroom.Order{Run: kept, Owner: owner, Demand: ptrun.Demand{CPU: 10}, StartBy: at(50), Epoch: 4, Partition: 2}, at(1))
+	fixture.Started(kept, 1001, nil, at(2))
+	fixture.Join(next, at(3))
+	var adopted ptroom.TellAdopted
+	for _, effect := range fixture.Adopt(next, 2, 32, 5, at(4)) {
+		if told, is := effect.(ptroom.TellAdopted); is {
+			adopted = told
+		}
+	}
+	expect.Expect(adopted.Runs).To(ConsistOf(kept))
+	refused := told(fixture.Order(ptroom.Order{
+		Run: run(1, ptkept.FirstNumber(4)+1), Owner: owner, Demand: ptrun.Demand{CPU: 10}, StartBy: at(50), Epoch: 4, Partition: 2,
+	}, at(5)))
+	expect.Expect(refused).To(HaveLen(1))
+	expect.Expect(refused[0].Reason).To(Equal(ptrun.ReasonOtherOwner))
+	// The former owner's silence no longer ends the run.
+	fixture.Leave(owner.Entry, at(6))
+	expect.Expect(stops(fixture.Tick(at(6000)))).To(BeEmpty())
+}
+
+func TestLeaseLapsesWhereKeptEndsReachNobody(test *testing.T) {
+	fixture := newFixture(test)
+	kept := run(0, ptkept.FirstNumber(4)+1)
+	fixture.Order(ptroom.Order{Run: kept, Owner: owner, Demand: ptrun.Demand{CPU: 10}, StartBy: at(50), Epoch: 4, Partition: 2}, at(1))
+	fixture.Started(kept, 1001, nil, at(2))
+	fixture.list(1010, at(8), at(9), []ptrun.ListedEnd{{Sequence: 1, End: ptrun.End{Run: kept, Result: ptrun.Done}}})
+	fixture.Leave(owner.Entry, at(10))
+	fixture.expect.Expect(fixture.Hold(at(2400)).Until).NotTo(BeZero())
+	fixture.expect.Expect(fixture.Hold(at(2600)).Until).To(BeZero())
+	fixture.Tick(at(2700))
+	fixture.expect.Expect(fixture.Withheld()).To(BeTrue())
+	fixture.Tick(at(3600))
+	fixture.expect.Expect(fixture.Withheld()).To(BeFalse())
+}
+
+func TestFillingRunsGiveWayToATailNearItsTarget(test *testing.T) {
+	fixture := newFixture(test)
+	serving, filling := run(0, 1), run(1, 1)
+	fixture.Order(ptroom.Order{Run: serving, Owner: owner, Demand: ptrun.Demand{CPU: 10}, StartBy: at(50), TailTarget: 100 * time.Millisecond}, at(1))
+	fixture.Order(ptroom.Order{Run: filling, Owner: owner, StartBy: at(50), Filling: true}, at(1))
+	fixture.Started(serving, 1001, nil, at(2))
+	fixture.Started(filling, 1001, nil, at(2))
+	fixture.Listed(ptrun.Listing{BornAt: time.UnixMilli(5), Clock: 1010, Active: []ptrun.ListedRun{
+		{Run: serving, Percent: 100, Tail: 120 * time.Millisecond}, {Run: filling, Percent: 100},
+	}}, at(8), at(9))
+	var percent []int
+	for _, effect := range fixture.Tick(at(600)) {
+		if pace, is := effect.(ptroom.PaceRun); is {
+			fixture.expect.Expect(pace.Run).To(Equal(filling))
+			percent = append(percent, pace.Percent)
+		}
+	}
+	fixture.expect.Expect(percent).To(Equal([]int{0}))
+}
