ptbroker: a former owner acknowledges nothing of a later one; tests with stand-ins

Cause: an entry that was cut from the log still held a partition, did not know a job that had come since, and acknowledged the end of its run as that of a forgotten job. Ruled out: the save of the progress, which the log had refused. Change: ends of runs of a higher epoch are left to their owner. The tests also found that a task far over its estimate was stopped as hanging again and again: patience doubles with each stop now.

--- a/ptassign/fitness.go
+++ b/ptassign/fitness.go
@@ -21,6 +21,8 @@
 	// hangFactor and hangFloor say when a run counts as late beyond doubt.
 	hangFactor = 3
 	hangFloor  = 100 * time.Millisecond
+	// mostPatience bounds how often the patience with a task doubles.
+	mostPatience = 10
 	// hangRuns is how many late runs without any end in between make a worker hang.
 	hangRuns = 2
 )
@@ -97,11 +99,13 @@
 	known.fitness.isolate(now)
 	for _, id := range sortedRuns(known.runs) {
 		if run := known.runs[id]; !run.stopped && !run.task.Step.Endless && isLate(run, now) {
+			run.task.Overdue++
 			core.stop(known, id, run, ptrun.ReasonUnanswered)
 		}
 	}
 }
 
 func isLate(run *sent, now ptid.Instant) bool {
-	return now.Sub(run.at) > hangFactor*run.expected+hangFloor
+	patience := hangFactor*run.expected + hangFloor
+	return now.Sub(run.at) > patience<<min(run.task.Overdue, mostPatience)
 }
--- a/ptbroker/kept.go
+++ b/ptbroker/kept.go
@@ -163,6 +163,9 @@
 	return address + memberSeparator + strconv.FormatUint(uint64(incarnation), 36)
 }
 
+// Member returns the name of this process among the owners.
+func (broker *Broker) Member() string { return broker.keeper.member }
+
 // memberAddress returns the address of a member.
 func memberAddress(member string) string {
 	address, _, _ := strings.Cut(member, memberSeparator)
@@ -450,6 +453,8 @@
 	switch {
 	case held == nil || !held.loaded:
 		// The partition's owner, or we ourselves once it is loaded, will be told again.
+	case ptkept.EpochOf(end.Run.Number) > held.epoch:
+		// A later owner has started the run; that we hold the partition is out of date.
 	case job != nil && job.kept < job.changes && (job.progress.State.Ended() || job.open[end.Run.Task.Occurrence] == nil):
 		// The end is in the progress that waits to be kept; its acknowledgement comes then.
 	case job == nil || job.progress.State.Ended() || job.open[end.Run.Task.Occurrence] == nil:
--- a/ptdrill/link.go
+++ b/ptdrill/link.go
@@ -21,8 +21,7 @@
 		if target.name() != name || session == 0 {
 			continue
 		}
-		var arrive func()
-		arrive = func() {
+		arrive := func() {
 			if drill.cut[[2]int{entry.index, target.index}] || target.sessions[entry.index] != session || target.incarnation != incarnation {
 				return
 			}
--- a/ptgraph/ptgraph.go
+++ b/ptgraph/ptgraph.go
@@ -122,6 +122,9 @@
 	done   bool
 	number ptrun.Number
 	fails  int
+	// Overdue counts the runs that were stopped since they took far longer than
+	// expected; each one makes the next be waited for longer.
+	Overdue int
 	// Checkpoint is the newest that a run of the task has left.
 	Checkpoint ptrun.Checkpoint
 }
--- a/ptkept/ptkept.go
+++ b/ptkept/ptkept.go
@@ -52,6 +52,9 @@
 // FirstNumber returns the number below the runs of an owner.
 func FirstNumber(epoch Epoch) ptrun.Number { return ptrun.Number(epoch) << epochBits }
 
+// EpochOf returns the epoch of the owner that started a run.
+func EpochOf(number ptrun.Number) Epoch { return Epoch(number >> epochBits) }
+
 // IsKept reports whether a run is of a kept job.
 func IsKept(number ptrun.Number) bool { return number >= 1<<epochBits }
 
--- /dev/null
+++ b/ptstandin/kept.go
@@ -0,0 +1,220 @@
+package ptstandin
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/primrosetiller/primrosetiller/ptid"
+	"github.com/primrosetiller/primrosetiller/ptkept"
+)
+
+// Kept stands in for the log of kept jobs, in memory, with switches for its faults.
+type Kept struct {
+	mu         sync.Mutex
+	partitions int
+	logs       map[ptkept.Partition][]ptkept.Record
+	progress   map[ptkept.Partition]map[string][]byte
+	epochs     map[ptkept.Partition]ptkept.Epoch
+	members    map[string]time.Time
+	owners     map[ptkept.Partition]string
+	epoch      ptkept.Epoch
+	fault      func(call KeptCall, client string) error
+}
+
+// KeptClient is the log as one process reaches it.
+type KeptClient struct {
+	*Kept
+	name string
+}
+
+// Client returns the log as a process of that name reaches it.
+func (kept *Kept) Client(name string) *KeptClient { return &KeptClient{Kept: kept, name: name} }
+
+// KeptCall names a call for the switch of faults.
+type KeptCall string
+
+// Calls.
+const (
+	KeptPut  KeptCall = "put"
+	KeptSave KeptCall = "save"
+	KeptJoin KeptCall = "join"
+	KeptRead KeptCall = "read"
+)
+
+// NewKept returns an empty log.
+func NewKept(partitions int) *Kept {
+	return &Kept{
+		partitions: partitions, logs: make(map[ptkept.Partition][]ptkept.Record), progress: make(map[ptkept.Partition]map[string][]byte),
+		epochs: make(map[ptkept.Partition]ptkept.Epoch), members: make(map[string]time.Time), owners: make(map[ptkept.Partition]string),
+	}
+}
+
+// Fault sets what goes wrong for which client; nil means nothing.
+func (kept *Kept) Fault(fault func(call KeptCall, client string) error) {
+	kept.mu.Lock()
+	defer kept.mu.Unlock()
+	kept.fault = fault
+}
+
+// fails returns what is to go wrong. The caller holds the lock.
+func (kept *KeptClient) fails(call KeptCall) error {
+	if kept.fault == nil {
+		return nil
+	}
+	return kept.fault(call, kept.name)
+}
+
+// Partitions implements [ptkept.Store].
+func (kept *Kept) Partitions() int { return kept.partitions }
+
+// Put implements [ptkept.Store].
+func (kept *KeptClient) Put(_ context.Context, partition ptkept.Partition, record ptkept.Record) (err error) {
+	kept.mu.Lock()
+	defer kept.mu.Unlock()
+	if err := kept.fails(KeptPut); err != nil {
+		return err
+	}
+	kept.logs[partition] = append(kept.logs[partition], record)
+	return nil
+}
+
+// Specs implements [ptkept.Store].
+func (kept *KeptClient) Specs(_ context.Context, partition ptkept.Partition) (records []ptkept.Record, next ptkept.Offset, err error) {
+	kept.mu.Lock()
+	defer kept.mu.Unlock()
+	log := kept.logs[partition]
+	return slices.Clone(log), ptkept.Offset(len(log)), kept.fails(KeptRead)
+}
+
+// Follow implements [ptkept.Store].
+func (kept *KeptClient) Follow(ctx context.Context, partition ptkept.Partition, from ptkept.Offset, wait time.Duration) (records []ptkept.Record, next ptkept.Offset, err error) {
+	const poll = 2 * time.Millisecond
+	for until := time.Now().Add(wait); ; {
+		kept.mu.Lock()
+		log, fault := slices.Clone(kept.logs[partition][from:]), kept.fails(KeptRead)
+		kept.mu.Unlock()
+		if fault != nil {
+			return nil, from, fault
+		}
+		if len(log) > 0 || ctx.Err() != nil || time.Now().After(until) {
+			return log, from + ptkept.Offset(len(log)), ctx.Err()
+		}
+		time.Sleep(poll)
+	}
+}
+
+// Progress implements [ptkept.Store].
+func (kept *KeptClient) Progress(_ context.Context, partition ptkept.Partition) (records []ptkept.Record, err error) {
+	kept.mu.Lock()
+	defer kept.mu.Unlock()
+	for _, key := range slices.Sorted(maps.Keys(kept.progress[partition])) {
+		records = append(records, ptkept.Record{Key: key, Value: kept.progress[partition][key]})
+	}
+	return records, kept.fails(KeptRead)
+}
+
+// Lookup implements [ptkept.Store].
+func (kept *KeptClient) Lookup(_ context.Context, partition ptkept.Partition, job ptid.JobID) (spec, progress []byte, err error) {
+	kept.mu.Lock()
+	defer kept.mu.Unlock()
+	for _, record := range kept.logs[partition] {
+		if record.Key == ptkept.SpecKey(job) {
+			spec = record.Value
+		}
+	}
+	return spec, kept.progress[partition][string(job)], kept.fails(KeptRead)
+}
+
+// Fence implements [ptkept.Store].
+func (kept *KeptClient) Fence(_ context.Context, partition ptkept.Partition, epoch ptkept.Epoch) (err error) {
+	return kept.save(partition, epoch, nil)
+}
+
+// Save implements [ptkept.Store].
+func (kept *KeptClient) Save(_ context.Context, partition ptkept.Partition, epoch ptkept.Epoch, _ uint64, records []ptkept.Record) (err error) {
+	return kept.save(partition, epoch, records)
+}
+
+func (kept *KeptClient) save(partition ptkept.Partition, epoch ptkept.Epoch, records []ptkept.Record) (err error) {
+	kept.mu.Lock()
+	defer kept.mu.Unlock()
+	if err := kept.fails(KeptSave); err != nil {
+		return err
+	}
+	if epoch < kept.epochs[partition] {
+		return ptkept.ErrFenced
+	}
+	kept.epochs[partition] = epoch
+	if kept.progress[partition] == nil {
+		kept.progress[partition] = make(map[string][]byte)
+	}
+	for _, record := range records {
+		kept.progress[partition][record.Key] = record.Value
+	}
+	return nil
+}
+
+// Join implements [ptkept.Store].
+func (kept *KeptClient) Join(_ context.Context, member string, _ ptkept.Epoch, span time.Duration) (membership ptkept.Membership, err error) {
+	kept.mu.Lock()
+	defer kept.mu.Unlock()
+	if err := kept.fails(KeptJoin); err != nil {
+		return membership, err
+	}
+	now := time.Now()
+	_, known := kept.members[member]
+	kept.members[member] = now.Add(span)
+	changed := !known
+	for other, until := range kept.members {
+		if now.After(until) {
+			delete(kept.members, other)
+			changed = true
+		}
+	}
+	if changed {
+		kept.deal()
+	}
+	membership.Epoch = kept.epoch
+	for partition, owner := range kept.owners {
+		if owner == member {
+			membership.Partitions = append(membership.Partitions, partition)
+		}
+	}
+	slices.Sort(membership.Partitions)
+	return membership, nil
+}
+
+// deal gives the partitions to the members evenly.
+func (kept *Kept) deal() {
+	kept.epoch++
+	names := slices.Sorted(maps.Keys(kept.members))
+	for number := range kept.partitions {
+		if len(names) == 0 {
+			delete(kept.owners, ptkept.Partition(number))
+			continue
+		}
+		kept.owners[ptkept.Partition(number)] = names[number%len(names)]
+	}
+}
+
+// Leave implements [ptkept.Store].
+func (kept *KeptClient) Leave(_ context.Context, member string) (err error) {
+	kept.mu.Lock()
+	defer kept.mu.Unlock()
+	if err := kept.fails(KeptJoin); err != nil {
+		return err
+	}
+	delete(kept.members, member)
+	kept.deal()
+	return nil
+}
+
+// Owners implements [ptkept.Store].
+func (kept *Kept) Owners(context.Context) (owners map[ptkept.Partition]string, err error) {
+	kept.mu.Lock()
+	defer kept.mu.Unlock()
+	return maps.Clone(kept.owners), nil
+}
--- /dev/null
+++ b/ptstandin/worker.go
@@ -0,0 +1,157 @@
+package ptstandin
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/primrosetiller/primrosetiller/ptrun"
+)
+
+// Worker stands in for the worker beside an agent, in memory. A run ends when the test
+// says so, or after RunTime.
+type Worker struct {
+	Identity ptrun.WorkerIdentity
+	Capacity ptrun.Demand
+	// RunTime is how long runs take; zero means until [Worker.End].
+	RunTime time.Duration
+
+	mu           sync.Mutex
+	born         time.Time
+	token        ptrun.FenceToken
+	active       []ptrun.ID
+	ends         []ptrun.ListedEnd
+	sequence     ptrun.EndSequence
+	acknowledged ptrun.EndSequence
+	starts       map[ptrun.TaskID][]ptrun.Number
+	changed      chan struct{}
+}
+
+// NewWorker returns a worker without runs.
+func NewWorker(id ptrun.WorkerID, capacity ptrun.Demand) *Worker {
+	return &Worker{
+		Identity: ptrun.WorkerIdentity{ID: id, BornAt: time.UnixMilli(time.Now().UnixMilli())}, Capacity: capacity,
+		born: time.Now(), starts: make(map[ptrun.TaskID][]ptrun.Number), changed: make(chan struct{}),
+	}
+}
+
+// Announcement returns what the worker says of itself.
+func (worker *Worker) Announcement() ptrun.Worker {
+	return ptrun.Worker{WorkerIdentity: worker.Identity, Capacity: worker.Capacity, Sequence: uint64(time.Since(worker.born))}
+}
+
+// Clock returns the worker's own time.
+func (worker *Worker) Clock() ptrun.WorkerTime {
+	return ptrun.WorkerTime(time.Since(worker.born).Milliseconds() + 1)
+}
+
+// Starts returns the numbers under which a task was started.
+func (worker *Worker) Starts(task ptrun.TaskID) []ptrun.Number {
+	worker.mu.Lock()
+	defer worker.mu.Unlock()
+	return slices.Clone(worker.starts[task])
+}
+
+// Active returns the runs that work.
+func (worker *Worker) Active() []ptrun.ID {
+	worker.mu.Lock()
+	defer worker.mu.Unlock()
+	return slices.Clone(worker.active)
+}
+
+// Acknowledged reports whether every end has been acknowledged.
+func (worker *Worker) Acknowledged() bool {
+	worker.mu.Lock()
+	defer worker.mu.Unlock()
+	return worker.acknowledged >= worker.sequence
+}
+
+// End ends a run.
+func (worker *Worker) End(id ptrun.ID, result ptrun.Result) {
+	worker.mu.Lock()
+	defer worker.mu.Unlock()
+	worker.end(id, result)
+}
+
+func (worker *Worker) end(id ptrun.ID, result ptrun.Result) {
+	index := slices.Index(worker.active, id)
+	if index < 0 {
+		return
+	}
+	worker.active = slices.Delete(worker.active, index, index+1)
+	worker.sequence++
+	worker.ends = append(worker.ends, ptrun.ListedEnd{Sequence: worker.sequence, End: ptrun.End{Run: id, Result: result}})
+	close(worker.changed)
+	worker.changed = make(chan struct{})
+}
+
+func (worker *Worker) check(identity ptrun.WorkerIdentity, token ptrun.FenceToken) error {
+	switch {
+	case identity.ID != worker.Identity.ID:
+		return ptrun.ErrOtherWorker
+	case token < worker.token:
+		return ptrun.ErrFenced
+	}
+	worker.token = token
+	return nil
+}
+
+// Start implements [ptrun.Executor].
+func (worker *Worker) Start(_ context.Context, to ptrun.WorkerIdentity, token ptrun.FenceToken, start ptrun.Start) (clock ptrun.WorkerTime, err error) {
+	worker.mu.Lock()
+	defer worker.mu.Unlock()
+	if err := worker.check(to, token); err != nil {
+		return worker.Clock(), err
+	}
+	if !slices.Contains(worker.active, start.Run) {
+		worker.active = append(worker.active, start.Run)
+		worker.starts[start.Run.Task] = append(worker.starts[start.Run.Task], start.Run.Number)
+		if worker.RunTime > 0 {
+			time.AfterFunc(worker.RunTime, func() { worker.End(start.Run, ptrun.Done) })
+		}
+	}
+	return worker.Clock(), nil
+}
+
+// Stop implements [ptrun.Executor].
+func (worker *Worker) Stop(_ context.Context, to ptrun.WorkerIdentity, token ptrun.FenceToken, run ptrun.ID) (clock ptrun.WorkerTime, err error) {
+	worker.mu.Lock()
+	defer worker.mu.Unlock()
+	if err := worker.check(to, token); err != nil {
+		return worker.Clock(), err
+	}
+	worker.end(run, ptrun.Stopped)
+	return worker.Clock(), nil
+}
+
+// Pace implements [ptrun.Executor].
+func (worker *Worker) Pace(context.Context, ptrun.WorkerIdentity, ptrun.FenceToken, ptrun.ID, int) (clock ptrun.WorkerTime, err error) {
+	return worker.Clock(), nil
+}
+
+// Hold implements [ptrun.Executor].
+func (worker *Worker) Hold(ctx context.Context, to ptrun.WorkerIdentity, token ptrun.FenceToken, hold ptrun.Hold) (listing ptrun.Listing, err error) {
+	worker.mu.Lock()
+	defer worker.mu.Unlock()
+	if err := worker.check(to, token); err != nil {
+		return listing, err
+	}
+	worker.acknowledged = max(worker.acknowledged, hold.Acknowledged)
+	worker.ends = slices.DeleteFunc(worker.ends, func(listed ptrun.ListedEnd) bool { return listed.Sequence <= hold.Acknowledged })
+	if len(worker.ends) == 0 && hold.Wait > 0 {
+		changed := worker.changed
+		worker.mu.Unlock()
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-time.After(hold.Wait):
+		}
+		worker.mu.Lock()
+	}
+	listing = ptrun.Listing{BornAt: worker.Identity.BornAt, Clock: worker.Clock(), Ends: slices.Clone(worker.ends)}
+	for _, id := range worker.active {
+		listing.Active = append(listing.Active, ptrun.ListedRun{Run: id, Percent: 100})
+	}
+	return listing, nil
+}
