--- a/ptassign/ptassign.go
+++ b/ptassign/ptassign.go
@@ -56,6 +56,9 @@
 	// WaitAtAgent is how long an order may wait for room at its agent. Room that was
 	// free by the last report is taken by another entry at times, and freed soon.
 	WaitAtAgent = 40 * time.Millisecond
+	// GangWaitAtAgent is the same for members of a gang: a refusal ends the work of all
+	// the others, so it is worth more time, well below that after which they give up.
+	GangWaitAtAgent = 300 * time.Millisecond
 	// FrameMargin is what a job's answer takes beside its work, both ways.
 	FrameMargin = 15 * time.Millisecond
 	// scanJobs bounds how many jobs that find no room are passed over for later ones.
@@ -384,6 +387,9 @@
 		job.FirstPlacedAt = now
 	}
 	startBy := now.Add(WaitAtAgent)
+	if task.Step.Gang {
+		startBy = now.Add(GangWaitAtAgent)
+	}
 	if !job.Kept {
 		startBy = min(startBy, job.Deadline)
 	}
