ptrunner: a second listing beside the first while calls get no answer

A listing that is lost hid every end of its worker for up to 450 ms, and some two a second were lost at each worker; one failure also made the worker unusable and gave back all that waited. Change: listings wait 100 ms and are given up 40 ms later; after a lost one a second loop lists for five seconds; orders are given up after 25 ms, since what became of them is looked up anyway; a worker is unusable after 300 ms of silence.

--- a/ptroom/answers.go
+++ b/ptroom/answers.go
@@ -74,7 +74,7 @@
 		core.refuseWaiting(ptrun.ReasonWorkerAbsent, now)
 		return core.take()
 	}
-	core.reachable = true
+	core.reachable, core.listedAt = true, now
 	core.tick(listing.Clock, now)
 	for _, listed := range listing.Ends {
 		core.listedEnd(listed, now)
@@ -152,9 +152,13 @@
 	}
 }
 
-// Unreachable records that a call to list has failed. Once every lease has lapsed that
-// may have been granted, the runs are over.
+// Unreachable records that a call to list has failed. A single one says little: some
+// calls get no answer while others do. Once every lease has lapsed that may have been
+// granted, the runs are over.
 func (core *Core) Unreachable(now ptid.Instant) (effects []Effect) {
+	if now.Sub(core.listedAt) <= UnreachableAfter {
+		return nil
+	}
 	core.reachable = false
 	core.refuseWaiting(ptrun.ReasonWorkerAbsent, now)
 	if now <= core.leaseLapsesBy() {
--- a/ptroom/ptroom.go
+++ b/ptroom/ptroom.go
@@ -68,6 +68,9 @@
 	// KeptOrphanAfter is the same for runs of kept jobs, which a later owner may adopt: it
 	// gets a silent owner's partitions after about a second and a half.
 	KeptOrphanAfter = 2500 * time.Millisecond
+	// UnreachableAfter is how long a worker may list nothing before its agent takes no
+	// more orders: a few calls that all got no answer.
+	UnreachableAfter = 300 * time.Millisecond
 	// tellAgainAfter is when ends without an owner are told again.
 	tellAgainAfter = 500 * time.Millisecond
 	// StopAgainAfter is when a stop without effect is repeated.
@@ -221,6 +224,7 @@
 	worker     ptrun.Worker
 	known      bool
 	reachable  bool
+	listedAt   ptid.Instant
 	clock      ptrun.WorkerTime
 	clockAt    ptid.Instant
 	leaseUntil ptrun.WorkerTime
--- a/ptroom/ptroom_test.go
+++ b/ptroom/ptroom_test.go
@@ -167,6 +167,17 @@
 	fixture.expect.Expect(ends[0].Result).To(Equal(ptrun.Lost))
 }
 
+func TestOneUnansweredListingChangesNothing(test *testing.T) {
+	fixture := newFixture(test)
+	fixture.order(run(0, 1), 4000, at(1))
+	fixture.order(run(1, 1), 1000, at(1))
+	fixture.expect.Expect(told(fixture.Unreachable(at(30)))).To(BeEmpty())
+	fixture.expect.Expect(fixture.Report(owner.Entry).Unusable).To(BeFalse())
+	// The one that waits is given back once the worker has been silent for long.
+	fixture.expect.Expect(told(fixture.Unreachable(at(350)))).To(HaveLen(1))
+	fixture.expect.Expect(fixture.Report(owner.Entry).Unusable).To(BeTrue())
+}
+
 func TestAnotherLifeOfTheWorkerEndsItsRuns(test *testing.T) {
 	fixture := newFixture(test)
 	fixture.order(run(0, 1), 1000, at(1))
--- a/ptrunner/ptrunner.go
+++ b/ptrunner/ptrunner.go
@@ -5,7 +5,9 @@
 // # How it works
 //
 //  1. One loop lists the worker all the time; each call also renews its lease and waits
-//     for an end at the worker, so ends are known at once and nothing is polled.
+//     for an end at the worker, so ends are known at once and nothing is polled. Where
+//     calls get no answer now and then, a second loop runs beside it for a while: a
+//     listing that is lost would hide all ends until its time-out.
 //  2. Start and stop orders are calls of their own, each on a goroutine.
 //  3. The agent dials every entry that it knows once the worker is known to run nothing
 //     of a former agent. While an entry has runs here, the agent sends heartbeats at
@@ -43,11 +45,14 @@
 const (
 	// listWait is how long a worker may wait for an end before it answers; the lease
 	// outlives three such calls.
-	listWait = 250 * time.Millisecond
-	// orderTimeout bounds a start or stop: the worker is on the same VM.
-	orderTimeout = 60 * time.Millisecond
+	listWait = 100 * time.Millisecond
+	// orderTimeout bounds a start or stop: the worker is on the same VM, and answers
+	// within a millisecond if it does.
+	orderTimeout = 25 * time.Millisecond
 	// listTimeout bounds a listing beyond its wait.
-	listTimeout = 200 * time.Millisecond
+	listTimeout = 40 * time.Millisecond
+	// doubtSpan is how long two listings run side by side after one got no answer.
+	doubtSpan = 5 * time.Second
 	// retryWait is the pause after a failed listing.
 	retryWait = 20 * time.Millisecond
 	// withheldWait paces listings while ends wait for their owners.
@@ -99,6 +104,8 @@
 	dialing   map[string]bool
 	sessions  uint64
 	listingOK bool
+	// doubtUntil is until when the second loop lists.
+	doubtUntil ptid.Instant
 }
 
 // New returns a runner that has not connected yet.
@@ -290,6 +297,7 @@
 	case errors.Is(err, ptrun.ErrOtherWorker):
 		runner.do(runner.core.Gone(worker.WorkerIdentity, now))
 	default:
+		runner.doubtUntil = now.Add(doubtSpan)
 		runner.do(runner.core.Unreachable(now))
 	}
 	return err
@@ -302,12 +310,18 @@
 	return err.Error()
 }
 
-func (runner *Runner) keepListing(ctx context.Context) {
+// keepListing lists the worker until ctx ends; the second loop only in doubt.
+func (runner *Runner) keepListing(ctx context.Context, second bool) {
 	for ctx.Err() == nil {
 		runner.mu.Lock()
 		_, known := runner.core.Worker()
 		withheld := runner.core.Withheld()
+		doubt := runner.deps.Clock.Now() < runner.doubtUntil
 		runner.mu.Unlock()
+		if second && (!known || !doubt) {
+			pause(ctx, absentWait)
+			continue
+		}
 		if !known {
 			select {
 			case <-ctx.Done():
@@ -341,7 +355,8 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var group errgroup.Group
-	group.Go(func() error { runner.keepListing(background); return nil })
+	group.Go(func() error { runner.keepListing(background, false); return nil })
+	group.Go(func() error { runner.keepListing(background, true); return nil })
 	group.Go(func() error { runner.keepDialing(background); return nil })
 	group.Go(func() error { runner.tick(background); return nil })
 	runner.deps.Log.Info("agent started", "agent", runner.setting.Name, "service", runner.setting.Service, "incarnation", runner.incarnation)
