--- a/ptassign/forecast.go
+++ b/ptassign/forecast.go
@@ -45,7 +45,7 @@
 }
 
 // forecast returns how long the last ready task of a job will wait for room, from what
-// waits before it and the pace at which this entry's runs free room.
+// waits before it and the pace at which runs free room.
 func (core *Core) forecast(job *Job, now ptid.Instant) (wait time.Duration, ahead ptrun.Millicores) {
 	key := job.key(now)
 	for _, other := range core.waiting {
@@ -53,20 +53,19 @@
 			ahead += readyDemand(other)
 		}
 	}
-	free, held, weighted := ptrun.Millicores(0), ptrun.Millicores(0), 0.0
-	for _, known := range core.ordered {
-		if known.service != job.Queue.Service {
+	free, held, known, weighted := ptrun.Millicores(0), ptrun.Millicores(0), ptrun.Millicores(0), 0.0
+	for _, agent := range core.ordered {
+		if agent.service != job.Queue.Service || !agent.connected || agent.state.Unusable {
 			continue
 		}
-		if known.usable(now) {
-			free += max(0, known.free().CPU)
-		}
-		if !known.connected {
-			continue
+		if agent.usable(now) {
+			free += max(0, agent.free().CPU)
 		}
-		for _, run := range known.runs {
+		// Room that the runs of other entries free is there for all.
+		held += agent.own.CPU + agent.others.CPU
+		for _, run := range agent.runs {
 			cpu := run.task.Step.Demand.CPU
-			held += cpu
+			known += cpu
 			weighted += float64(cpu) * run.expected.Seconds()
 		}
 	}
@@ -74,10 +73,10 @@
 	if missing <= 0 {
 		return 0, ahead
 	}
-	if held == 0 {
+	if held == 0 || known == 0 {
 		return 0, ahead
 	}
-	mean := weighted / float64(held)
+	mean := weighted / float64(known)
 	return time.Duration(float64(missing) / float64(held) * mean * float64(time.Second)), ahead
 }
 
