Ask an advisor where a queue's policy allows only some workers

Cause: on queues with advice every start was rejected for want of a ticket. Ruled out: asking for every worker at once, since each one named costs time within the job's objective. Test: TestPlacesOnlyWhereTheAdvisorAllows, failed before (no such effect).

--- a/ptassign/gang.go
+++ b/ptassign/gang.go
@@ -29,6 +29,7 @@
 		}
 		return true
 	}
+	core.seekAdvice(job, tasks[0], now)
 	return false
 }
 
@@ -41,6 +42,9 @@
 		if candidate.service != job.Queue.Service || !candidate.usable(now) || !fits(candidate, job, task) {
 			continue
 		}
+		if _, allowed := ticketFor(candidate, job, task, now); !allowed {
+			continue
+		}
 		all = append(all, candidate)
 		if rack := candidate.rack(); rack != "" {
 			racks[rack] = append(racks[rack], candidate)
--- a/ptassign/ptassign.go
+++ b/ptassign/ptassign.go
@@ -125,8 +125,9 @@
 	// Kept jobs were accepted for good: they are never refused or given up.
 	Kept bool
 	// Frozen jobs wait until the runs of an earlier owner are known.
-	Frozen bool
-	span   time.Duration
+	Frozen  bool
+	span    time.Duration
+	advised map[ptrun.StepIndex]*advice
 }
 
 // Key returns the key of the job.
@@ -145,6 +146,7 @@
 	Key     ptid.Instant
 	// Checkpoint is what the run resumes from.
 	Checkpoint ptrun.Checkpoint
+	Ticket     string
 }
 
 // SendStop asks an agent to end a run.
@@ -372,6 +374,7 @@
 		ready = ready[1:]
 		chosen := core.choose(job, task, now)
 		if chosen == nil {
+			core.seekAdvice(job, task, now)
 			return false
 		}
 		core.order(chosen, job, task, job.Place(task), task.Checkpoint, now)
@@ -393,8 +396,9 @@
 	if !job.Kept {
 		startBy = min(startBy, job.Deadline)
 	}
+	text, _ := ticketFor(chosen, job, task, now)
 	core.emit(SendOrder{
-		Agent: chosen.name, Run: run, Job: job, Demand: task.Step.Room(), StartBy: startBy, Key: job.key(now), Checkpoint: checkpoint,
+		Agent: chosen.name, Ticket: text, Run: run, Job: job, Demand: task.Step.Room(), StartBy: startBy, Key: job.key(now), Checkpoint: checkpoint,
 	})
 }
 
@@ -410,7 +414,7 @@
 		if candidate.service != job.Queue.Service || !candidate.usable(now) || !candidate.free().Holds(task.Step.Room()) {
 			continue
 		}
-		if !fits(candidate, job, task) {
+		if _, allowed := ticketFor(candidate, job, task, now); !allowed || !fits(candidate, job, task) {
 			continue
 		}
 		if cost := core.cost(candidate, task); cost < best {
@@ -546,6 +550,7 @@
 	delete(known.runs, end.Run)
 	known.own = known.own.Minus(run.task.Step.Room())
 	core.learn(known, run, end, now)
+	core.ticketRefused(known, run, end)
 	job := run.job
 	change := job.End(end)
 	if job.Kept {
--- a/ptassign/ptassign_test.go
+++ b/ptassign/ptassign_test.go
@@ -239,3 +239,29 @@
 	fixture.expect.Expect(err).NotTo(HaveOccurred())
 	fixture.expect.Expect(orders(effects)).To(HaveLen(2))
 }
+
+func TestPlacesOnlyWhereTheAdvisorAllows(test *testing.T) {
+	fixture := newFixture(test, 3)
+	advised := queue
+	advised.Advice = &ptqueue.Advice{Valid: time.Second}
+	_, effects, err := fixture.Keep(ptassign.Spec{Queue: advised, Spec: ptgraph.Spec{ID: "00000000000000a1", MaxAttempts: 3, Steps: []ptgraph.Step{
+		{Count: 2, Demand: ptrun.Demand{CPU: 1000}},
+	}}}, nil, false, at(0))
+	fixture.expect.Expect(err).NotTo(HaveOccurred())
+	fixture.expect.Expect(orders(effects)).To(BeEmpty())
+	asked := effects[0].(ptassign.AskAdvice)
+	fixture.expect.Expect(asked.Workers).To(HaveLen(3))
+	sent := orders(fixture.Advised(asked, map[ptrun.WorkerID]string{"worker1": "ticket"}, false, at(0), at(50)))
+	fixture.expect.Expect(sent).To(HaveLen(1))
+	fixture.expect.Expect(sent[0].Agent).To(Equal(agentName(1)))
+	fixture.expect.Expect(sent[0].Ticket).To(Equal("ticket"))
+	// A ticket that has lapsed is asked for again, of that worker alone.
+	var again []ptassign.AskAdvice
+	for _, effect := range fixture.RunEnded(sent[0].Agent, ptrun.End{Run: sent[0].Run, Result: ptrun.Done}, at(900)) {
+		if ask, is := effect.(ptassign.AskAdvice); is {
+			again = append(again, ask)
+		}
+	}
+	fixture.expect.Expect(again).To(HaveLen(1))
+	fixture.expect.Expect(again[0].Workers).To(ConsistOf(ptrun.WorkerID("worker1")))
+}
--- a/ptbroker/kept.go
+++ b/ptbroker/kept.go
@@ -363,7 +363,7 @@
 			},
 			Queue: ptqueue.Queue{
 				Name: spec.Queue, Service: spec.Service, Priority: spec.Priority, MaxAttempts: spec.MaxAttempts,
-				Stretch: spec.Stretch, TargetLatency: spec.TargetLatency,
+				Stretch: spec.Stretch, TargetLatency: spec.TargetLatency, Advice: spec.Advice,
 			},
 		}, left, held.frozen, broker.deps.Clock.Now())
 		if err != nil {
--- a/ptbroker/ptbroker.go
+++ b/ptbroker/ptbroker.go
@@ -20,12 +20,14 @@
 package ptbroker
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
 
 	"github.com/primrosetiller/primrosetiller/ptassign"
 	"github.com/primrosetiller/primrosetiller/ptgraph"
@@ -33,6 +35,7 @@
 	"github.com/primrosetiller/primrosetiller/ptkept"
 	"github.com/primrosetiller/primrosetiller/ptmetric"
 	"github.com/primrosetiller/primrosetiller/ptqueue"
+	"github.com/primrosetiller/primrosetiller/ptrun"
 )
 
 const (
@@ -61,12 +64,44 @@
 	Metrics *ptmetric.Set
 	Clock   *ptid.Clock
 	Queues  *ptqueue.Holder
+	// Advisor says which workers may run a step of a queue with advice; nil means nobody.
+	Advisor Advisor
 	// Kept is the log of jobs that must last, nil where there is none, and Member the
 	// address by which other entries know this one as an owner.
 	Kept   ptkept.Store
 	Member string
 }
 
+// Advisor is the port to the service that knows a queue's policy.
+type Advisor interface {
+	// Advise returns a ticket for each of the workers that may run the step.
+	Advise(ctx context.Context, job ptid.JobID, occurrence ptrun.Occurrence, step ptrun.StepIndex, workers []ptrun.WorkerID) (tickets map[ptrun.WorkerID]string, err error)
+}
+
+// adviceSlack is what a call for advice may take beyond the time that it needs.
+const adviceSlack = time.Second
+
+// advise asks the advisor. It answers one call of a VM at a time, so calls wait here.
+func (broker *Broker) advise(effect ptassign.AskAdvice, policy ptqueue.Advice) {
+	broker.advising.Lock()
+	defer broker.advising.Unlock()
+	askedAt := broker.deps.Clock.Now()
+	span := policy.Decide + time.Duration(len(effect.Workers))*policy.PerWorker + adviceSlack
+	ctx, cancel := context.WithTimeout(context.Background(), span)
+	defer cancel()
+	var tickets map[ptrun.WorkerID]string
+	err := errors.New("there is no advisor")
+	if broker.deps.Advisor != nil {
+		tickets, err = broker.deps.Advisor.Advise(ctx, effect.Job.ID, effect.Job.Occurrence, effect.Step, effect.Workers)
+	}
+	now := broker.deps.Clock.Now()
+	broker.deps.Log.Info("advice", "job", effect.Job.ID, "step", effect.Step, "workers", len(effect.Workers), "allowed", len(tickets),
+		"took", now.Sub(askedAt).String(), "error", errorText(err))
+	broker.mu.Lock()
+	defer broker.mu.Unlock()
+	broker.do(broker.core.Advised(effect, tickets, err != nil, askedAt, now))
+}
+
 type counters struct {
 	orders, requeues *metrics.Counter
 	queueTime        *metrics.Histogram
@@ -88,7 +123,9 @@
 	links   map[ptid.AgentName]*link
 	tickets map[ptid.JobID]*Ticket
 	keeper  keeper
-	asking  *asking
+	// advising is held during a call to the advisor.
+	advising sync.Mutex
+	asking   *asking
 }
 
 // Outcome is the end of a job that was taken in.
@@ -236,6 +273,10 @@
 			if link := broker.links[effect.Agent]; link != nil {
 				link.query(effect.Run)
 			}
+		case ptassign.AskAdvice:
+			if job := broker.core.Job(effect.Job); job != nil && job.Queue.Advice != nil {
+				go broker.advise(effect, *job.Queue.Advice)
+			}
 		case ptassign.Progressed:
 			broker.progressed(effect)
 		case ptassign.JobEnded:
--- a/ptkept/ptkept.go
+++ b/ptkept/ptkept.go
@@ -35,6 +35,7 @@
 
 	"github.com/primrosetiller/primrosetiller/ptgraph"
 	"github.com/primrosetiller/primrosetiller/ptid"
+	"github.com/primrosetiller/primrosetiller/ptqueue"
 	"github.com/primrosetiller/primrosetiller/ptrun"
 )
 
@@ -79,6 +80,8 @@
 	// Stretch and TargetLatency give the job's objective.
 	Stretch       float64       `json:"stretch"`
 	TargetLatency time.Duration `json:"targetLatencyNanos"`
+	// Advice is set where an advisor says which workers may run a step.
+	Advice *ptqueue.Advice `json:"advice,omitempty"`
 }
 
 // Progress is how far the owner of a job has come.
--- a/ptqueue/ptqueue.go
+++ b/ptqueue/ptqueue.go
@@ -44,6 +44,17 @@
 	TargetLatency time.Duration
 	// Timeout bounds the wait of callers that name none.
 	Timeout time.Duration
+	// Advice is set where only an advisor knows which workers may run a step.
+	Advice *Advice
+}
+
+// Advice says what asking the advisor of a queue takes.
+type Advice struct {
+	// Decide and PerWorker are what one call takes, by itself and for each worker named.
+	Decide    time.Duration
+	PerWorker time.Duration
+	// Valid is how long a ticket can be used.
+	Valid time.Duration
 }
 
 // Limits bound what callers may send.
