--- a/bench/processes.sh
+++ b/bench/processes.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Runs entries, agents, stand-ins and the load tool as processes of their own on
 # loopback and offers load. Arguments go to `primrosetiller load`.
-# ENTRIES, AGENTS and SLOTS size it. Ends the processes that it has started.
+# ENTRIES, AGENTS, SLOTS, AHEAD and MOVE size it. Ends the processes that it has started.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 entries=${ENTRIES:-2} agents=${AGENTS:-4} slots=${SLOTS:-8}
@@ -23,7 +23,7 @@
 for ((i = 1; i <= agents; i++)); do
   run standin upstream --listen "127.0.0.1:$((19400 + i))"
   run agent --name "upstream$i" --service service --slots "$slots" --upstream "http://127.0.0.1:$((19400 + i))" \
-    --entries "$(joined "${list[@]}")" --admin-listen "127.0.0.1:$((19500 + i))" --log http://127.0.0.1:19000
+    --entries "$(joined "${list[@]}")" --admin-listen "127.0.0.1:$((19500 + i))" --log http://127.0.0.1:19000 ${AHEAD:+--ahead "$AHEAD"} ${MOVE:+--move-after "$MOVE"}
   admins+=("http://127.0.0.1:$((19500 + i))") upstreams+=("http://127.0.0.1:$((19400 + i))")
 done
 printf 'profiles:\n  - {name: load, team: load, service: service, queueFor: 1m, runFor: 1m, maxTasks: 1000}\n' > "$work/load.yaml"
