--- a/ptstandin/relay.go
+++ b/ptstandin/relay.go
@@ -4,6 +4,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -30,13 +31,19 @@
 type Relay struct {
 	listener net.Listener
 	target   string
+	delay    atomic.Int64
 	mu       sync.Mutex
 	conns    []*relayed
 }
 
 // NewRelay returns a relay on loopback that passes connections on to target.
 func NewRelay(target string) (relay *Relay, err error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	return NewRelayOn("127.0.0.1:0", target)
+}
+
+// NewRelayOn returns a relay that listens at an address.
+func NewRelayOn(address, target string) (relay *Relay, err error) {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for a relay")
 	}
@@ -60,6 +67,25 @@
 	}
 }
 
+// Delay holds bytes up for a span, in both directions; zero ends it.
+func (relay *Relay) Delay(span time.Duration) { relay.delay.Store(int64(span)) }
+
+// Reset resets the open connections.
+func (relay *Relay) Reset() {
+	relay.mu.Lock()
+	conns := relay.conns
+	relay.conns = nil
+	relay.mu.Unlock()
+	for _, conn := range conns {
+		for _, end := range []net.Conn{conn.client, conn.server} {
+			if tcp, is := end.(*net.TCPConn); is {
+				_ = tcp.SetLinger(0)
+			}
+			_ = end.Close()
+		}
+	}
+}
+
 // Connections returns how many connections were ever passed on.
 func (relay *Relay) Connections() int {
 	relay.mu.Lock()
@@ -82,17 +108,20 @@
 		relay.mu.Lock()
 		relay.conns = append(relay.conns, conn)
 		relay.mu.Unlock()
-		go conn.copy(server, client, ToServer)
-		go conn.copy(client, server, ToClient)
+		go conn.copy(server, client, ToServer, &relay.delay)
+		go conn.copy(client, server, ToClient, &relay.delay)
 	}
 }
 
 const relayBuffer = 16 << 10
 
-func (conn *relayed) copy(target, source net.Conn, direction Silence) {
+func (conn *relayed) copy(target, source net.Conn, direction Silence, delay *atomic.Int64) {
 	buffer := make([]byte, relayBuffer)
 	for {
 		size, err := source.Read(buffer)
+		if span := delay.Load(); span > 0 {
+			time.Sleep(time.Duration(span))
+		}
 		silent := Silence(conn.silence.Load())&direction != 0
 		if size > 0 && !silent {
 			if _, writeErr := target.Write(buffer[:size]); writeErr != nil {
