Recall the worker from the log after an agent's restart

Change: one record a worker's life in the log; a restarted agent uses it once the worker has listed under that identity. Test: TestARecalledWorkerIsUsedOnceItHasListed.

--- a/ptroom/ptroom_test.go
+++ b/ptroom/ptroom_test.go
@@ -201,6 +201,25 @@
 	expect.Expect(core.Clean(at(5))).To(BeTrue())
 }
 
+func TestARecalledWorkerIsUsedOnceItHasListed(test *testing.T) {
+	core := ptroom.New(100, start)
+	expect := NewWithT(test)
+	identity := ptrun.WorkerIdentity{ID: "worker", BornAt: time.UnixMilli(5)}
+	core.Announced(ptrun.Worker{WorkerIdentity: identity, Capacity: ptrun.Demand{CPU: 10}}, 0, start)
+	expect.Expect(core.Clean(at(1))).To(BeFalse())
+	expect.Expect(core.Hold(at(1)).Until).To(BeZero(), "its clock is not known")
+	core.Listed(ptrun.Listing{BornAt: time.UnixMilli(5), Clock: 90_000}, at(1), at(2))
+	expect.Expect(core.Clean(at(2))).To(BeTrue())
+	core.Join(owner, at(2))
+	expect.Expect(starts(core.Order(ptroom.Order{Run: run(0, 1), Owner: owner, Demand: ptrun.Demand{CPU: 5}, StartBy: at(40)}, at(3)))).To(HaveLen(1))
+	// Where another life lives at the address by now, it is not used.
+	other := ptroom.New(100, start)
+	other.Announced(ptrun.Worker{WorkerIdentity: identity, Capacity: ptrun.Demand{CPU: 10}}, 0, start)
+	other.Listed(ptrun.Listing{BornAt: time.UnixMilli(9), Clock: 10}, at(1), at(2))
+	_, known := other.Worker()
+	expect.Expect(known).To(BeFalse())
+}
+
 func TestTokenRisesAboveARefusedOne(test *testing.T) {
 	core := ptroom.New(100, start)
 	core.Fenced(100)
--- a/ptrunner/ptrunner.go
+++ b/ptrunner/ptrunner.go
@@ -146,6 +146,17 @@
 	}
 }
 
+// Recalled takes what was kept of the worker before this agent started. Whether it still
+// is the same one shows with the first listing; what it says itself goes before.
+func (runner *Runner) Recalled(worker ptrun.Worker) {
+	runner.mu.Lock()
+	_, known := runner.core.Worker()
+	runner.mu.Unlock()
+	if !known {
+		runner.Announced(worker, 0)
+	}
+}
+
 // Left records that the worker says that it ends.
 func (runner *Runner) Left(id ptrun.WorkerID) {
 	runner.mu.Lock()
