ptassign: a backlog of kept jobs no longer starves the sessions

Ruled out: lost stop orders, they went out in the same millisecond. Change: the list stays sorted, only its first jobs are looked at, demands are cached, ends and timed jobs are looked for apart; a partly adopted gang is stopped; pending means that nothing has started. Tests: TestABacklogIsNotWalkedThroughForEach- Message, TestAdoptedPartOfAGangIsStopped, failed before.

--- a/ptassign/forecast.go
+++ b/ptassign/forecast.go
@@ -50,7 +50,7 @@
 	key := job.key(now)
 	for _, other := range core.waiting {
 		if other.key(now) <= key {
-			ahead += readyDemand(other)
+			ahead += core.readyDemand(other)
 		}
 	}
 	free, held, known, weighted := ptrun.Millicores(0), ptrun.Millicores(0), ptrun.Millicores(0), 0.0
@@ -69,7 +69,7 @@
 			weighted += float64(cpu) * run.expected.Seconds()
 		}
 	}
-	missing := ahead + readyDemand(job) - free
+	missing := ahead + core.readyDemand(job) - free
 	if missing <= 0 {
 		return 0, ahead
 	}
@@ -80,9 +80,15 @@
 	return time.Duration(float64(missing) / float64(held) * mean * float64(time.Second)), ahead
 }
 
-func readyDemand(job *Job) (cpu ptrun.Millicores) {
+// readyDemand returns the processor time that the ready tasks of a job ask for, at least
+// one where there are any.
+func (core *Core) readyDemand(job *Job) (cpu ptrun.Millicores) {
+	if job.ready >= 0 {
+		return job.ready
+	}
 	for _, task := range job.Ready() {
-		cpu += task.Step.Demand.CPU
+		cpu += max(1, task.Step.Demand.CPU)
 	}
+	job.ready = cpu
 	return cpu
 }
--- a/ptassign/kept.go
+++ b/ptassign/kept.go
@@ -25,7 +25,7 @@
 	}
 	span := core.chain(graph, spec.Queue.Name)
 	job = &Job{
-		Job: graph, Queue: spec.Queue, SubmittedAt: now, Deadline: ptid.Never, UsefulBy: ptid.Never, span: span,
+		Job: graph, Queue: spec.Queue, SubmittedAt: now, Deadline: ptid.Never, UsefulBy: ptid.Never, span: span, ready: -1,
 		Objective: now.Add(time.Duration(spec.Queue.Stretch*float64(span)) + spec.Queue.TargetLatency),
 		Kept:      true, Frozen: frozen,
 	}
@@ -33,7 +33,7 @@
 		return job, nil, nil
 	}
 	core.jobs[job.Key()] = job
-	core.waiting = append(core.waiting, job)
+	core.enqueue(job, now)
 	core.place(now)
 	return job, core.take(), nil
 }
@@ -41,6 +41,13 @@
 // Thaw lets a job be placed: the runs of its earlier owner are known.
 func (core *Core) Thaw(job *Job, now ptid.Instant) (effects []Effect) {
 	job.Frozen = false
+	// Of a gang whose members were not all adopted, those that were would wait in vain.
+	for index := range job.Steps {
+		step := ptrun.StepIndex(index)
+		if runs := len(job.GangRuns(step)); job.Steps[index].Gang && runs > 0 && runs < job.Steps[index].Count {
+			core.stopGang(job, step)
+		}
+	}
 	core.place(now)
 	return core.take()
 }
@@ -71,6 +78,7 @@
 		return core.take()
 	}
 	core.book(known, job, job.Task(run.Task), run, now)
+	job.ready = -1
 	return core.take()
 }
 
@@ -82,6 +90,7 @@
 		return nil, false
 	}
 	change := job.Absorb(end)
+	job.ready = -1
 	core.emit(Progressed{Job: job, Agent: name, Run: end.Run})
 	if change.Ended {
 		core.conclude(job, nil)
--- a/ptassign/ptassign.go
+++ b/ptassign/ptassign.go
@@ -125,8 +125,12 @@
 	// Kept jobs were accepted for good: they are never refused or given up.
 	Kept bool
 	// Frozen jobs wait until the runs of an earlier owner are known.
-	Frozen  bool
-	span    time.Duration
+	Frozen bool
+	span   time.Duration
+	// queued is true while the job is on the waiting list; ready is the processor time
+	// that its ready tasks ask for, below zero where it must be counted anew.
+	queued  bool
+	ready   ptrun.Millicores
 	advised map[ptrun.StepIndex]*advice
 }
 
@@ -231,17 +235,22 @@
 	agents  map[ptid.AgentName]*agent
 	ordered []*agent
 	jobs    map[Key]*Job
-	waiting []*Job
-	average map[ptid.ProfileName]float64
-	bias    float64
-	random  *rand.Rand
-	effects []Effect
+	// passing has the jobs that nobody keeps: they end when they can't end in time.
+	passing map[Key]*Job
+	// waiting is sorted by the keys of sortedAt; a job that has become late since stands
+	// too early until the next time.
+	waiting  []*Job
+	sortedAt ptid.Instant
+	average  map[ptid.ProfileName]float64
+	bias     float64
+	random   *rand.Rand
+	effects  []Effect
 }
 
 // New returns a core without jobs or agents.
 func New(seed uint64) *Core {
 	return &Core{
-		agents: make(map[ptid.AgentName]*agent), jobs: make(map[Key]*Job),
+		agents: make(map[ptid.AgentName]*agent), jobs: make(map[Key]*Job), passing: make(map[Key]*Job),
 		average: make(map[ptid.ProfileName]float64), bias: 1,
 		random: rand.New(rand.NewPCG(seed, 1)),
 	}
@@ -287,14 +296,14 @@
 	span := core.chain(graph, spec.Queue.Name)
 	objective := time.Duration(spec.Queue.Stretch*float64(span)) + spec.Queue.TargetLatency
 	job = &Job{
-		Job: graph, Queue: spec.Queue, SubmittedAt: now, Deadline: spec.Deadline, span: span,
+		Job: graph, Queue: spec.Queue, SubmittedAt: now, Deadline: spec.Deadline, span: span, ready: -1,
 		Objective: now.Add(objective), UsefulBy: min(now.Add(UsefulFactor*objective), spec.Deadline),
 	}
 	if refusal = core.refuse(job, now); refusal != nil {
 		return nil, refusal, nil, nil
 	}
-	core.jobs[job.Key()] = job
-	core.waiting = append(core.waiting, job)
+	core.jobs[job.Key()], core.passing[job.Key()] = job, job
+	core.enqueue(job, now)
 	core.place(now)
 	return job, nil, core.take(), nil
 }
@@ -317,10 +326,10 @@
 // Waiting returns how many jobs have tasks that wait for a place.
 func (core *Core) Waiting() int { return len(core.waiting) }
 
-// Pending returns how many jobs of a queue have had no task placed.
+// Pending returns how many jobs of a queue have started nothing.
 func (core *Core) Pending(queue ptid.ProfileName) (pending int) {
 	for _, job := range core.waiting {
-		if job.Queue.Name == queue && job.FirstPlacedAt == 0 {
+		if job.Queue.Name == queue && job.Untouched() {
 			pending++
 		}
 	}
@@ -333,29 +342,74 @@
 // Job returns an open job.
 func (core *Core) Job(key Key) *Job { return core.jobs[key] }
 
-// place gives waiting tasks to agents with room.
+const (
+	// sortInterval is the least time between two sorts of the waiting list, and sortShare
+	// what each job on it adds: a long list must not take the processor from sessions.
+	sortInterval = 25 * time.Millisecond
+	sortShare    = 100 * time.Microsecond
+)
+
+// before reports the order of two waiting jobs.
+func before(left, right *Job, now ptid.Instant) int {
+	return cmp.Or(cmp.Compare(left.key(now), right.key(now)), cmp.Compare(left.Queue.Priority, right.Queue.Priority))
+}
+
+// enqueue puts a job on the waiting list, at its place.
+func (core *Core) enqueue(job *Job, now ptid.Instant) {
+	job.ready = -1
+	if job.queued {
+		return
+	}
+	job.queued = true
+	index, _ := slices.BinarySearchFunc(core.waiting, job, func(other, wanted *Job) int {
+		if before(other, wanted, now) <= 0 {
+			return -1
+		}
+		return 1
+	})
+	core.waiting = slices.Insert(core.waiting, index, job)
+}
+
+// unqueue takes a job off the waiting list.
+func (core *Core) unqueue(job *Job) {
+	if !job.queued {
+		return
+	}
+	job.queued = false
+	if index := slices.Index(core.waiting, job); index >= 0 {
+		core.waiting = slices.Delete(core.waiting, index, index+1)
+	}
+}
+
+// place gives waiting tasks to agents with room. It looks at the first jobs alone: what
+// is behind many that find no room would find none either.
 func (core *Core) place(now ptid.Instant) {
 	if len(core.waiting) == 0 {
 		return
 	}
-	slices.SortStableFunc(core.waiting, func(left, right *Job) int {
-		return cmp.Or(cmp.Compare(left.key(now), right.key(now)), cmp.Compare(left.Queue.Priority, right.Queue.Priority))
-	})
-	blocked := 0
-	kept := core.waiting[:0]
-	for _, job := range core.waiting {
-		if job.State().Ended() {
+	if now.Sub(core.sortedAt) >= sortInterval+time.Duration(len(core.waiting))*sortShare {
+		core.sortedAt = now
+		slices.SortStableFunc(core.waiting, func(left, right *Job) int { return before(left, right, now) })
+	}
+	blocked, seen, kept := 0, 0, 0
+	for ; seen < len(core.waiting) && blocked < scanJobs; seen++ {
+		job := core.waiting[seen]
+		switch {
+		case job.State().Ended():
+			job.queued = false
 			continue
-		}
-		if !job.Frozen && blocked < scanJobs && !core.placeJob(job, now) {
+		case job.Frozen:
+		case !core.placeJob(job, now):
 			blocked++
 		}
-		if len(job.Ready()) > 0 || len(job.PlacedRuns()) == 0 {
-			kept = append(kept, job)
+		if core.readyDemand(job) == 0 && len(job.PlacedRuns()) > 0 {
+			job.queued = false
+			continue
 		}
+		core.waiting[kept] = job
+		kept++
 	}
-	clear(core.waiting[len(kept):])
-	core.waiting = kept
+	core.waiting = slices.Delete(core.waiting, kept, seen)
 }
 
 // placeJob places the ready tasks of a job and reports whether all found room.
@@ -385,6 +439,7 @@
 // order books a run at an agent and sends it.
 func (core *Core) order(chosen *agent, job *Job, task *ptgraph.Task, run ptrun.ID, checkpoint ptrun.Checkpoint, now ptid.Instant) {
 	core.book(chosen, job, task, run, now)
+	job.ready = -1
 	chosen.fitness.placed()
 	if job.FirstPlacedAt == 0 {
 		job.FirstPlacedAt = now
@@ -566,8 +621,8 @@
 		core.conclude(job, nil)
 		return
 	}
-	if !job.State().Ended() && !slices.Contains(core.waiting, job) {
-		core.waiting = append(core.waiting, job)
+	if !job.State().Ended() {
+		core.enqueue(job, now)
 	}
 }
 
@@ -596,6 +651,7 @@
 // conclude takes an ended job off the books and stops what is left of it.
 func (core *Core) conclude(job *Job, refusal *Refusal) {
 	delete(core.jobs, job.Key())
+	delete(core.passing, job.Key())
 	core.unqueue(job)
 	if len(job.PlacedRuns()) > 0 {
 		for _, known := range core.ordered {
@@ -609,12 +665,6 @@
 	core.emit(JobEnded{Job: job, Refusal: refusal})
 }
 
-func (core *Core) unqueue(job *Job) {
-	if index := slices.Index(core.waiting, job); index >= 0 {
-		core.waiting = slices.Delete(core.waiting, index, index+1)
-	}
-}
-
 func (core *Core) stop(known *agent, id ptrun.ID, run *sent, why ptrun.Reason) {
 	if run.stopped {
 		return
@@ -643,8 +693,8 @@
 		}
 		core.watch(known, now)
 	}
-	for _, key := range slices.SortedFunc(maps.Keys(core.jobs), compareKeys) {
-		core.expire(core.jobs[key], now)
+	for _, key := range slices.SortedFunc(maps.Keys(core.passing), compareKeys) {
+		core.expire(core.passing[key], now)
 	}
 	core.place(now)
 	return core.take()
@@ -652,9 +702,6 @@
 
 // expire ends a job that can't end in time any more.
 func (core *Core) expire(job *Job, now ptid.Instant) {
-	if job.Kept {
-		return
-	}
 	untouched := job.Untouched()
 	ends := now
 	if untouched {
--- a/ptassign/ptassign_test.go
+++ b/ptassign/ptassign_test.go
@@ -265,3 +265,40 @@
 	fixture.expect.Expect(again).To(HaveLen(1))
 	fixture.expect.Expect(again[0].Workers).To(ConsistOf(ptrun.WorkerID("worker1")))
 }
+
+// The load: a backlog of kept jobs that fills every worker for minutes. What an entry does
+// for one message must not grow with it, or its sessions starve.
+func TestABacklogIsNotWalkedThroughForEachMessage(test *testing.T) {
+	fixture := newFixture(test, 1)
+	const backlog = 4000
+	var running ptassign.SendOrder
+	for index := range backlog {
+		_, effects, err := fixture.Keep(ptassign.Spec{Queue: queue, Spec: ptgraph.Spec{
+			ID: ptid.JobID(fmt.Sprintf("%016x", index)), MaxAttempts: 3,
+			Steps: []ptgraph.Step{{Count: 1, Demand: ptrun.Demand{CPU: 1000}, Estimate: 50 * time.Millisecond}},
+		}}, nil, false, at(index/100))
+		fixture.expect.Expect(err).NotTo(HaveOccurred())
+		if sent := orders(effects); len(sent) > 0 {
+			running = sent[0]
+		}
+	}
+	allocated := testing.AllocsPerRun(100, func() { fixture.report(0, ptassign.AgentState{}) })
+	fixture.expect.Expect(allocated).To(BeNumerically("<", 1000))
+	fixture.expect.Expect(fixture.Pending(queue.Name)).To(Equal(backlog - 1))
+	next := orders(fixture.RunEnded(running.Agent, ptrun.End{Run: running.Run, Result: ptrun.Done, RunTime: 50 * time.Millisecond}, at(100)))
+	fixture.expect.Expect(next).To(HaveLen(1))
+	// A job that was placed and given back unstarted waits again.
+	fixture.RunEnded(next[0].Agent, ptrun.End{Run: next[0].Run, Result: ptrun.NeverStarted}, at(110))
+	fixture.expect.Expect(fixture.Pending(queue.Name)).To(Equal(backlog - 2))
+}
+
+func TestAdoptedPartOfAGangIsStopped(test *testing.T) {
+	fixture := newFixture(test, 2)
+	job, _, err := fixture.Keep(ptassign.Spec{Queue: queue, Spec: ptgraph.Spec{ID: "00000000000000a1", Steps: []ptgraph.Step{
+		{Count: 2, Demand: ptrun.Demand{CPU: 1000}, Gang: true},
+	}}}, nil, true, at(0))
+	fixture.expect.Expect(err).NotTo(HaveOccurred())
+	former := ptrun.ID{Task: ptrun.TaskID{Job: "00000000000000a1", Index: 1}, Number: 7}
+	fixture.Adopt(agentName(0), former, at(1))
+	fixture.expect.Expect(fixture.Thaw(job, at(2))).To(ContainElement(ptassign.SendStop{Agent: agentName(0), Run: former, Why: ptrun.ReasonGang}))
+}
--- a/ptbroker/kept.go
+++ b/ptbroker/kept.go
@@ -36,6 +36,8 @@
 	// rememberEnded is how long the state of an ended job can be asked for: two minutes
 	// are promised.
 	rememberEnded = 150 * time.Second
+	// forgetInterval paces the look for older ones.
+	forgetInterval = 5 * time.Second
 )
 
 // ack is an end that its agent is to acknowledge once the progress is kept.
@@ -77,6 +79,10 @@
 	// awaited are the agents whose answer to the adoption is due, until thawBy.
 	awaited map[ptid.AgentName]bool
 	takenAt ptid.Instant
+	// timed are the jobs with occurrences to come; forgetAt is when old jobs are next
+	// looked for.
+	timed    map[ptid.JobID]*keptJob
+	forgetAt ptid.Instant
 }
 
 // changed marks a job whose progress is to be kept.
@@ -206,7 +212,7 @@
 		background, stop := context.WithCancel(ctx)
 		held := &owned{
 			number: number, epoch: membership.Epoch, stop: stop, jobs: make(map[ptid.JobID]*keptJob),
-			dirty: make(map[ptid.JobID]bool), frozen: true, takenAt: broker.deps.Clock.Now(),
+			dirty: make(map[ptid.JobID]bool), timed: make(map[ptid.JobID]*keptJob), frozen: true, takenAt: broker.deps.Clock.Now(),
 		}
 		keeper.owned[number] = held
 		go broker.own(background, held)
@@ -337,6 +343,9 @@
 		return
 	}
 	broker.deps.Log.Info("kept job taken", "job", id, "partition", held.number, "epoch", held.epoch, "state", job.progress.State.String(), "times", spec.Times)
+	if job.timed() {
+		held.timed[id] = job
+	}
 	broker.startDue(held, job)
 }
 
@@ -488,15 +497,17 @@
 		if held.frozen && broker.mayThaw(held, now) {
 			broker.thaw(held, now)
 		}
-		for _, id := range slices.Sorted(maps.Keys(held.jobs)) {
-			job := held.jobs[id]
-			switch {
-			case job.timed() && !job.progress.State.Ended():
-				broker.startDue(held, job)
-			case job.progress.State.Ended() && time.Since(job.progress.EndedAt) > rememberEnded:
-				delete(held.jobs, id)
-				go broker.forget(held, id)
+		for _, id := range slices.Sorted(maps.Keys(held.timed)) {
+			job := held.timed[id]
+			if job.progress.State.Ended() || job.next >= job.times() {
+				delete(held.timed, id)
+				continue
 			}
+			broker.startDue(held, job)
+		}
+		if now >= held.forgetAt {
+			held.forgetAt = now.Add(forgetInterval)
+			broker.forgetOld(held)
 		}
 		if len(held.dirty) > 0 && !held.saving {
 			broker.save(held)
@@ -504,6 +515,16 @@
 	}
 }
 
+// forgetOld drops the jobs that ended long ago. The caller holds the lock.
+func (broker *Broker) forgetOld(held *owned) {
+	for id, job := range held.jobs {
+		if job.progress.State.Ended() && job.kept == job.changes && time.Since(job.progress.EndedAt) > rememberEnded {
+			delete(held.jobs, id)
+			go broker.forget(held, id)
+		}
+	}
+}
+
 // mayThaw reports whether every run of the earlier owner is known or over.
 func (broker *Broker) mayThaw(held *owned, now ptid.Instant) bool {
 	if now.Sub(held.takenAt) > ptassign.KeptProvedAfter {
