ptprocess: the rolling restart waits until every entry has every agent

Cause: the test began to restart agents when each entry had one upstream. Ruled out: the product; it refused what it could not place. Change: wait for all sessions at the start and after each restart; the checks are as before.

--- a/ptprocess/ptprocess_test.go
+++ b/ptprocess/ptprocess_test.go
@@ -142,6 +142,27 @@
 	return system
 }
 
+// waitSessions waits until every entry has a session with every agent. An entry is ready
+// with one; where that agent then leaves, its jobs have no upstream, and truly so.
+func (system *system) waitSessions() {
+	GinkgoHelper()
+	wanted := fmt.Sprintf("primrosetiller_sessions %d\n", len(system.agents))
+	for _, admin := range system.admins {
+		Eventually(func() string {
+			response, err := http.Get("http://" + admin + "/metrics")
+			if err != nil {
+				return err.Error()
+			}
+			defer func() { _ = response.Body.Close() }()
+			text, err := io.ReadAll(response.Body)
+			if err != nil {
+				return err.Error()
+			}
+			return string(text)
+		}).WithTimeout(patience).Should(ContainSubstring(wanted))
+	}
+}
+
 // reach asks for a page; an entry is ready with one upstream, and tests ask all of them.
 func reach(url string) (err error) {
 	response, err := http.Get(url)
@@ -328,6 +349,7 @@
 
 	It("completes every job over a rolling restart with SIGTERM", func() {
 		system := start(2, 3)
+		system.waitSessions()
 		stop := make(chan struct{})
 		finished := make(chan map[string]reply, 1)
 		go func() { finished <- system.crowd(6, "plain", 20, stop) }()
@@ -337,6 +359,7 @@
 			Expect(system.agents[i].command.ProcessState.ExitCode()).To(BeZero())
 			system.agents[i] = system.startAgent(i)
 			time.Sleep(300 * time.Millisecond)
+			system.waitSessions()
 		}
 		close(stop)
 		var replies map[string]reply
