pttransport: one accept loop for both kinds of entries

Cause: the loop that accepts agents' connections, and the key under which a stream finds its connection, stood in ptentry and again in ptbroker; Task.Placed had no caller. Ruled out for now: sharing the greeting, whose fields and rules differ. Mechanical, behaviour as it was; no test was changed.

--- a/ptbroker/session.go
+++ b/ptbroker/session.go
@@ -35,8 +35,6 @@
 
 var errReplaced = errors.New("the session was replaced by a newer one")
 
-type connKey struct{}
-
 // link is one session with an agent. It implements ptsession.Handler.
 type link struct {
 	broker   *Broker
@@ -135,7 +133,7 @@
 
 // Session implements the drpc service: it serves one agent until its session ends.
 func (broker *Broker) Session(stream ptwire.DRPCDispatcher_SessionStream) (err error) {
-	conn, _ := stream.Context().Value(connKey{}).(net.Conn)
+	conn := pttransport.Conn(stream.Context())
 	if conn == nil {
 		return errors.New("a session needs its connection")
 	}
@@ -256,7 +254,9 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var group errgroup.Group
-	group.Go(func() error { return broker.accept(background, listener, server) })
+	group.Go(func() error {
+		return pttransport.Serve(background, listener, server, broker.deps.Metrics, broker.deps.Log)
+	})
 	group.Go(func() error { broker.tick(background); return nil })
 	owning, retire := context.WithCancel(background)
 	defer retire()
@@ -305,25 +305,6 @@
 	return links
 }
 
-func (broker *Broker) accept(ctx context.Context, listener net.Listener, server *drpcserver.Server) (err error) {
-	for {
-		conn, err := listener.Accept()
-		if err != nil {
-			if ctx.Err() != nil {
-				return nil
-			}
-			return errors.Wrap(err, "accept a connection")
-		}
-		go func() {
-			defer func() { _ = conn.Close() }()
-			counted := pttransport.Count(conn, broker.deps.Metrics)
-			if err := server.ServeOne(context.WithValue(ctx, connKey{}, conn), counted); err != nil {
-				broker.deps.Log.V(1).Info("connection ended", "remote", conn.RemoteAddr().String(), "error", err.Error())
-			}
-		}()
-	}
-}
-
 func (broker *Broker) tick(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
--- a/ptentry/run.go
+++ b/ptentry/run.go
@@ -44,7 +44,9 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var group errgroup.Group
-	group.Go(func() error { return entry.accept(background, listener, server) })
+	group.Go(func() error {
+		return pttransport.Serve(background, listener, server, entry.deps.Metrics, entry.deps.Log)
+	})
 	// A read of the log may wait for seconds; the end of the entry does not.
 	go entry.follower.Run(background)
 	go entry.claims.Run(background, entry.setting.AgentsListen)
@@ -74,26 +76,6 @@
 	}
 }
 
-// accept serves connections of agents and peers, each on its own.
-func (entry *Entry) accept(ctx context.Context, listener net.Listener, server *drpcserver.Server) (err error) {
-	for {
-		conn, err := listener.Accept()
-		if err != nil {
-			if ctx.Err() != nil {
-				return nil
-			}
-			return errors.Wrap(err, "accept a connection")
-		}
-		go func() {
-			defer func() { _ = conn.Close() }()
-			counted := pttransport.Count(conn, entry.deps.Metrics)
-			if err := server.ServeOne(context.WithValue(ctx, connKey{}, conn), counted); err != nil {
-				entry.deps.Log.V(1).Info("connection ended", "remote", conn.RemoteAddr().String(), "error", err.Error())
-			}
-		}()
-	}
-}
-
 func (entry *Entry) tick(ctx context.Context) {
 	ticker := time.NewTicker(ptsession.TickInterval)
 	defer ticker.Stop()
--- a/ptentry/session.go
+++ b/ptentry/session.go
@@ -19,6 +19,7 @@
 	"github.com/primrosetiller/primrosetiller/ptquota"
 	"github.com/primrosetiller/primrosetiller/ptsched"
 	"github.com/primrosetiller/primrosetiller/ptsession"
+	"github.com/primrosetiller/primrosetiller/pttransport"
 	"github.com/primrosetiller/primrosetiller/ptwire"
 )
 
@@ -34,9 +35,6 @@
 	heartbeatBytes = 96
 )
 
-// connKey is the context key of a session's connection.
-type connKey struct{}
-
 // link is one session with an agent. It implements ptsession.Handler.
 type link struct {
 	entry    *Entry
@@ -61,7 +59,7 @@
 
 // Session implements the drpc service: it serves one agent until its session ends.
 func (entry *Entry) Session(stream ptwire.DRPCDispatcher_SessionStream) (err error) {
-	conn, _ := stream.Context().Value(connKey{}).(net.Conn)
+	conn := pttransport.Conn(stream.Context())
 	if conn == nil {
 		return errors.New("a session needs its connection")
 	}
--- a/ptgraph/ptgraph.go
+++ b/ptgraph/ptgraph.go
@@ -135,9 +135,6 @@
 // Pending reports whether the task waits for a place.
 func (task *Task) Pending() bool { return !task.placed && !task.done }
 
-// Placed reports whether the task has a run that has not ended.
-func (task *Task) Placed() bool { return task.placed }
-
 // Fails returns how many runs of the task have failed.
 func (task *Task) Fails() int { return task.fails }
 
--- /dev/null
+++ b/pttransport/serve.go
@@ -0,0 +1,42 @@
+package pttransport
+
+import (
+	"context"
+	"net"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/primrosetiller/primrosetiller/ptmetric"
+)
+
+// connKey is the context key of a stream's connection.
+type connKey struct{}
+
+// Conn returns the connection of a stream that [Serve] has accepted; nil where there is
+// none.
+func Conn(ctx context.Context) net.Conn {
+	conn, _ := ctx.Value(connKey{}).(net.Conn)
+	return conn
+}
+
+// Serve accepts connections until ctx ends and the listener is closed, and serves each on
+// its own.
+func Serve(ctx context.Context, listener net.Listener, server *drpcserver.Server, set *ptmetric.Set, logger logr.Logger) (err error) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return errors.Wrap(err, "accept a connection")
+		}
+		go func() {
+			defer func() { _ = conn.Close() }()
+			if err := server.ServeOne(context.WithValue(ctx, connKey{}, conn), Count(conn, set)); err != nil {
+				logger.V(1).Info("connection ended", "remote", conn.RemoteAddr().String(), "error", err.Error())
+			}
+		}()
+	}
+}
