--- a/ptdrill/link.go
+++ b/ptdrill/link.go
@@ -31,7 +31,7 @@
 				}
 			})
 		}
-		drill.after(drill.delay(), arrive)
+		drill.After(drill.delay(), arrive)
 	}
 }
 
@@ -43,7 +43,7 @@
 	}
 	target := drill.entries[index]
 	incarnation := target.incarnation
-	drill.after(drill.delay(), func() {
+	drill.After(drill.delay(), func() {
 		if drill.cut[[2]int{index, agent.index}] || agent.sessions[index] != session || target.incarnation != incarnation {
 			return
 		}
@@ -58,20 +58,20 @@
 // dial opens sessions with the entries that can be reached.
 func (agent *agent) dial() {
 	drill := agent.drill
-	if !agent.core.Clean(drill.now) {
+	if !agent.core.Clean(drill.Now()) {
 		return
 	}
 	for index, target := range drill.entries {
-		if agent.sessions[index] != 0 || !target.alive || target.frozenUntil > drill.now || drill.cut[[2]int{index, agent.index}] {
+		if agent.sessions[index] != 0 || !target.alive || target.frozenUntil > drill.Now() || drill.cut[[2]int{index, agent.index}] {
 			continue
 		}
 		agent.lastSession++
 		agent.sessions[index] = agent.lastSession
-		agent.do(agent.core.Join(ptroom.Owner{Entry: target.name(), Incarnation: target.incarnation}, drill.now))
+		agent.do(agent.core.Join(ptroom.Owner{Entry: target.name(), Incarnation: target.incarnation}, drill.Now()))
 		session := agent.lastSession
 		agent.post(index, func(entry *entry) {
 			entry.links[agent.index] = session
-			entry.do(entry.core.Joined(agent.name(), agent.incarnation, service, true, drill.now))
+			entry.do(entry.core.Joined(agent.name(), agent.incarnation, service, true, drill.Now()))
 		})
 	}
 }
@@ -83,7 +83,7 @@
 		agent.post(index, func(entry *entry) {
 			entry.do(entry.core.Reported(agent.name(), ptassign.AgentState{
 				Worker: report.Worker, Capacity: report.Capacity, Held: report.Held, Own: report.Own, Unusable: report.Unusable,
-			}, agent.drill.now))
+			}, agent.drill.Now()))
 		})
 	}
 }
@@ -96,19 +96,19 @@
 		return
 	}
 	agentFinds := time.Duration(drill.random.Int64N(int64(silence)))
-	drill.after(agentFinds, func() {
+	drill.After(agentFinds, func() {
 		drill.awake(agent.frozenUntil, func() {
 			if agent.incarnation == agentIncarnation && agent.sessions[entryIndex] == session {
 				agent.sessions[entryIndex] = 0
-				agent.core.Leave(entry.name(), drill.now)
+				agent.core.Leave(entry.name(), drill.Now())
 			}
 		})
 	})
-	drill.after(time.Duration(drill.random.Int64N(int64(silence))), func() {
+	drill.After(time.Duration(drill.random.Int64N(int64(silence))), func() {
 		drill.awake(entry.frozenUntil, func() {
 			if entry.alive && entry.incarnation == entryIncarnation && entry.links[agentIndex] == session {
 				entry.links[agentIndex] = 0
-				entry.core.Lost(agent.name(), drill.now)
+				entry.core.Lost(agent.name(), drill.Now())
 			}
 		})
 	})
@@ -125,19 +125,19 @@
 				return worker.start(effect.Worker, effect.Token, effect.Start, demand)
 			}, func(clock ptrun.WorkerTime, err error) {
 				agent.noteFenced(effect.Token, err)
-				agent.do(agent.core.Started(effect.Start.Run, clock, err, drill.now))
+				agent.do(agent.core.Started(effect.Start.Run, clock, err, drill.Now()))
 			})
 		case ptroom.StopRun:
 			agent.call(func(worker *worker) error { return worker.stop(effect.Worker, effect.Token, effect.Run) }, func(clock ptrun.WorkerTime, err error) {
 				agent.noteFenced(effect.Token, err)
-				agent.do(agent.core.StopAnswered(effect.Run, clock, err, drill.now))
+				agent.do(agent.core.StopAnswered(effect.Run, clock, err, drill.Now()))
 			})
 		case ptroom.Look:
 			agent.list()
 		case ptroom.Tell:
 			for index, target := range drill.entries {
 				if target.name() == effect.Owner.Entry && target.incarnation == effect.Owner.Incarnation {
-					agent.post(index, func(entry *entry) { entry.do(entry.core.RunEnded(agent.name(), effect.End, drill.now)) })
+					agent.post(index, func(entry *entry) { entry.do(entry.core.RunEnded(agent.name(), effect.End, drill.Now())) })
 				}
 			}
 		case ptroom.TellAll, ptroom.TellAdopted, ptroom.PaceRun:
@@ -156,7 +156,7 @@
 func (agent *agent) call(carry func(worker *worker) error, answer func(clock ptrun.WorkerTime, err error)) {
 	drill, incarnation := agent.drill, agent.incarnation
 	reply := func(wait time.Duration, clock ptrun.WorkerTime, err error) {
-		drill.after(wait, func() {
+		drill.After(wait, func() {
 			drill.awake(agent.frozenUntil, func() {
 				if agent.alive && agent.incarnation == incarnation {
 					answer(clock, err)
@@ -164,7 +164,7 @@
 			})
 		})
 	}
-	drill.after(drill.delay()/10, func() {
+	drill.After(drill.delay()/10, func() {
 		luck := 1000
 		if !drill.calm {
 			luck = drill.random.IntN(100)
@@ -173,7 +173,7 @@
 		case !agent.worker.alive:
 			reply(orderLimit, 0, ptrun.ErrUnanswered)
 		case luck < 4:
-			drill.after(time.Duration(100+drill.random.IntN(6000))*time.Millisecond, func() {
+			drill.After(time.Duration(100+drill.random.IntN(6000))*time.Millisecond, func() {
 				if agent.worker.alive {
 					_ = carry(agent.worker)
 				}
@@ -196,8 +196,8 @@
 	if !known {
 		return
 	}
-	requestedAt, token := drill.now, agent.core.Token()
-	hold := agent.core.Hold(drill.now)
+	requestedAt, token := drill.Now(), agent.core.Token()
+	hold := agent.core.Hold(drill.Now())
 	var listing ptrun.Listing
 	agent.call(func(target *worker) (err error) {
 		listing, err = target.hold(seen.WorkerIdentity, token, hold)
@@ -205,13 +205,13 @@
 	}, func(_ ptrun.WorkerTime, err error) {
 		switch {
 		case err == nil:
-			agent.do(agent.core.Listed(listing, requestedAt, drill.now))
+			agent.do(agent.core.Listed(listing, requestedAt, drill.Now()))
 		case errors.Is(err, ptrun.ErrFenced):
 			agent.core.Fenced(token)
 		case errors.Is(err, ptrun.ErrOtherWorker):
-			agent.do(agent.core.Gone(seen.WorkerIdentity, drill.now))
+			agent.do(agent.core.Gone(seen.WorkerIdentity, drill.Now()))
 		default:
-			agent.do(agent.core.Unreachable(drill.now))
+			agent.do(agent.core.Unreachable(drill.Now()))
 		}
 	})
 }
@@ -222,8 +222,8 @@
 		return
 	}
 	agent.do(agent.core.Announced(ptrun.Worker{
-		WorkerIdentity: agent.worker.identity, Service: service, Capacity: agent.worker.capacity, Sequence: uint64(agent.drill.now),
-	}, agent.worker.clock(), agent.drill.now))
+		WorkerIdentity: agent.worker.identity, Service: service, Capacity: agent.worker.capacity, Sequence: uint64(agent.drill.Now()),
+	}, agent.worker.clock(), agent.drill.Now()))
 }
 
 // fault lets something go wrong.
@@ -241,33 +241,33 @@
 		link := [2]int{entryIndex, agentIndex}
 		drill.cut[link] = true
 		drill.lose(entryIndex, agentIndex)
-		drill.after(span, func() { delete(drill.cut, link) })
+		drill.After(span, func() { delete(drill.cut, link) })
 	case 1:
 		for index := range entries {
 			link := [2]int{index, agentIndex}
 			drill.cut[link] = true
 			drill.lose(index, agentIndex)
-			drill.after(span, func() { delete(drill.cut, link) })
+			drill.After(span, func() { delete(drill.cut, link) })
 		}
 	case 2:
 		drill.killEntry(entry, span)
 	case 3:
 		drill.killAgent(agent, span)
 	case 4:
-		entry.frozenUntil = max(entry.frozenUntil, drill.now.Add(span))
+		entry.frozenUntil = max(entry.frozenUntil, drill.Now().Add(span))
 		for index := range agents {
 			drill.lose(entryIndex, index)
 		}
 		// Callers of a frozen entry wait until their own deadline.
 	case 5:
-		agent.frozenUntil = max(agent.frozenUntil, drill.now.Add(span))
+		agent.frozenUntil = max(agent.frozenUntil, drill.Now().Add(span))
 		for index := range entries {
 			drill.lose(index, agentIndex)
 		}
 	case 6:
 		if agent.worker.alive {
 			agent.worker.crash()
-			drill.after(span, func() {
+			drill.After(span, func() {
 				agent.worker = drill.newWorker(agentIndex)
 				drill.awake(agent.frozenUntil, func() {
 					if agent.alive {
@@ -290,7 +290,7 @@
 	for index := range agents {
 		drill.lose(entry.index, index)
 	}
-	drill.after(span, func() { drill.startEntry(entry.index) })
+	drill.After(span, func() { drill.startEntry(entry.index) })
 }
 
 func (drill *drill) killAgent(agent *agent, span time.Duration) {
@@ -302,7 +302,7 @@
 		drill.lose(index, agent.index)
 	}
 	agent.sessions = [entries]int{}
-	drill.after(span, func() {
+	drill.After(span, func() {
 		agent.frozenUntil = 0
 		drill.startAgent(agent.index)
 	})
--- a/ptdrill/ptdrill.go
+++ b/ptdrill/ptdrill.go
@@ -18,7 +18,6 @@
 package ptdrill
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -31,6 +30,7 @@
 	"github.com/primrosetiller/primrosetiller/ptqueue"
 	"github.com/primrosetiller/primrosetiller/ptroom"
 	"github.com/primrosetiller/primrosetiller/ptrun"
+	"github.com/primrosetiller/primrosetiller/pttimeline"
 )
 
 const (
@@ -52,46 +52,11 @@
 	Starts, Done, Completed, Failed, Refused, GivenUp, Resubmitted, Faults int
 }
 
-// event is something that happens at an instant.
-type event struct {
-	at    ptid.Instant
-	order int
-	do    func()
-}
-
-type events []event
-
-// Len implements heap.Interface.
-func (events events) Len() int { return len(events) }
-
-// Less implements heap.Interface.
-func (events events) Less(i, j int) bool {
-	if events[i].at != events[j].at {
-		return events[i].at < events[j].at
-	}
-	return events[i].order < events[j].order
-}
-
-// Swap implements heap.Interface.
-func (events events) Swap(i, j int) { events[i], events[j] = events[j], events[i] }
-
-// Push implements heap.Interface.
-func (events *events) Push(value any) { *events = append(*events, value.(event)) }
-
-// Pop implements heap.Interface.
-func (events *events) Pop() any {
-	old := *events
-	last := old[len(old)-1]
-	*events = old[:len(old)-1]
-	return last
-}
-
 // drill is one history.
 type drill struct {
+	*pttimeline.Timeline
+
 	random  *rand.Rand
-	now     ptid.Instant
-	queue   events
-	order   int
 	monitor *monitor
 	entries []*entry
 	agents  []*agent
@@ -132,7 +97,7 @@
 // Run plays a history of so many events and returns what happened. err names the first
 // broken invariant.
 func Run(seed uint64, steps int) (report Report, err error) {
-	drill := &drill{random: rand.New(rand.NewPCG(seed, 7)), now: ptid.Instant(time.Hour), cut: make(map[[2]int]bool)}
+	drill := &drill{random: rand.New(rand.NewPCG(seed, 7)), Timeline: pttimeline.New(ptid.Instant(time.Hour)), cut: make(map[[2]int]bool)}
 	drill.monitor = newMonitor()
 	for i := range entries {
 		drill.entries = append(drill.entries, &entry{drill: drill, index: i})
@@ -142,29 +107,23 @@
 		drill.agents = append(drill.agents, &agent{drill: drill, index: i, worker: drill.newWorker(i)})
 		drill.startAgent(i)
 	}
-	drill.every(tick, drill.tick)
-	drill.every(40*time.Millisecond, drill.submit)
-	drill.every(300*time.Millisecond, drill.fault)
+	drill.Every(tick, drill.tick)
+	drill.Every(40*time.Millisecond, drill.submit)
+	drill.Every(300*time.Millisecond, drill.fault)
 	for step := 0; step < steps && drill.monitor.broken == nil; step++ {
-		next := heap.Pop(&drill.queue).(event)
-		drill.now = max(drill.now, next.at)
-		next.do()
+		drill.Step()
 	}
 	if drill.monitor.broken == nil {
 		drill.settle()
 	}
-	return drill.report, errors.Wrapf(drill.monitor.broken, "seed %d at %s", seed, time.Duration(drill.now)-time.Hour)
+	return drill.report, errors.Wrapf(drill.monitor.broken, "seed %d at %s", seed, time.Duration(drill.Now())-time.Hour)
 }
 
 // settle ends faults and load, and expects that everything ends.
 func (drill *drill) settle() {
 	drill.calm = true
 	drill.cut = make(map[[2]int]bool)
-	for until := drill.now.Add(20 * time.Second); drill.now < until; {
-		next := heap.Pop(&drill.queue).(event)
-		drill.now = max(drill.now, next.at)
-		next.do()
-	}
+	drill.RunUntil(drill.Now().Add(20 * time.Second))
 	for _, entry := range drill.entries {
 		if open := entry.core.Open(); open > 0 {
 			drill.monitor.breaks(errors.Errorf("entry %d has %d open jobs after the calm", entry.index, open))
@@ -177,18 +136,6 @@
 	}
 }
 
-func (drill *drill) after(wait time.Duration, do func()) {
-	drill.order++
-	heap.Push(&drill.queue, event{at: drill.now.Add(wait), order: drill.order, do: do})
-}
-
-func (drill *drill) every(wait time.Duration, do func()) {
-	drill.after(wait, func() {
-		do()
-		drill.every(wait, do)
-	})
-}
-
 // delay is the time of a message on its way.
 func (drill *drill) delay() time.Duration {
 	return time.Duration(100+drill.random.IntN(1900)) * time.Microsecond
@@ -196,8 +143,8 @@
 
 // awake runs do when a frozen process goes on.
 func (drill *drill) awake(frozenUntil ptid.Instant, do func()) {
-	if frozenUntil > drill.now {
-		drill.after(frozenUntil.Sub(drill.now), do)
+	if frozenUntil > drill.Now() {
+		drill.After(frozenUntil.Sub(drill.Now()), do)
 		return
 	}
 	do()
@@ -214,7 +161,7 @@
 	agent := drill.agents[index]
 	agent.incarnation++
 	token := ptrun.FenceToken(firstToken + drill.random.IntN(5000))
-	agent.core, agent.alive, agent.demands = ptroom.New(token, drill.now), true, make(map[ptrun.ID]ptrun.Demand)
+	agent.core, agent.alive, agent.demands = ptroom.New(token, drill.Now()), true, make(map[ptrun.ID]ptrun.Demand)
 	agent.announce()
 	incarnation := agent.incarnation
 	var list func()
@@ -223,21 +170,21 @@
 			return
 		}
 		agent.list()
-		drill.after(30*time.Millisecond, list)
+		drill.After(30*time.Millisecond, list)
 	}
-	drill.after(time.Millisecond, list)
+	drill.After(time.Millisecond, list)
 }
 
 func (drill *drill) tick() {
 	for _, entry := range drill.entries {
-		if entry.alive && entry.frozenUntil <= drill.now {
-			entry.do(entry.core.Tick(drill.now))
+		if entry.alive && entry.frozenUntil <= drill.Now() {
+			entry.do(entry.core.Tick(drill.Now()))
 		}
 	}
 	for _, agent := range drill.agents {
 		agent.worker.advance()
-		if agent.alive && agent.frozenUntil <= drill.now {
-			agent.do(agent.core.Tick(drill.now))
+		if agent.alive && agent.frozenUntil <= drill.Now() {
+			agent.do(agent.core.Tick(drill.Now()))
 			agent.dial()
 			agent.report()
 		}
@@ -268,13 +215,13 @@
 // send submits a job to an entry. A caller whose entry is gone or frozen sends it again.
 func (drill *drill) send(spec ptgraph.Spec, index int) {
 	entry := drill.entries[index]
-	if !entry.alive || entry.frozenUntil > drill.now {
+	if !entry.alive || entry.frozenUntil > drill.Now() {
 		return
 	}
 	_, refusal, effects, err := entry.core.Submit(ptassign.Spec{
-		Spec: spec, Deadline: drill.now.Add(4 * time.Second),
+		Spec: spec, Deadline: drill.Now().Add(4 * time.Second),
 		Queue: ptqueue.Queue{Name: "queue", Service: service, Stretch: 2, TargetLatency: time.Second},
-	}, drill.now)
+	}, drill.Now())
 	if err != nil || refusal != nil {
 		drill.report.Refused++
 		return
@@ -283,7 +230,7 @@
 	entry.do(effects)
 	if drill.random.IntN(40) == 0 {
 		wait := time.Duration(drill.random.IntN(400)) * time.Millisecond
-		drill.after(wait, func() { drill.breakCaller(entry, spec) })
+		drill.After(wait, func() { drill.breakCaller(entry, spec) })
 	}
 }
 
@@ -294,7 +241,7 @@
 	}
 	delete(entry.callers, spec.ID)
 	drill.resubmit(spec)
-	drill.awake(entry.frozenUntil, func() { entry.do(entry.core.Cancel(ptassign.Key{ID: spec.ID}, drill.now)) })
+	drill.awake(entry.frozenUntil, func() { entry.do(entry.core.Cancel(ptassign.Key{ID: spec.ID}, drill.Now())) })
 }
 
 func (drill *drill) resubmit(spec ptgraph.Spec) {
@@ -302,7 +249,7 @@
 		return
 	}
 	drill.report.Resubmitted++
-	drill.after(resubmitAfter, func() { drill.send(spec, drill.random.IntN(entries)) })
+	drill.After(resubmitAfter, func() { drill.send(spec, drill.random.IntN(entries)) })
 }
 
 // do carries out an entry's effects.
@@ -315,13 +262,13 @@
 				agent.demands[effect.Run] = effect.Demand
 				agent.do(agent.core.Order(ptroom.Order{
 					Run: effect.Run, Owner: owner, Demand: effect.Demand, StartBy: effect.StartBy, Key: effect.Key,
-				}, agent.drill.now))
+				}, agent.drill.Now()))
 			})
 		case ptassign.SendStop:
-			entry.post(effect.Agent, func(agent *agent) { agent.do(agent.core.Stop(effect.Run, effect.Why, agent.drill.now)) })
+			entry.post(effect.Agent, func(agent *agent) { agent.do(agent.core.Stop(effect.Run, effect.Why, agent.drill.Now())) })
 		case ptassign.SendQuery:
 			owner := ptroom.Owner{Entry: entry.name(), Incarnation: entry.incarnation}
-			entry.post(effect.Agent, func(agent *agent) { agent.do(agent.core.Query(owner, effect.Run, agent.drill.now)) })
+			entry.post(effect.Agent, func(agent *agent) { agent.do(agent.core.Query(owner, effect.Run, agent.drill.Now())) })
 		case ptassign.JobEnded:
 			entry.ended(effect)
 		case ptassign.Progressed:
--- a/ptdrill/worker.go
+++ b/ptdrill/worker.go
@@ -40,15 +40,15 @@
 
 func (drill *drill) newWorker(index int) *worker {
 	return &worker{
-		drill: drill, bornAt: drill.now, capacity: ptrun.Demand{CPU: 10_000, Memory: 10_000}, alive: true,
-		identity: ptrun.WorkerIdentity{ID: ptrun.WorkerID(fmt.Sprint("worker", index)), BornAt: time.UnixMilli(1 + int64(drill.now)/int64(time.Millisecond))},
+		drill: drill, bornAt: drill.Now(), capacity: ptrun.Demand{CPU: 10_000, Memory: 10_000}, alive: true,
+		identity: ptrun.WorkerIdentity{ID: ptrun.WorkerID(fmt.Sprint("worker", index)), BornAt: time.UnixMilli(1 + int64(drill.Now())/int64(time.Millisecond))},
 		runs:     make(map[ptrun.ID]*workerRun), barred: make(map[ptrun.TaskID]ptrun.Number),
 	}
 }
 
 // clock returns the worker's own time, which is slow.
 func (worker *worker) clock() ptrun.WorkerTime {
-	passed := worker.drill.now.Sub(worker.bornAt)
+	passed := worker.drill.Now().Sub(worker.bornAt)
 	return ptrun.WorkerTime((passed - passed/clockSlowness).Milliseconds() + 1)
 }
 
@@ -67,7 +67,7 @@
 		}
 	}
 	for _, id := range slices.SortedFunc(maps.Keys(worker.runs), ptrun.Compare) {
-		if run := worker.runs[id]; worker.drill.now >= run.endsAt {
+		if run := worker.runs[id]; worker.drill.Now() >= run.endsAt {
 			result := ptrun.Done
 			if run.fails {
 				result = ptrun.Failed
@@ -117,7 +117,7 @@
 	worker.extend(start.StartBy)
 	random := worker.drill.random
 	worker.runs[start.Run] = &workerRun{
-		endsAt: worker.drill.now.Add(time.Duration(20+random.IntN(400)) * time.Millisecond), fails: random.IntN(50) == 0, demand: demand,
+		endsAt: worker.drill.Now().Add(time.Duration(20+random.IntN(400)) * time.Millisecond), fails: random.IntN(50) == 0, demand: demand,
 	}
 	worker.drill.monitor.started(start.Run, worker)
 	return nil
