Share the room of a full deployment between entries by what waits at each

Change: entries tell agents at what rate they need room to start in time; agents tell each what the others need, and offer room that ends free in proportion. Forecasts count it.

--- a/ptassign/forecast.go
+++ b/ptassign/forecast.go
@@ -28,9 +28,9 @@
 	case fitting == 0:
 		return &Refusal{Reason: Unfitting, RetryAfter: retryAfter}
 	}
-	wait, ahead := core.forecast(job, now)
+	wait, ahead, supply := core.forecast(job, now)
 	if now.Add(wait) > job.latestStart() && wait > 0 || now.Add(wait+job.span) > job.UsefulBy {
-		return &Refusal{Reason: Forecast, RetryAfter: max(retryAfter, wait), Wait: wait, Ahead: ahead}
+		return &Refusal{Reason: Forecast, RetryAfter: max(retryAfter, wait), Wait: wait, Ahead: ahead, Supply: supply}
 	}
 	return nil
 }
@@ -46,38 +46,64 @@
 
 // forecast returns how long the last ready task of a job will wait for room, from what
 // waits before it and the pace at which runs free room.
-func (core *Core) forecast(job *Job, now ptid.Instant) (wait time.Duration, ahead ptrun.Millicores) {
+func (core *Core) forecast(job *Job, now ptid.Instant) (wait time.Duration, ahead ptrun.Millicores, room Supply) {
 	key := job.key(now)
+	own := core.need(job, now)
 	for _, other := range core.waiting {
+		if other.Queue.Service != job.Queue.Service {
+			continue
+		}
+		own += core.need(other, now)
 		if other.key(now) <= key {
 			ahead += core.readyDemand(other)
 		}
 	}
-	free, held, known, weighted := ptrun.Millicores(0), ptrun.Millicores(0), ptrun.Millicores(0), 0.0
+	room = core.supply(job.Queue.Service, own, now)
+	return room.wait(ahead + core.readyDemand(job)), ahead, room
+}
+
+// Supply is the room that an entry's jobs can have.
+type Supply struct {
+	// Free is there now, Freed becomes free, and goes to this entry.
+	Free  ptrun.Millicores
+	Freed ptrun.MillicoresPerSecond
+}
+
+// supply returns the room that this entry's jobs can have which need it at a rate.
+func (core *Core) supply(service ptid.ServiceName, own ptrun.MillicoresPerSecond, now ptid.Instant) (supply Supply) {
+	held, known, weighted, wanted, told := ptrun.Millicores(0), ptrun.Millicores(0), 0.0, ptrun.MillicoresPerSecond(0), 0
 	for _, agent := range core.ordered {
-		if agent.service != job.Queue.Service || !agent.connected || agent.state.Unusable {
+		if agent.service != service || !agent.connected || agent.state.Unusable {
 			continue
 		}
 		if agent.usable(now) {
-			free += max(0, agent.free().CPU)
+			supply.Free += max(0, agent.free().CPU)
 		}
 		// Room that the runs of other entries free is there for all.
 		held += agent.own.CPU + agent.others.CPU
-		for _, run := range agent.runs {
-			cpu := run.task.Step.Demand.CPU
-			known += cpu
-			weighted += float64(cpu) * run.expected.Seconds()
-		}
+		known += agent.own.CPU
+		weighted += agent.expected
+		wanted += agent.state.Wanted
+		told++
 	}
-	missing := ahead + core.readyDemand(job) - free
-	if missing <= 0 {
-		return 0, ahead
-	}
-	if held == 0 || known == 0 {
-		return 0, ahead
+	if weighted == 0 {
+		return supply
 	}
 	mean := weighted / float64(known)
-	return time.Duration(float64(missing) / float64(held) * mean * float64(time.Second)), ahead
+	// It is offered in proportion to the rates that entries need.
+	others := wanted / ptrun.MillicoresPerSecond(told)
+	supply.Freed = ptrun.MillicoresPerSecond(float64(held)/mean) * own / (own + others)
+	return supply
+}
+
+// wait returns when so much room was there for the entry's jobs; at once where nothing is
+// known of what becomes free.
+func (supply Supply) wait(demand ptrun.Millicores) (wait time.Duration) {
+	missing := demand - supply.Free
+	if missing <= 0 || supply.Freed <= 0 {
+		return 0
+	}
+	return time.Duration(float64(missing) / float64(supply.Freed) * float64(time.Second))
 }
 
 // readyDemand returns the processor time that the ready tasks of a job ask for, at least
@@ -86,8 +112,12 @@
 	if job.ready >= 0 {
 		return job.ready
 	}
-	for _, task := range job.Ready() {
+	for index, task := range job.Ready() {
 		cpu += max(1, task.Step.Demand.CPU)
+		if index == 0 {
+			job.least = task.Step.Room()
+		}
+		job.least = job.least.Min(task.Step.Room())
 	}
 	job.ready = cpu
 	return cpu
--- a/ptassign/kept.go
+++ b/ptassign/kept.go
@@ -59,8 +59,7 @@
 	for _, known := range core.ordered {
 		for id, run := range known.runs {
 			if run.job == job {
-				known.own = known.own.Minus(run.task.Step.Room())
-				delete(known.runs, id)
+				known.unbook(id, run)
 			}
 		}
 	}
--- a/ptassign/ptassign.go
+++ b/ptassign/ptassign.go
@@ -15,8 +15,10 @@
 //     on jobs that still earn their answer in time.
 //  4. Run times are learned: the expected one is the geometric mean of the declared one
 //     and of the queue's average, since both are off by about as much.
-//  5. Workers that fail, hang or are slow get less or nothing (see fitness.go).
-//  6. A task is placed again only when its run is proved to be over: its end was told,
+//  5. Entries tell agents at what rate they need room (see want.go); agents offer the
+//     room that ends free in proportion, so that callers wait alike at every entry.
+//  6. Workers that fail, hang or are slow get less or nothing (see fitness.go).
+//  7. A task is placed again only when its run is proved to be over: its end was told,
 //     another incarnation of the agent has joined, or nothing was heard from the agent
 //     for [ProvedAfter].
 //
@@ -106,9 +108,11 @@
 type Refusal struct {
 	Reason     RefusalReason
 	RetryAfter time.Duration
-	// Wait is the forecast that decided, and Ahead the work before the job.
-	Wait  time.Duration
-	Ahead ptrun.Millicores
+	// Wait is the forecast that decided, Ahead the work before the job, and Supply the room
+	// that it could have.
+	Wait   time.Duration
+	Ahead  ptrun.Millicores
+	Supply Supply
 }
 
 // Job is a job that was taken in.
@@ -127,10 +131,12 @@
 	// Frozen jobs wait until the runs of an earlier owner are known.
 	Frozen bool
 	span   time.Duration
-	// queued is true while the job is on the waiting list; ready is the processor time
-	// that its ready tasks ask for, below zero where it must be counted anew.
-	queued  bool
+	// queued is true while the job is on the waiting list.
+	queued bool
+	// ready is the processor time that its ready tasks ask for, below zero where it must
+	// be counted anew; least is the least that one of them asks for of each resource.
 	ready   ptrun.Millicores
+	least   ptrun.Demand
 	advised map[ptrun.StepIndex]*advice
 }
 
@@ -204,6 +210,8 @@
 	Own      ptrun.Demand
 	Labels   []string
 	Unusable bool
+	// Wanted is the rate at which other entries need room.
+	Wanted ptrun.MillicoresPerSecond
 }
 
 type agent struct {
@@ -219,6 +227,8 @@
 	own         ptrun.Demand
 	runs        map[ptrun.ID]*sent
 	fitness     fitness
+	// expected adds up the expected run times of the runs, weighed by their processor time.
+	expected float64
 }
 
 // free returns the room by all that is known.
@@ -245,13 +255,19 @@
 	bias     float64
 	random   *rand.Rand
 	effects  []Effect
+	// open are the agents that may get tasks now, of all services, and roomiest the most
+	// that one of them has free of each resource; both hold during a call of place.
+	open     []*agent
+	roomiest ptrun.Demand
+	// waitingSince is since when jobs wait, wantsToldAt when all agents were last told.
+	waitingSince, wantsToldAt ptid.Instant
 }
 
 // New returns a core without jobs or agents.
 func New(seed uint64) *Core {
 	return &Core{
 		agents: make(map[ptid.AgentName]*agent), jobs: make(map[Key]*Job), passing: make(map[Key]*Job),
-		average: make(map[ptid.ProfileName]float64), bias: 1,
+		average: make(map[ptid.ProfileName]float64), bias: 1, waitingSince: ptid.Never,
 		random: rand.New(rand.NewPCG(seed, 1)),
 	}
 }
@@ -391,6 +407,7 @@
 		core.sortedAt = now
 		slices.SortStableFunc(core.waiting, func(left, right *Job) int { return before(left, right, now) })
 	}
+	core.lookForRoom(now)
 	blocked, seen, kept := 0, 0, 0
 	for ; seen < len(core.waiting) && blocked < scanJobs; seen++ {
 		job := core.waiting[seen]
@@ -412,8 +429,30 @@
 	core.waiting = slices.Delete(core.waiting, kept, seen)
 }
 
+// lookForRoom finds the agents that may get tasks now.
+func (core *Core) lookForRoom(now ptid.Instant) {
+	core.open = core.open[:0]
+	for _, known := range core.ordered {
+		if known.usable(now) {
+			core.open = append(core.open, known)
+		}
+	}
+	core.measureRoom()
+}
+
+// measureRoom finds the most that an agent has free of each resource.
+func (core *Core) measureRoom() {
+	core.roomiest = ptrun.Demand{}
+	for _, known := range core.open {
+		core.roomiest = core.roomiest.Max(known.free())
+	}
+}
+
 // placeJob places the ready tasks of a job and reports whether all found room.
 func (core *Core) placeJob(job *Job, now ptid.Instant) (all bool) {
+	if core.readyDemand(job) > 0 && job.Queue.Advice == nil && !core.roomiest.Holds(job.least) {
+		return false
+	}
 	ready := job.Ready()
 	for len(ready) > 0 {
 		task := ready[0]
@@ -439,6 +478,7 @@
 // order books a run at an agent and sends it.
 func (core *Core) order(chosen *agent, job *Job, task *ptgraph.Task, run ptrun.ID, checkpoint ptrun.Checkpoint, now ptid.Instant) {
 	core.book(chosen, job, task, run, now)
+	core.measureRoom()
 	job.ready = -1
 	chosen.fitness.placed()
 	if job.FirstPlacedAt == 0 {
@@ -458,15 +498,29 @@
 }
 
 func (core *Core) book(chosen *agent, job *Job, task *ptgraph.Task, run ptrun.ID, now ptid.Instant) {
-	chosen.runs[run] = &sent{job: job, task: task, at: now, expected: core.expected(job.Queue.Name, task.Step)}
+	booked := &sent{job: job, task: task, at: now, expected: core.expected(job.Queue.Name, task.Step)}
+	chosen.runs[run] = booked
 	chosen.own = chosen.own.Plus(task.Step.Room())
+	chosen.expected += booked.weight()
+}
+
+// unbook takes a run off an agent's books.
+func (agent *agent) unbook(id ptrun.ID, run *sent) {
+	delete(agent.runs, id)
+	agent.own = agent.own.Minus(run.task.Step.Room())
+	agent.expected -= run.weight()
+}
+
+// weight returns the expected run time, weighed by the processor time that the run holds.
+func (run *sent) weight() float64 {
+	return float64(run.task.Step.Room().CPU) * run.expected.Seconds()
 }
 
 // choose returns the agent for a task; nil where none has room.
 func (core *Core) choose(job *Job, task *ptgraph.Task, now ptid.Instant) (chosen *agent) {
 	best := math.Inf(1)
-	for _, candidate := range core.ordered {
-		if candidate.service != job.Queue.Service || !candidate.usable(now) || !candidate.free().Holds(task.Step.Room()) {
+	for _, candidate := range core.open {
+		if candidate.service != job.Queue.Service || !candidate.free().Holds(task.Step.Room()) || !candidate.usable(now) {
 			continue
 		}
 		if _, allowed := ticketFor(candidate, job, task, now); !allowed || !fits(candidate, job, task) {
@@ -602,8 +656,7 @@
 	if run == nil {
 		return
 	}
-	delete(known.runs, end.Run)
-	known.own = known.own.Minus(run.task.Step.Room())
+	known.unbook(end.Run, run)
 	core.learn(known, run, end, now)
 	core.ticketRefused(known, run, end)
 	job := run.job
@@ -693,21 +746,29 @@
 		}
 		core.watch(known, now)
 	}
-	for _, key := range slices.SortedFunc(maps.Keys(core.passing), compareKeys) {
-		core.expire(core.passing[key], now)
+	var over []Key
+	for key, job := range core.passing {
+		if now.Add(job.span) >= job.UsefulBy && job.over(now) {
+			over = append(over, key)
+		}
+	}
+	slices.SortFunc(over, compareKeys)
+	for _, key := range over {
+		core.expire(core.passing[key])
 	}
 	core.place(now)
 	return core.take()
 }
 
+// over reports whether a job can't end in time any more.
+func (job *Job) over(now ptid.Instant) bool {
+	return now >= job.UsefulBy || job.Untouched() && now.Add(job.span) >= job.UsefulBy
+}
+
 // expire ends a job that can't end in time any more.
-func (core *Core) expire(job *Job, now ptid.Instant) {
+func (core *Core) expire(job *Job) {
 	untouched := job.Untouched()
-	ends := now
-	if untouched {
-		ends = now.Add(job.span)
-	}
-	if ends < job.UsefulBy || !job.GiveUp() {
+	if !job.GiveUp() {
 		return
 	}
 	var refusal *Refusal
--- a/ptassign/ptassign_test.go
+++ b/ptassign/ptassign_test.go
@@ -302,3 +302,27 @@
 	fixture.Adopt(agentName(0), former, at(1))
 	fixture.expect.Expect(fixture.Thaw(job, at(2))).To(ContainElement(ptassign.SendStop{Agent: agentName(0), Run: former, Why: ptrun.ReasonGang}))
 }
+
+// The load: another entry needs room at ten times the rate of this one. Of the room that
+// ends free this one gets less than a tenth, and its callers are told so.
+func TestForecastCountsWhatOtherEntriesNeed(test *testing.T) {
+	firstRefusal := func(others ptrun.MillicoresPerSecond) (taken int, wait time.Duration) {
+		fixture := newFixture(test, 2)
+		for index := range 2 {
+			fixture.report(index, ptassign.AgentState{Wanted: others})
+		}
+		for {
+			_, refusal, _ := fixture.submit(1, 100*time.Millisecond, at(0))
+			if refusal != nil {
+				return taken, refusal.Wait
+			}
+			taken++
+		}
+	}
+	aloneTaken, aloneWait := firstRefusal(0)
+	// A job of 1,000 that must start within 105 ms needs room at 9,500 a second.
+	sharedTaken, sharedWait := firstRefusal(95_000)
+	expect := NewWithT(test)
+	expect.Expect(sharedTaken).To(BeNumerically("<", aloneTaken))
+	expect.Expect(sharedWait).To(BeNumerically(">", 2*aloneWait))
+}
--- a/ptbroker/ptbroker.go
+++ b/ptbroker/ptbroker.go
@@ -117,6 +117,8 @@
 	draining    atomic.Bool
 	sessions    atomic.Int64
 	count       counters
+	// wants is what waits for room, by service, as of the last tick.
+	wants atomic.Pointer[map[ptid.ServiceName]ptrun.Want]
 
 	mu      sync.Mutex
 	core    *ptassign.Core
@@ -216,7 +218,8 @@
 func (broker *Broker) logRefusal(job ptid.JobID, queue ptid.ProfileName, refusal *ptassign.Refusal) {
 	broker.deps.Metrics.Counter(ptmetric.Refusals, "reason", string(refusal.Reason)).Inc()
 	broker.deps.Log.Info("job refused", "job", job, "queue", queue, "reason", refusal.Reason,
-		"forecast", refusal.Wait.String(), "aheadMillicores", refusal.Ahead, "retryAfter", refusal.RetryAfter.String())
+		"forecast", refusal.Wait.String(), "aheadMillicores", refusal.Ahead, "freeMillicores", refusal.Supply.Free,
+		"freedMillicoresPerSecond", int64(refusal.Supply.Freed), "retryAfter", refusal.RetryAfter.String())
 }
 
 // Abandon records that one caller of a job has gone; with the last one the job ends.
--- a/ptbroker/session.go
+++ b/ptbroker/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -41,8 +42,12 @@
 	greeting *ptwire.Greeting
 	session  *ptsession.Session
 	clock    ptlink.Offset
+	// stampedAt is when the last frame was sent.
+	stampedAt atomic.Int64
 }
 
+func (link *link) sentAt() ptid.Instant { return ptid.Instant(link.stampedAt.Load()) }
+
 func (link *link) name() ptid.AgentName { return ptid.AgentName(link.greeting.Agent) }
 
 func (link *link) order(effect ptassign.SendOrder) {
@@ -81,7 +86,12 @@
 }
 
 // Stamp implements [ptsession.Handler].
-func (link *link) Stamp(*ptsession.Session, *ptwire.Frame) {}
+func (link *link) Stamp(_ *ptsession.Session, frame *ptwire.Frame) {
+	link.stampedAt.Store(int64(link.broker.deps.Clock.Now()))
+	if wants := link.broker.wants.Load(); wants != nil {
+		frame.Want = (*wants)[ptid.ServiceName(link.greeting.Service)].Message()
+	}
+}
 
 // Delivered implements [ptsession.Handler].
 func (link *link) Delivered(*ptsession.Session, []ptid.AttemptID) {}
@@ -127,7 +137,7 @@
 		Capacity: demand(room.CpuMillicores, room.MemoryMebibytes, room.Accelerators),
 		Held:     demand(room.HeldCpuMillicores, room.HeldMemoryMebibytes, room.HeldAccelerators),
 		Own:      demand(room.OwnCpuMillicores, room.OwnMemoryMebibytes, room.OwnAccelerators),
-		Labels:   room.Labels, Unusable: room.Unusable,
+		Labels:   room.Labels, Unusable: room.Unusable, Wanted: ptrun.MillicoresPerSecond(room.WantedRate),
 	}
 }
 
@@ -320,6 +330,22 @@
 		broker.mu.Lock()
 		broker.do(broker.core.Tick(broker.deps.Clock.Now()))
 		broker.tickKept(broker.deps.Clock.Now())
+		broker.tellWants(broker.deps.Clock.Now())
 		broker.mu.Unlock()
 	}
 }
+
+// tellWants lets all frames tell what waits, and sends some alone where jobs wait for
+// longer. The caller holds the lock.
+func (broker *Broker) tellWants(now ptid.Instant) {
+	wants, alone := broker.core.TellWants(now)
+	broker.wants.Store(&wants)
+	if !alone {
+		return
+	}
+	for _, link := range broker.links {
+		if wants[ptid.ServiceName(link.greeting.Service)].Rate > 0 && now.Sub(link.sentAt()) >= ptassign.WantInterval {
+			link.session.Post(func(*ptwire.Frame) {})
+		}
+	}
+}
--- a/ptdrill/link.go
+++ b/ptdrill/link.go
@@ -16,6 +16,7 @@
 // session ends before it arrives.
 func (entry *entry) post(name ptid.AgentName, handle func(agent *agent)) {
 	drill := entry.drill
+	want := entry.core.Wants(drill.Now())[service]
 	for _, target := range drill.agents {
 		session, incarnation := entry.links[target.index], target.incarnation
 		if target.name() != name || session == 0 {
@@ -27,6 +28,7 @@
 			}
 			drill.awake(target.frozenUntil, func() {
 				if target.alive && target.incarnation == incarnation && target.sessions[entry.index] == session {
+					target.do(target.core.Wants(entry.name(), want, drill.Now()))
 					handle(target)
 				}
 			})
@@ -82,7 +84,7 @@
 		report := agent.core.Report(target.name())
 		agent.post(index, func(entry *entry) {
 			entry.do(entry.core.Reported(agent.name(), ptassign.AgentState{
-				Worker: report.Worker, Capacity: report.Capacity, Held: report.Held, Own: report.Own, Unusable: report.Unusable,
+				Worker: report.Worker, Capacity: report.Capacity, Held: report.Held, Own: report.Own, Unusable: report.Unusable, Wanted: report.Wanted,
 			}, agent.drill.Now()))
 		})
 	}
@@ -132,6 +134,8 @@
 				agent.noteFenced(effect.Token, err)
 				agent.do(agent.core.StopAnswered(effect.Run, clock, err, drill.Now()))
 			})
+		case ptroom.OfferRoom:
+			agent.report()
 		case ptroom.Look:
 			agent.list()
 		case ptroom.Tell:
--- a/ptroom/answers.go
+++ b/ptroom/answers.go
@@ -201,6 +201,7 @@
 		return
 	}
 	owner.connected, owner.silentSince = false, now
+	owner.want, owner.offered, owner.share = ptrun.Want{}, ptrun.Demand{}, 0
 	for _, ended := range core.ends {
 		if ended.owner.Entry == entry && ended.forgetAt != ptid.Never {
 			ended.forgetAt = ptid.Never
@@ -266,12 +267,16 @@
 	Own      ptrun.Demand
 	Labels   []string
 	Unusable bool
+	// Wanted is the rate at which other entries need room.
+	Wanted ptrun.MillicoresPerSecond
 }
 
-// Report returns what a frame to an entry tells now. Waiting runs count as held.
+// Report returns what a frame to an entry tells now. Waiting runs and the room that is kept for
+// other entries count as held.
 func (core *Core) Report(entry ptid.EntryName) (report Report) {
 	report = Report{
 		Worker: core.worker.ID, Capacity: core.worker.Capacity, Labels: core.worker.Labels,
+		Wanted:   core.wantedByOthers(entry),
 		Unusable: !core.known || !core.reachable || core.drain || core.worker.Leaving,
 	}
 	for _, run := range core.runs {
@@ -280,6 +285,7 @@
 			report.Own = report.Own.Plus(run.Demand)
 		}
 	}
+	report.Held = report.Held.Plus(core.offeredToOthers(entry))
 	return report
 }
 
--- a/ptroom/ptroom.go
+++ b/ptroom/ptroom.go
@@ -158,7 +158,11 @@
 	Percent int
 }
 
+// OfferRoom asks for a frame to an entry that room is kept for.
+type OfferRoom struct{ Owner Owner }
+
 func (StartRun) isEffect()    {}
+func (OfferRoom) isEffect()   {}
 func (StopRun) isEffect()     {}
 func (Look) isEffect()        {}
 func (Tell) isEffect()        {}
@@ -212,6 +216,12 @@
 	incarnation ptid.Incarnation
 	connected   bool
 	silentSince ptid.Instant
+	want        ptrun.Want
+	// share is the room that the entry has got against what it had waiting.
+	share float64
+	// offered is room that is kept for the entry until offerLapsesAt.
+	offered       ptrun.Demand
+	offerLapsesAt ptid.Instant
 }
 
 // Core is the state of one agent's runs.
@@ -372,15 +382,21 @@
 	if order.kept() && order.Epoch < core.epochs[order.Partition] {
 		return []Effect{Tell{Owner: order.Owner, End: ptrun.End{Run: order.Run, Result: ptrun.NeverStarted, Reason: ptrun.ReasonOtherOwner}}}
 	}
-	core.runs[order.Run] = &run{Order: order, percent: fullPace, asked: fullPace}
+	ordered := &run{Order: order, percent: fullPace, asked: fullPace}
+	core.runs[order.Run] = ordered
+	offered := core.useOffer(&order)
 	switch {
 	case core.drain || core.worker.Leaving:
-		core.neverStarted(core.runs[order.Run], ptrun.ReasonDraining, now)
+		core.neverStarted(ordered, ptrun.ReasonDraining, now)
 	case !core.known || !core.reachable:
-		core.neverStarted(core.runs[order.Run], ptrun.ReasonWorkerAbsent, now)
+		core.neverStarted(ordered, ptrun.ReasonWorkerAbsent, now)
 	case !core.worker.Capacity.Holds(order.Demand):
-		core.neverStarted(core.runs[order.Run], ptrun.ReasonNoRoom, now)
+		core.neverStarted(ordered, ptrun.ReasonNoRoom, now)
 	default:
+		if offered && core.startable(ordered) {
+			// It goes before what waits here: the room was kept for it.
+			core.start(ordered, now)
+		}
 		core.fill(now)
 	}
 	return core.take()
@@ -412,14 +428,24 @@
 
 // fill starts the waiting runs that fit, in the order of their keys.
 func (core *Core) fill(now ptid.Instant) {
+	core.lapseOffers(now)
 	if !core.known || !core.reachable || core.worker.Leaving || core.clock == 0 {
 		return
 	}
 	for _, run := range core.sorted() {
-		if run.state == waiting && !core.taskActive(run) && core.worker.Capacity.Minus(core.held).Holds(run.Demand) {
+		if core.startable(run) {
 			core.start(run, now)
 		}
 	}
+	core.offer(now)
+}
+
+// startable reports whether there is room for a waiting run.
+func (core *Core) startable(run *run) bool {
+	if run.state != waiting || core.clock == 0 || core.taskActive(run) {
+		return false
+	}
+	return core.worker.Capacity.Minus(core.held).Minus(core.offeredToOthers(run.Owner.Entry)).Holds(run.Demand)
 }
 
 // taskActive reports whether another run of the same task may be on the worker.
@@ -494,3 +520,11 @@
 		core.emit(Tell{Owner: run.Owner, End: end})
 	}
 }
+
+// DemandOf returns what a run holds; nothing where there is no such run.
+func (core *Core) DemandOf(id ptrun.ID) (demand ptrun.Demand) {
+	if run := core.runs[id]; run != nil {
+		return run.Demand
+	}
+	return demand
+}
--- a/ptrun/ptrun.go
+++ b/ptrun/ptrun.go
@@ -48,6 +48,8 @@
 	Checkpoint string
 	// Millicores are thousandths of a processor core.
 	Millicores int64
+	// MillicoresPerSecond is a rate at which room is needed or becomes free.
+	MillicoresPerSecond float64
 	// Mebibytes are units of 2^20 bytes.
 	Mebibytes int64
 )
@@ -69,11 +71,30 @@
 	return Demand{demand.CPU - other.CPU, demand.Memory - other.Memory, demand.Accelerators - other.Accelerators}
 }
 
+// Max returns the larger of each component of two vectors.
+func (demand Demand) Max(other Demand) Demand {
+	return Demand{max(demand.CPU, other.CPU), max(demand.Memory, other.Memory), max(demand.Accelerators, other.Accelerators)}
+}
+
+// Min returns the smaller of each component of two vectors.
+func (demand Demand) Min(other Demand) Demand {
+	return Demand{min(demand.CPU, other.CPU), min(demand.Memory, other.Memory), min(demand.Accelerators, other.Accelerators)}
+}
+
 // Holds reports whether other fits into the vector.
 func (demand Demand) Holds(other Demand) bool {
 	return other.CPU <= demand.CPU && other.Memory <= demand.Memory && other.Accelerators <= demand.Accelerators
 }
 
+// Want is what an entry has waiting for want of room.
+type Want struct {
+	// Rate is what must become free for its jobs to start in time; zero means that none
+	// waits.
+	Rate MillicoresPerSecond
+	// Least is the least that one of their tasks asks for of each resource.
+	Least Demand
+}
+
 // TaskID is the identity of a task for life.
 type TaskID struct {
 	Job        ptid.JobID
--- a/ptrun/wire.go
+++ b/ptrun/wire.go
@@ -41,3 +41,21 @@
 		RunTime: time.Duration(end.GetRunNanos()), Checkpoint: Checkpoint(end.GetCheckpoint()),
 	}
 }
+
+// Message returns what waits as a message; nil where nothing does.
+func (want Want) Message() *ptwire.Want {
+	if want.Rate <= 0 {
+		return nil
+	}
+	return &ptwire.Want{
+		Rate: float64(want.Rate), CpuMillicores: int64(want.Least.CPU), MemoryMebibytes: int64(want.Least.Memory), Accelerators: want.Least.Accelerators,
+	}
+}
+
+// FromWant returns what a message says that waits.
+func FromWant(want *ptwire.Want) Want {
+	return Want{
+		Rate:  MillicoresPerSecond(want.GetRate()),
+		Least: Demand{CPU: Millicores(want.GetCpuMillicores()), Memory: Mebibytes(want.GetMemoryMebibytes()), Accelerators: want.GetAccelerators()},
+	}
+}
--- a/ptrunner/ptrunner.go
+++ b/ptrunner/ptrunner.go
@@ -13,7 +13,8 @@
 //     of a former agent. While an entry has runs here, the agent sends heartbeats at
 //     least every [busyHeartbeat], so that a silent one is found in time.
 //  4. Every frame tells the room. Where it has changed and nothing else is sent, a frame
-//     is sent alone, at a pace that falls with the number of entries.
+//     is sent alone, at a pace that falls with the number of entries, and at once where
+//     room is kept for an entry that waits for it.
 //  5. A shutdown refuses what waits, tells the entries, and waits for what runs.
 //
 // # Usage
@@ -62,8 +63,8 @@
 	// tickInterval paces stops, deadlines and the room's frames.
 	tickInterval = 25 * time.Millisecond
 	// roomShare is the least time between two frames that tell of the room alone, for
-	// each entry that is told.
-	roomShare = 8 * time.Millisecond
+	// each entry that is told. Room that an entry waits for is offered at once.
+	roomShare = 32 * time.Millisecond
 	// drainPollInterval paces the wait for the last runs.
 	drainPollInterval = 20 * time.Millisecond
 	// leavingNotice is how long a leaving agent stays so that entries learn of it.
@@ -187,6 +188,10 @@
 			go func() { _ = runner.list(0) }()
 		case ptroom.Tell:
 			runner.tell(effect)
+		case ptroom.OfferRoom:
+			if peer := runner.peers[effect.Owner.Entry]; peer != nil && peer.owner == effect.Owner {
+				peer.session.Post(func(*ptwire.Frame) {})
+			}
 		case ptroom.TellAll:
 			message := effect.End.Message()
 			for _, peer := range runner.peers {
@@ -445,7 +450,8 @@
 	}
 }
 
-// sameRoom reports whether two reports tell an entry the same; its own part it knows.
+// sameRoom reports whether two reports tell an entry the same; its own part it knows, and
+// what others want alone is not worth a frame.
 func sameRoom(left, right ptroom.Report) bool {
 	return left.Worker == right.Worker && left.Capacity == right.Capacity && left.Unusable == right.Unusable &&
 		left.Held.Minus(left.Own) == right.Held.Minus(right.Own) && slices.Equal(left.Labels, right.Labels)
--- a/ptrunner/session.go
+++ b/ptrunner/session.go
@@ -80,7 +80,7 @@
 		CpuMillicores: int64(report.Capacity.CPU), MemoryMebibytes: int64(report.Capacity.Memory), Accelerators: report.Capacity.Accelerators,
 		HeldCpuMillicores: int64(report.Held.CPU), HeldMemoryMebibytes: int64(report.Held.Memory), HeldAccelerators: report.Held.Accelerators,
 		OwnCpuMillicores: int64(report.Own.CPU), OwnMemoryMebibytes: int64(report.Own.Memory), OwnAccelerators: report.Own.Accelerators,
-		Labels: report.Labels, Unusable: report.Unusable,
+		Labels: report.Labels, Unusable: report.Unusable, WantedRate: float64(report.Wanted),
 	}
 }
 
@@ -96,6 +96,7 @@
 	if runner.peers[peer.owner.Entry] != peer {
 		return
 	}
+	runner.do(runner.core.Wants(peer.owner.Entry, ptrun.FromWant(frame.Want), now))
 	for _, ref := range frame.RunAcks {
 		runner.core.Acknowledge(ptrun.FromRef(ref))
 	}
