ptassign: refuse hopeless jobs while their callers still have time

Change: untouched late jobs whose forecast lies past that are refused at once. Ruled out: refusing every late job (some room is left for them between surges). Test: TestHopelessJobsAreRefusedWhileTheirCallersHaveTime, failed before.

--- a/ptassign/forecast.go
+++ b/ptassign/forecast.go
@@ -62,6 +62,37 @@
 	return room.wait(ahead + core.readyDemand(job)), ahead, room
 }
 
+// hopeless returns the untouched jobs that are late, and that by the forecast will still
+// wait when they can't end in time any more.
+//
+// It answers the load of an overload that lasts: their callers are told now, and can look
+// for help elsewhere, where they would wait for nothing.
+func (core *Core) hopeless(now ptid.Instant) (keys []Key) {
+	if len(core.waiting) == 0 {
+		return nil
+	}
+	supplies := make(map[ptid.ServiceName]Supply)
+	for service, want := range core.Wants(now) {
+		supplies[service] = core.supply(service, want.Rate, now)
+	}
+	ahead := make(map[ptid.ServiceName]ptrun.Millicores)
+	for _, job := range core.waiting {
+		service := job.Queue.Service
+		if job.State().Ended() || job.Frozen {
+			continue
+		}
+		ahead[service] += core.readyDemand(job)
+		if job.Kept || now <= job.latestStart() || !job.Untouched() {
+			continue
+		}
+		if wait := supplies[service].wait(ahead[service]); now.Add(wait+job.span) > job.UsefulBy {
+			keys = append(keys, job.Key())
+			ahead[service] -= core.readyDemand(job)
+		}
+	}
+	return keys
+}
+
 // Supply is the room that an entry's jobs can have.
 type Supply struct {
 	// Free is there now, Freed becomes free, and goes to this entry.
--- a/ptassign/ptassign.go
+++ b/ptassign/ptassign.go
@@ -752,8 +752,9 @@
 			over = append(over, key)
 		}
 	}
+	over = append(over, core.hopeless(now)...)
 	slices.SortFunc(over, compareKeys)
-	for _, key := range over {
+	for _, key := range slices.Compact(over) {
 		core.expire(core.passing[key])
 	}
 	core.place(now)
--- a/ptassign/ptassign_test.go
+++ b/ptassign/ptassign_test.go
@@ -303,6 +303,37 @@
 	fixture.expect.Expect(fixture.Thaw(job, at(2))).To(ContainElement(ptassign.SendStop{Agent: agentName(0), Run: former, Why: ptrun.ReasonGang}))
 }
 
+// The load: most workers go away while jobs wait that were taken in by the room of all.
+// Callers whose jobs have become hopeless are told long before these can't end any more.
+func TestHopelessJobsAreRefusedWhileTheirCallersHaveTime(test *testing.T) {
+	const agents = 8
+	fixture := newFixture(test, agents)
+	var running []ptassign.SendOrder
+	for range agents {
+		_, _, effects := fixture.submit(1, 100*time.Millisecond, at(0))
+		running = append(running, orders(effects)...)
+	}
+	var waiting []*ptassign.Job
+	for range agents {
+		job, refusal, _ := fixture.submit(1, 100*time.Millisecond, at(1))
+		fixture.expect.Expect(refusal).To(BeNil())
+		waiting = append(waiting, job)
+	}
+	for index := range agents {
+		if agentName(index) != running[0].Agent {
+			fixture.Lost(agentName(index), at(10))
+		}
+	}
+	fixture.expect.Expect(ended(fixture.Tick(at(50)))).To(BeEmpty(), "they can still start in time")
+	over := ended(fixture.Tick(at(125)))
+	fixture.expect.Expect(len(over)).To(And(BeNumerically(">", 0), BeNumerically("<", agents)))
+	for _, end := range over {
+		fixture.expect.Expect(waiting).To(ContainElement(end.Job))
+		fixture.expect.Expect(end.Refusal.Reason).To(Equal(ptassign.TooLate))
+		fixture.expect.Expect(end.Job.UsefulBy).To(BeNumerically(">", at(500)))
+	}
+}
+
 // The load: another entry needs room at ten times the rate of this one. Of the room that
 // ends free this one gets less than a tenth, and its callers are told so.
 func TestForecastCountsWhatOtherEntriesNeed(test *testing.T) {
