--- /dev/null
+++ b/pttransport/watch_test.go
@@ -0,0 +1,49 @@
+package pttransport_test
+
+import (
+	"net"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/primrosetiller/primrosetiller/pttransport"
+)
+
+func connected(test *testing.T) (client, server net.Conn) {
+	expect := NewWithT(test)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	expect.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = listener.Close() }()
+	client, err = net.Dial("tcp", listener.Addr().String())
+	expect.Expect(err).NotTo(HaveOccurred())
+	server, err = listener.Accept()
+	expect.Expect(err).NotTo(HaveOccurred())
+	test.Cleanup(func() { _, _ = client.Close(), server.Close() })
+	return client, server
+}
+
+func TestAClosedConnectionIsSeen(test *testing.T) {
+	expect := NewWithT(test)
+	client, server := connected(test)
+	watch := pttransport.NewWatch(server)
+	expect.Consistently(watch.Gone(), "20ms").ShouldNot(BeClosed())
+	expect.Expect(client.Close()).To(Succeed())
+	expect.Eventually(watch.Gone()).Should(BeClosed())
+	watch.Stop()
+}
+
+func TestAStoppedWatchLeavesTheConnectionToItsReader(test *testing.T) {
+	expect := NewWithT(test)
+	client, server := connected(test)
+	for range 100 {
+		watch := pttransport.NewWatch(server)
+		_, err := client.Write([]byte("next"))
+		expect.Expect(err).NotTo(HaveOccurred())
+		watch.Stop()
+		expect.Expect(watch.Gone()).NotTo(BeClosed(), "what was sent is not an end")
+		read := make([]byte, 4)
+		_, err = server.Read(read)
+		expect.Expect(err).NotTo(HaveOccurred())
+		expect.Expect(string(read)).To(Equal("next"))
+	}
+}
