--- a/ptoutput/ptoutput.go
+++ b/ptoutput/ptoutput.go
@@ -5,7 +5,9 @@
 //  1. Lines wait in a bounded queue for one writer. Where it is full, or more than
 //     [LinesPerSecond] have come within a second after a burst of [Burst], a line is
 //     dropped and counted.
-//  2. The count is written as a line of its own when there is room again, so that a
+//  2. Lines that come within [gatherFor] are written together, since each write costs as
+//     much as making the line.
+//  3. The count is written as a line of its own when there is room again, so that a
 //     reader knows what is missing.
 //
 // # Usage
@@ -19,6 +21,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -28,6 +31,8 @@
 	LinesPerSecond = 300
 	// Burst is how many lines may come at once, as when a worker is lost.
 	Burst = 600
+	// gatherFor is how long a line waits for others to be written with.
+	gatherFor = 20 * time.Millisecond
 	// queued is how many lines wait for a slow reader of the output.
 	queued = 1024
 )
@@ -36,6 +41,8 @@
 type Writer struct {
 	lines chan []byte
 	done  chan struct{}
+	// closing is set when nothing more is to be waited for.
+	closing atomic.Bool
 
 	mu      sync.Mutex
 	credit  float64
@@ -47,16 +54,25 @@
 // New returns a writer to output.
 func New(output io.Writer) *Writer {
 	writer := &Writer{lines: make(chan []byte, queued), done: make(chan struct{}), credit: Burst, last: time.Now()}
-	go func() {
-		defer close(writer.done)
-		for line := range writer.lines {
-			// There is nowhere to tell that the output is gone.
-			_, _ = output.Write(line)
-		}
-	}()
+	go writer.run(output)
 	return writer
 }
 
+// run writes the lines that wait, until the writer is closed.
+func (writer *Writer) run(output io.Writer) {
+	defer close(writer.done)
+	for line := range writer.lines {
+		if !writer.closing.Load() {
+			time.Sleep(gatherFor)
+		}
+		for more := len(writer.lines); more > 0; more-- {
+			line = append(line, <-writer.lines...)
+		}
+		// There is nowhere to tell that the output is gone.
+		_, _ = output.Write(line)
+	}
+}
+
 // Write implements io.Writer. It never fails: a line that finds no room is counted.
 func (writer *Writer) Write(line []byte) (size int, err error) {
 	writer.mu.Lock()
@@ -98,6 +114,7 @@
 	writer.mu.Lock()
 	if !writer.closed {
 		writer.closed = true
+		writer.closing.Store(true)
 		close(writer.lines)
 	}
 	writer.mu.Unlock()
