demo: end with the figures, and show no cost that can't be told apart

Cause: the demo's figures stood between the log lines of its shutdown, and an agent's processor time and memory were shown as 0 since all run in one process. Change: the log is closed before the shutdown, the report printed after it; one line tells the costs of all together. Test: TestDemoEndsWithItsFigures, failed before.

--- a/ptcmd/demo.go
+++ b/ptcmd/demo.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -48,34 +49,49 @@
 	if err := call.parse(); err != nil {
 		return err
 	}
+	report, err := call.demo(ctx, *seed)
+	if err != nil {
+		return err
+	}
+	return call.printReport(report, false)
+}
+
+// demo shows some jobs, and returns the report of a load on the same processes, which have
+// ended then.
+func (call *invocation) demo(ctx context.Context, seed uint64) (report *ptload.Report, err error) {
 	call.printf("starting the log stand-in, %d entries, %d agents with a stand-in upstream each\n", demoEntries, demoAgents)
+	log := &closable{output: call.errors}
 	cluster, err := ptcluster.Start(ptcluster.Setting{
 		Entries: demoEntries, Agents: demoAgents, Slots: demoSlots, Ahead: ptcluster.DefaultAhead,
-		Services: []ptid.ServiceName{"callbackDesk", "benchDiagnostics", "benchDiagnostics"}, Seed: *seed, Log: call.logger("demo"),
+		Services: []ptid.ServiceName{"callbackDesk", "benchDiagnostics", "benchDiagnostics"}, Seed: seed, Log: call.loggerTo(log, "demo"),
 	})
 	if err != nil {
-		return err
+		return nil, err
 	}
-	defer cluster.Stop()
+	defer func() {
+		// What the processes say of their end would stand between the reader and the figures.
+		log.close()
+		cluster.Stop()
+	}()
 	for _, file := range []struct {
 		name string
 		text []byte
 	}{{"examples/gwasanaeth.yaml", ptexamples.Gwasanaeth}, {"examples/gulong.yaml", ptexamples.Gulong}} {
 		set, err := ptprofile.Parse(file.name, file.text)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		if err := cluster.Apply(ctx, set); err != nil {
-			return err
+			return nil, err
 		}
 		call.printf("applied %s: revision %d in force at every entry\n", file.name, cluster.Entries[0].Entry.Revision())
 	}
 	for i, job := range demoJobs {
 		if err := call.demoJob(cluster, cluster.Entries[i%demoEntries], job); err != nil {
-			return err
+			return nil, err
 		}
 	}
-	return call.demoLoad(ctx, cluster, *seed)
+	return call.demoLoad(ctx, cluster, seed)
 }
 
 func (call *invocation) demoJob(cluster *ptcluster.Cluster, entry *ptcluster.Entry, job demoJob) (err error) {
@@ -114,7 +130,7 @@
 	return string(text)
 }
 
-func (call *invocation) demoLoad(ctx context.Context, cluster *ptcluster.Cluster, seed uint64) (err error) {
+func (call *invocation) demoLoad(ctx context.Context, cluster *ptcluster.Cluster, seed uint64) (report *ptload.Report, err error) {
 	setting := ptload.Setting{
 		Profile: "windingAnalysis", Jobs: 60, TasksPerJob: []int{1, 5, 20}, JobsPerSec: 12,
 		RunTime: ptload.Lognormal{Median: 80 * time.Millisecond, P99: 400 * time.Millisecond}, Seed: seed,
@@ -123,9 +139,29 @@
 	targets := Targets(cluster)
 	// Two of the three upstreams run this service.
 	targets.Slots = 2 * demoSlots
-	report, err := ptload.Run(ctx, ptload.NewPlan(setting, demoEntries), targets)
-	if err != nil {
-		return err
+	return ptload.Run(ctx, ptload.NewPlan(setting, demoEntries), targets)
+}
+
+// closable is an output that can be closed; what is written later is dropped. It is safe
+// for concurrent use.
+type closable struct {
+	mu     sync.Mutex
+	output io.Writer
+	closed bool
+}
+
+// Write implements io.Writer.
+func (closable *closable) Write(text []byte) (size int, err error) {
+	closable.mu.Lock()
+	defer closable.mu.Unlock()
+	if closable.closed {
+		return len(text), nil
 	}
-	return call.printReport(report, false)
+	return closable.output.Write(text)
+}
+
+func (closable *closable) close() {
+	closable.mu.Lock()
+	defer closable.mu.Unlock()
+	closable.closed = true
 }
--- a/ptcmd/ptcmd.go
+++ b/ptcmd/ptcmd.go
@@ -152,12 +152,14 @@
 }
 
 // logger returns the process's structured log, and sends broken invariants there.
-func (call *invocation) logger(name string) logr.Logger {
+func (call *invocation) logger(name string) logr.Logger { return call.loggerTo(call.errors, name) }
+
+func (call *invocation) loggerTo(output io.Writer, name string) logr.Logger {
 	level := slog.LevelInfo
 	if *call.verbose {
 		level = slog.LevelDebug
 	}
-	logger := logr.FromSlogHandler(slog.NewJSONHandler(call.errors, &slog.HandlerOptions{Level: level})).WithName(name)
+	logger := logr.FromSlogHandler(slog.NewJSONHandler(output, &slog.HandlerOptions{Level: level})).WithName(name)
 	ptassert.Report(func(invariant string, details []any) {
 		logger.Error(errors.New(invariant), "invariant broken", details...)
 	})
--- a/ptcmd/ptcmd_test.go
+++ b/ptcmd/ptcmd_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -60,3 +61,13 @@
 		NewWithT(t).Expect(output).To(ContainSubstring("valid"))
 	}
 }
+
+func TestDemoEndsWithItsFigures(t *testing.T) {
+	expect := NewWithT(t)
+	status, output, errors := run("demo")
+	expect.Expect(status).To(BeZero(), errors)
+	lines := strings.Split(strings.TrimSpace(output), "\n")
+	expect.Expect(lines[len(lines)-1]).To(Equal("violations 0"))
+	expect.Expect(errors).NotTo(ContainSubstring("drains"), "the log lines of the shutdown")
+	expect.Expect(output).NotTo(ContainSubstring("agents 0.0 us"), "a cost that can't be told apart")
+}
--- a/ptload/report.go
+++ b/ptload/report.go
@@ -254,7 +254,12 @@
 	line("  task messages: %s", kindsText(report.Messages))
 	line("  wasted:        %s", kindsText(report.Wasted))
 	line("  control:       %s", kindsText(report.Control))
-	line("processor time a task: entries %.1f us, agents %.1f us; resident: entry %.1f MB, agent %.1f MB", report.EntryMicrosPerTask, report.AgentMicrosPerTask, report.EntryMegabytes, report.AgentMegabytes)
+	if report.AgentMegabytes > 0 {
+		line("processor time a task: entries %.1f us, agents %.1f us; resident: entry %.1f MB, agent %.1f MB", report.EntryMicrosPerTask, report.AgentMicrosPerTask, report.EntryMegabytes, report.AgentMegabytes)
+	} else {
+		// Where all run in one process, an agent has no figures of its own.
+		line("processor time a task: %.1f us, entries, agents and load together; resident together: %.1f MB", report.EntryMicrosPerTask, report.EntryMegabytes)
+	}
 	for _, reason := range slices.Sorted(maps.Keys(report.Reasons)) {
 		line("  reason %s: %d", reason, report.Reasons[reason])
 	}
