Let orders wait for room from their arrival, not from their sending

An entry that was busy for 40 ms once (it had all of its zone's callers, on 0.192 of a core) sent orders that came too late; all were given back and sent again, which kept it busy. Ruled out: few sessions (53 on each entry), unequal callers alone (since connections end by age), offers (the same churn without them). Change: an order says how long it may wait for room, counted from its arrival; what bounds it from its sending is half a second. Test: TestOrdersThatComeLateStartWhere- ThereIsRoom, failed before (nothing started).

--- a/ptassign/ptassign.go
+++ b/ptassign/ptassign.go
@@ -55,6 +55,9 @@
 	ProvedAfter = 2500 * time.Millisecond
 	// UsefulFactor is how many times its objective a job may take and still be useful.
 	UsefulFactor = 3
+	// OrderLife is until when an order may reach its agent: an entry or a link that is busy
+	// holds it up by some hundreds of milliseconds at most.
+	OrderLife = 500 * time.Millisecond
 	// WaitAtAgent is how long an order may wait for room at its agent. Room that was
 	// free by the last report is taken by another entry at times, and freed soon.
 	WaitAtAgent = 40 * time.Millisecond
@@ -148,11 +151,15 @@
 
 // SendOrder sends a run to an agent.
 type SendOrder struct {
-	Agent   ptid.AgentName
-	Run     ptrun.ID
-	Job     *Job
-	Demand  ptrun.Demand
+	Agent  ptid.AgentName
+	Run    ptrun.ID
+	Job    *Job
+	Demand ptrun.Demand
+	// StartBy is after when nothing is started; Wait is how long the run may wait for room.
+	// It counts from the arrival: counted from here, the orders of an entry that is behind
+	// with its work would all come too late, and their return would be work again.
 	StartBy ptid.Instant
+	Wait    time.Duration
 	Key     ptid.Instant
 	// Checkpoint is what the run resumes from.
 	Checkpoint ptrun.Checkpoint
@@ -484,16 +491,16 @@
 	if job.FirstPlacedAt == 0 {
 		job.FirstPlacedAt = now
 	}
-	startBy := now.Add(WaitAtAgent)
+	startBy, wait := now.Add(OrderLife), WaitAtAgent
 	if task.Step.Gang {
-		startBy = now.Add(GangWaitAtAgent)
+		wait = GangWaitAtAgent
 	}
 	if !job.Kept {
 		startBy = min(startBy, job.Deadline)
 	}
 	text, _ := ticketFor(chosen, job, task, now)
 	core.emit(SendOrder{
-		Agent: chosen.name, Ticket: text, Run: run, Job: job, Demand: task.Step.Room(), StartBy: startBy, Key: job.key(now), Checkpoint: checkpoint,
+		Agent: chosen.name, Ticket: text, Run: run, Job: job, Demand: task.Step.Room(), StartBy: startBy, Wait: wait, Key: job.key(now), Checkpoint: checkpoint,
 	})
 }
 
--- a/ptbroker/session.go
+++ b/ptbroker/session.go
@@ -55,7 +55,7 @@
 	order := &ptwire.RunOrder{
 		Run: effect.Run.Ref(), Spec: effect.Job.Payload, CpuMillicores: int64(effect.Demand.CPU),
 		MemoryMebibytes: int64(effect.Demand.Memory), Accelerators: effect.Demand.Accelerators,
-		StartByNanos: int64(link.clock.Convert(effect.StartBy)), OrderNanos: int64(link.clock.Convert(effect.Key)),
+		StartByNanos: int64(link.clock.Convert(effect.StartBy)), WaitNanos: int64(effect.Wait), OrderNanos: int64(link.clock.Convert(effect.Key)),
 		Checkpoint: string(effect.Checkpoint), Ticket: effect.Ticket, Endless: step.Endless, Filling: step.Filling, TailTargetNanos: int64(step.TailTarget),
 	}
 	if effect.Job.Kept {
--- a/ptroom/answers.go
+++ b/ptroom/answers.go
@@ -238,7 +238,7 @@
 func (core *Core) Tick(now ptid.Instant) (effects []Effect) {
 	for _, run := range core.sorted() {
 		switch {
-		case run.state == waiting && now >= run.StartBy:
+		case run.state == waiting && now >= min(run.WaitUntil, run.StartBy):
 			core.neverStarted(run, ptrun.ReasonStartDeadline, now)
 		case run.state == stopping && !run.stopAcked && now >= run.stopAgain:
 			core.orderStop(run, now)
--- a/ptroom/offers_test.go
+++ b/ptroom/offers_test.go
@@ -28,7 +28,7 @@
 }
 
 func (fixture *fixture) orderOf(from ptroom.Owner, id ptrun.ID, now ptid.Instant) []ptroom.Effect {
-	return fixture.Order(ptroom.Order{Run: id, Owner: from, Demand: ptrun.Demand{CPU: 4000}, StartBy: now.Add(40 * time.Millisecond), Key: now}, now)
+	return fixture.Order(ptroom.Order{Run: id, Owner: from, Demand: ptrun.Demand{CPU: 4000}, StartBy: now.Add(time.Second), WaitUntil: now.Add(40 * time.Millisecond), Key: now}, now)
 }
 
 // end lets a run of four cores start and end.
--- a/ptroom/ptroom.go
+++ b/ptroom/ptroom.go
@@ -6,7 +6,7 @@
 //  1. Nothing else calls the worker, so the core alone keeps its room. A run holds its
 //     demand from the start order until its end is proved; a stop in progress counts.
 //  2. Ordered runs that do not fit wait, in the order of their key, until their
-//     startBy; then they are refused as never started.
+//     WaitUntil; then they are refused as never started.
 //  3. Each start order carries a deadline on the worker's clock ([StartWithin]), so one
 //     that is carried out late does nothing. A start without an answer is resolved by a
 //     listing that was asked for afterwards: the run is in it, or it is stopped, or the
@@ -92,11 +92,14 @@
 
 // Order asks for a run.
 type Order struct {
-	Run        ptrun.ID
-	Owner      Owner
-	Spec       string
-	Demand     ptrun.Demand
+	Run    ptrun.ID
+	Owner  Owner
+	Spec   string
+	Demand ptrun.Demand
+	// StartBy is after when nothing is started, WaitUntil after when the run no longer waits
+	// for room.
 	StartBy    ptid.Instant
+	WaitUntil  ptid.Instant
 	Key        ptid.Instant
 	Checkpoint ptrun.Checkpoint
 	Ticket     string
--- a/ptroom/ptroom_test.go
+++ b/ptroom/ptroom_test.go
@@ -42,7 +42,7 @@
 }
 
 func (fixture *fixture) order(id ptrun.ID, cpu ptrun.Millicores, now ptid.Instant) []ptroom.Effect {
-	return fixture.Order(ptroom.Order{Run: id, Owner: owner, Demand: ptrun.Demand{CPU: cpu}, StartBy: now.Add(40 * time.Millisecond), Key: now}, now)
+	return fixture.Order(ptroom.Order{Run: id, Owner: owner, Demand: ptrun.Demand{CPU: cpu}, StartBy: now.Add(time.Second), WaitUntil: now.Add(40 * time.Millisecond), Key: now}, now)
 }
 
 func (fixture *fixture) list(clock ptrun.WorkerTime, requested, now ptid.Instant, ends []ptrun.ListedEnd, active ...ptrun.ID) []ptroom.Effect {
@@ -211,7 +211,7 @@
 	core.Listed(ptrun.Listing{BornAt: time.UnixMilli(5), Clock: 90_000}, at(1), at(2))
 	expect.Expect(core.Clean(at(2))).To(BeTrue())
 	core.Join(owner, at(2))
-	expect.Expect(starts(core.Order(ptroom.Order{Run: run(0, 1), Owner: owner, Demand: ptrun.Demand{CPU: 5}, StartBy: at(40)}, at(3)))).To(HaveLen(1))
+	expect.Expect(starts(core.Order(ptroom.Order{Run: run(0, 1), Owner: owner, Demand: ptrun.Demand{CPU: 5}, StartBy: at(40), WaitUntil: at(40)}, at(3)))).To(HaveLen(1))
 	// Where another life lives at the address by now, it is not used.
 	other := ptroom.New(100, start)
 	other.Announced(ptrun.Worker{WorkerIdentity: identity, Capacity: ptrun.Demand{CPU: 10}}, 0, start)
@@ -250,7 +250,7 @@
 	fixture := newFixture(test)
 	expect := fixture.expect
 	kept := run(0, ptkept.FirstNumber(4)+1)
-	fixture.Order(ptroom.Order{Run: kept, Owner: owner, Demand: ptrun.Demand{CPU: 10}, StartBy: at(50), Epoch: 4, Partition: 2}, at(1))
+	fixture.Order(ptroom.Order{Run: kept, Owner: owner, Demand: ptrun.Demand{CPU: 10}, StartBy: at(50), WaitUntil: at(50), Epoch: 4, Partition: 2}, at(1))
 	fixture.Started(kept, 1001, nil, at(2))
 	done := []ptrun.ListedEnd{{Sequence: 7, End: ptrun.End{Run: kept, Result: ptrun.Done}}}
 	expect.Expect(told(fixture.list(1010, at(8), at(9), done))).To(HaveLen(1))
@@ -263,7 +263,7 @@
 	fixture := newFixture(test)
 	expect := fixture.expect
 	kept, next := run(0, ptkept.FirstNumber(4)+1), ptroom.Owner{Entry: "next", Incarnation: 1}
-	fixture.Order(ptroom.Order{Run: kept, Owner: owner, Demand: ptrun.Demand{CPU: 10}, StartBy: at(50), Epoch: 4, Partition: 2}, at(1))
+	fixture.Order(ptroom.Order{Run: kept, Owner: owner, Demand: ptrun.Demand{CPU: 10}, StartBy: at(50), WaitUntil: at(50), Epoch: 4, Partition: 2}, at(1))
 	fixture.Started(kept, 1001, nil, at(2))
 	fixture.Join(next, at(3))
 	var adopted ptroom.TellAdopted
@@ -274,7 +274,7 @@
 	}
 	expect.Expect(adopted.Runs).To(ConsistOf(kept))
 	refused := told(fixture.Order(ptroom.Order{
-		Run: run(1, ptkept.FirstNumber(4)+1), Owner: owner, Demand: ptrun.Demand{CPU: 10}, StartBy: at(50), Epoch: 4, Partition: 2,
+		Run: run(1, ptkept.FirstNumber(4)+1), Owner: owner, Demand: ptrun.Demand{CPU: 10}, StartBy: at(50), WaitUntil: at(50), Epoch: 4, Partition: 2,
 	}, at(5)))
 	expect.Expect(refused).To(HaveLen(1))
 	expect.Expect(refused[0].Reason).To(Equal(ptrun.ReasonOtherOwner))
@@ -286,7 +286,7 @@
 func TestLeaseLapsesWhereKeptEndsReachNobody(test *testing.T) {
 	fixture := newFixture(test)
 	kept := run(0, ptkept.FirstNumber(4)+1)
-	fixture.Order(ptroom.Order{Run: kept, Owner: owner, Demand: ptrun.Demand{CPU: 10}, StartBy: at(50), Epoch: 4, Partition: 2}, at(1))
+	fixture.Order(ptroom.Order{Run: kept, Owner: owner, Demand: ptrun.Demand{CPU: 10}, StartBy: at(50), WaitUntil: at(50), Epoch: 4, Partition: 2}, at(1))
 	fixture.Started(kept, 1001, nil, at(2))
 	fixture.list(1010, at(8), at(9), []ptrun.ListedEnd{{Sequence: 1, End: ptrun.End{Run: kept, Result: ptrun.Done}}})
 	fixture.Leave(owner.Entry, at(10))
@@ -301,8 +301,8 @@
 func TestFillingRunsGiveWayToATailNearItsTarget(test *testing.T) {
 	fixture := newFixture(test)
 	serving, filling := run(0, 1), run(1, 1)
-	fixture.Order(ptroom.Order{Run: serving, Owner: owner, Demand: ptrun.Demand{CPU: 10}, StartBy: at(50), TailTarget: 100 * time.Millisecond}, at(1))
-	fixture.Order(ptroom.Order{Run: filling, Owner: owner, StartBy: at(50), Filling: true}, at(1))
+	fixture.Order(ptroom.Order{Run: serving, Owner: owner, Demand: ptrun.Demand{CPU: 10}, StartBy: at(50), WaitUntil: at(50), TailTarget: 100 * time.Millisecond}, at(1))
+	fixture.Order(ptroom.Order{Run: filling, Owner: owner, StartBy: at(50), WaitUntil: at(50), Filling: true}, at(1))
 	fixture.Started(serving, 1001, nil, at(2))
 	fixture.Started(filling, 1001, nil, at(2))
 	fixture.Listed(ptrun.Listing{BornAt: time.UnixMilli(5), Clock: 1010, Active: []ptrun.ListedRun{
@@ -317,3 +317,22 @@
 	}
 	fixture.expect.Expect(percent).To(Equal([]int{0}))
 }
+
+// The load: an entry that is behind with its work. Its orders come when the time that they
+// may wait would long be over; there is room, so they start.
+func TestOrdersThatComeLateStartWhereThereIsRoom(test *testing.T) {
+	fixture := newFixture(test)
+	expect := fixture.expect
+	order := func(index, arrives int) []ptroom.Effect {
+		return fixture.Order(ptroom.Order{
+			Run: run(index, 1), Owner: owner, Demand: ptrun.Demand{CPU: 3000},
+			StartBy: at(500), WaitUntil: at(arrives + 40), Key: at(1),
+		}, at(arrives))
+	}
+	expect.Expect(starts(order(0, 300))).To(ConsistOf(run(0, 1)))
+	// Where there is none it waits from its arrival on.
+	expect.Expect(starts(order(1, 310))).To(BeEmpty())
+	expect.Expect(told(fixture.Tick(at(345)))).To(BeEmpty())
+	expect.Expect(told(fixture.Tick(at(351)))).To(HaveLen(1))
+	expect.Expect(starts(order(2, 501))).To(BeEmpty(), "an order from before a long silence")
+}
--- a/ptrunner/session.go
+++ b/ptrunner/session.go
@@ -112,7 +112,7 @@
 			Demand: ptrun.Demand{
 				CPU: ptrun.Millicores(order.CpuMillicores), Memory: ptrun.Mebibytes(order.MemoryMebibytes), Accelerators: order.Accelerators,
 			},
-			StartBy: ptid.Instant(order.StartByNanos), Key: ptid.Instant(order.OrderNanos), Checkpoint: ptrun.Checkpoint(order.Checkpoint),
+			StartBy: ptid.Instant(order.StartByNanos), WaitUntil: now.Add(time.Duration(order.WaitNanos)), Key: ptid.Instant(order.OrderNanos), Checkpoint: ptrun.Checkpoint(order.Checkpoint),
 			Partition: ptkept.Partition(order.Partition), Epoch: ptkept.Epoch(order.Epoch), Ticket: order.Ticket,
 			Filling: order.Filling, TailTarget: time.Duration(order.TailTargetNanos),
 		}, now))
