ptbroker: a later owner looks up the jobs of runs that it does not know

A job was put just after the later owner of its partition had read the specs; the former owner read it first and started it. The later owner told the agents to stop the unknown runs, learned of the job a moment later, and placed it while the stops were on their way. By the same gap an end of such a job would have been acknowledged, and progress that the former owner had kept left out. Ruled out: late orders (none in the traces), fences, run numbers (they rise). Change: runs and ends of unknown jobs wait until the job was looked up in the log; runs are adopted, or stopped where the log has no such job. Kept progress waits for its spec. Besides: records of long ended jobs are taken away whole, the progress only after the spec (it stayed for good), and the time comes from the settings. Tests: TestRunsOfAJobThatTheLaterOwnerHasNotReadGoOn failed before (its runs were stopped); TestLongEndedJobsLeaveNothingBehind failed before (progress stayed).

--- a/ptbroker/kept.go
+++ b/ptbroker/kept.go
@@ -33,11 +33,9 @@
 	putTimeout = time.Second
 	// meetAgents is how long a new entry waits for the agents to find it.
 	meetAgents = 2500 * time.Millisecond
-	// rememberEnded is how long the state of an ended job can be asked for: two minutes
-	// are promised.
-	rememberEnded = 150 * time.Second
-	// forgetInterval paces the look for older ones.
-	forgetInterval = 5 * time.Second
+	// forgetParts is how often, in the time that ended jobs are remembered, older ones are
+	// looked for.
+	forgetParts = 30
 )
 
 // ack is an end that its agent is to acknowledge once the progress is kept.
@@ -59,6 +57,8 @@
 	changes, kept int
 	// shown is the state that callers see: an end only after it was kept.
 	shown ptgraph.State
+	// leaving is true while the job's records are being taken away.
+	leaving bool
 }
 
 func (job *keptJob) times() ptrun.Occurrence { return ptrun.Occurrence(max(1, job.spec.Times)) }
@@ -83,6 +83,13 @@
 	// looked for.
 	timed    map[ptid.JobID]*keptJob
 	forgetAt ptid.Instant
+	// earlier is the progress that earlier owners have kept of jobs whose specs were not
+	// read yet. strangers are runs of such jobs, identifying those that are being looked
+	// up, unknown those that the log does not have.
+	earlier     map[ptid.JobID]ptkept.Progress
+	strangers   map[ptid.JobID][]stranger
+	identifying map[ptid.JobID]bool
+	unknown     map[ptid.JobID]bool
 }
 
 // changed marks a job whose progress is to be kept.
@@ -213,6 +220,8 @@
 		held := &owned{
 			number: number, epoch: membership.Epoch, stop: stop, jobs: make(map[ptid.JobID]*keptJob),
 			dirty: make(map[ptid.JobID]bool), timed: make(map[ptid.JobID]*keptJob), frozen: true, takenAt: broker.deps.Clock.Now(),
+			earlier: make(map[ptid.JobID]ptkept.Progress), strangers: make(map[ptid.JobID][]stranger),
+			identifying: make(map[ptid.JobID]bool), unknown: make(map[ptid.JobID]bool),
 		}
 		keeper.owned[number] = held
 		go broker.own(background, held)
@@ -288,18 +297,17 @@
 	if broker.keeper.owned[held.number] != held {
 		return next, nil
 	}
-	known := make(map[ptid.JobID]ptkept.Progress, len(progress))
 	for _, record := range progress {
 		decoded, err := ptkept.DecodeProgress(record.Value)
 		if err != nil {
 			broker.deps.Log.Error(err, "kept progress ignored", "key", record.Key)
 			continue
 		}
-		known[ptid.JobID(record.Key)] = decoded
+		held.earlier[ptid.JobID(record.Key)] = decoded
 	}
 	for _, record := range specs {
 		if id, cancels := ptkept.ParseKey(record.Key); !cancels {
-			broker.addKept(held, id, record.Value, known)
+			broker.addKept(held, id, record.Value)
 		}
 	}
 	broker.learn(held, specs)
@@ -321,25 +329,27 @@
 		case cancels && len(record.Value) > 0:
 			broker.cancelKept(held, id)
 		case !cancels && len(record.Value) > 0 && held.jobs[id] == nil:
-			broker.addKept(held, id, record.Value, nil)
+			broker.addKept(held, id, record.Value)
 		}
 	}
 }
 
 // addKept takes a job into the partition. The caller holds the lock.
-func (broker *Broker) addKept(held *owned, id ptid.JobID, record []byte, known map[ptid.JobID]ptkept.Progress) {
+func (broker *Broker) addKept(held *owned, id ptid.JobID, record []byte) {
 	spec, err := ptkept.DecodeSpec(record)
 	if err != nil {
 		broker.deps.Log.Error(err, "kept job ignored", "job", id)
 		return
 	}
 	job := &keptJob{spec: spec, open: make(map[ptrun.Occurrence]*ptassign.Job)}
-	if progress, found := known[id]; found {
+	if progress, found := held.earlier[id]; found {
 		job.progress = progress
 		job.next, job.shown = progress.Over, progress.State
+		delete(held.earlier, id)
 	}
 	held.jobs[id] = job
 	if job.progress.State.Ended() {
+		broker.claim(held, id)
 		return
 	}
 	broker.deps.Log.Info("kept job taken", "job", id, "partition", held.number, "epoch", held.epoch, "state", job.progress.State.String(), "times", spec.Times)
@@ -347,6 +357,7 @@
 		held.timed[id] = job
 	}
 	broker.startDue(held, job)
+	broker.claim(held, id)
 }
 
 // startDue puts the occurrences into the core whose time has come. The caller holds the
@@ -374,7 +385,7 @@
 				Name: spec.Queue, Service: spec.Service, Priority: spec.Priority, MaxAttempts: spec.MaxAttempts,
 				Stretch: spec.Stretch, TargetLatency: spec.TargetLatency, Advice: spec.Advice,
 			},
-		}, left, held.frozen, broker.deps.Clock.Now())
+		}, left, held.frozen || len(held.strangers[spec.ID]) > 0, broker.deps.Clock.Now())
 		if err != nil {
 			broker.deps.Log.Error(err, "kept job can't be run", "job", spec.ID)
 			broker.endKept(held, job, ptgraph.Failed)
@@ -466,6 +477,9 @@
 		// A later owner has started the run; that we hold the partition is out of date.
 	case job != nil && job.kept < job.changes && (job.progress.State.Ended() || job.open[end.Run.Task.Occurrence] == nil):
 		// The end is in the progress that waits to be kept; its acknowledgement comes then.
+	case job == nil && !held.unknown[end.Run.Task.Job]:
+		// The agent tells the end again until then.
+		broker.identify(held, end.Run.Task.Job)
 	case job == nil || job.progress.State.Ended() || job.open[end.Run.Task.Occurrence] == nil:
 		link.acknowledge(end.Run)
 	default:
@@ -481,7 +495,12 @@
 		return
 	}
 	for _, ref := range message.Runs {
-		broker.do(broker.core.Adopt(link.name(), ptrun.FromRef(ref), now))
+		run := ptrun.FromRef(ref)
+		if held.jobs[run.Task.Job] == nil {
+			broker.meet(held, stranger{agent: link.name(), run: run})
+			continue
+		}
+		broker.do(broker.core.Adopt(link.name(), run, now))
 	}
 	delete(held.awaited, link.name())
 }
@@ -506,7 +525,7 @@
 			broker.startDue(held, job)
 		}
 		if now >= held.forgetAt {
-			held.forgetAt = now.Add(forgetInterval)
+			held.forgetAt = now.Add(broker.setting.RememberEnded / forgetParts)
 			broker.forgetOld(held)
 		}
 		if len(held.dirty) > 0 && !held.saving {
@@ -518,9 +537,9 @@
 // forgetOld drops the jobs that ended long ago. The caller holds the lock.
 func (broker *Broker) forgetOld(held *owned) {
 	for id, job := range held.jobs {
-		if job.progress.State.Ended() && job.kept == job.changes && time.Since(job.progress.EndedAt) > rememberEnded {
-			delete(held.jobs, id)
-			go broker.forget(held, id)
+		if job.progress.State.Ended() && !job.leaving && job.kept == job.changes && time.Since(job.progress.EndedAt) > broker.setting.RememberEnded {
+			job.leaving = true
+			go broker.forget(held, id, job)
 		}
 	}
 }
@@ -569,6 +588,7 @@
 		job := held.jobs[id]
 		delete(held.dirty, id)
 		if job == nil {
+			records = append(records, ptkept.Record{Key: string(id)})
 			continue
 		}
 		record, err := ptkept.Encode(job.snapshot())
@@ -644,13 +664,24 @@
 	}
 }
 
-// forget takes the records of a long ended job away.
-func (broker *Broker) forget(held *owned, id ptid.JobID) {
+// forget takes the records of a long ended job away: first the spec, and only after it the
+// progress. A spec without progress would be a job that has yet to run.
+func (broker *Broker) forget(held *owned, id ptid.JobID, job *keptJob) {
+	var err error
 	for _, key := range []string{ptkept.SpecKey(id), ptkept.CancelKey(id)} {
 		ctx, cancel := context.WithTimeout(context.Background(), putTimeout)
-		if err := broker.keeper.store.Put(ctx, held.number, ptkept.Record{Key: key}); err != nil {
+		err = broker.keeper.store.Put(ctx, held.number, ptkept.Record{Key: key})
+		cancel()
+		if err != nil {
 			broker.deps.Log.Info("old record not taken away", "key", key, "error", err.Error())
+			break
 		}
-		cancel()
+	}
+	broker.mu.Lock()
+	defer broker.mu.Unlock()
+	job.leaving = false
+	if err == nil && broker.keeper.owned[held.number] == held {
+		delete(held.jobs, id)
+		held.dirty[id] = true
 	}
 }
--- a/ptbroker/ptbroker.go
+++ b/ptbroker/ptbroker.go
@@ -55,7 +55,9 @@
 	// EndWithin is how long after the start of a shutdown the broker returns, whatever
 	// is left.
 	EndWithin time.Duration
-	Seed      uint64
+	// RememberEnded is how long the state of an ended kept job can be asked for.
+	RememberEnded time.Duration
+	Seed          uint64
 }
 
 // Dependencies are the adapters of a broker.
--- a/ptbroker/ptbroker_test.go
+++ b/ptbroker/ptbroker_test.go
@@ -27,6 +27,9 @@
 // patience is how long a test waits for what must come; nothing is measured by it.
 const patience = 30 * time.Second
 
+// rememberEnded is longer than a test asks for ended jobs.
+const rememberEnded = 3 * time.Second
+
 var queue = ptqueue.Queue{Name: "queue", Service: "service", MaxAttempts: 3, Stretch: 2, TargetLatency: 10 * time.Second}
 
 // system is brokers and agents over loopback, with stand-ins for the log and the workers.
@@ -69,7 +72,7 @@
 	queues.Offer(ptqueue.NewCatalog(1, []ptqueue.Queue{queue}, ptqueue.Limits{}))
 	ctx, stop := context.WithCancel(context.Background())
 	started := &broker{stop: stop, done: make(chan struct{}), Broker: ptbroker.New(ptbroker.Setting{
-		Name: ptid.EntryName(fmt.Sprint("entry", index)), Zone: "zone", EndWithin: 2 * time.Second, Seed: 1,
+		Name: ptid.EntryName(fmt.Sprint("entry", index)), Zone: "zone", EndWithin: 2 * time.Second, Seed: 1, RememberEnded: rememberEnded,
 	}, ptbroker.Dependencies{
 		Log: logr.Discard(), Metrics: ptmetric.New(), Clock: ptid.NewClock(), Queues: queues, Kept: system.kept.Client(fmt.Sprint("entry", index)), Member: listener.Addr().String(),
 	})}
@@ -278,6 +281,68 @@
 	system.expect.Eventually(system.workers[0].Acknowledged).WithTimeout(patience).Should(BeTrue())
 }
 
+// A job is put while its partition changes hands: the former owner reads it and starts it,
+// and the later one has read the specs just before. Its runs go on, and it is done once.
+func TestRunsOfAJobThatTheLaterOwnerHasNotReadGoOn(test *testing.T) {
+	system := newSystem(test, 2, 1)
+	owners, err := system.kept.Owners(context.Background())
+	system.expect.Expect(err).NotTo(HaveOccurred())
+	former, moved := system.brokers[0].Member(), 0
+	for _, member := range owners {
+		if member == former {
+			moved++
+		}
+	}
+	id := ""
+	for index := 1; id == ""; index++ {
+		candidate := fmt.Sprintf("%016x", index)
+		if owners[ptkept.PartitionOf(ptid.JobID(candidate), len(owners))] == former {
+			id = candidate
+		}
+	}
+	var loading sync.WaitGroup
+	loading.Add(moved)
+	started := make(chan struct{})
+	system.kept.Fault(func(call ptstandin.KeptCall, client string) error {
+		switch {
+		case client == "entry0" && call == ptstandin.KeptJoin, client == "entry1" && call == ptstandin.KeptFollow:
+			return ptkept.ErrUnanswered
+		case client == "entry1" && call == ptstandin.KeptProgress:
+			loading.Done()
+			<-started
+		}
+		return nil
+	})
+	loading.Wait()
+	system.expect.Expect(system.brokers[0].Accept(context.Background(), keptSpec(id, 2))).To(Succeed())
+	system.expect.Eventually(system.active).WithTimeout(patience).Should(Equal(2))
+	close(started)
+	system.expect.Consistently(system.active).WithTimeout(2 * time.Second).Should(Equal(2))
+	system.kept.Fault(nil)
+	system.endAll()
+	system.expect.Eventually(system.state(1, id)).WithTimeout(patience).Should(Equal("completed"))
+	system.expect.Expect(system.starts(id, 2)).To(Equal(1))
+}
+
+func TestLongEndedJobsLeaveNothingBehind(test *testing.T) {
+	system := newSystem(test, 2, 1)
+	system.workers[0].RunTime = time.Millisecond
+	system.expect.Expect(system.brokers[0].Accept(context.Background(), keptSpec("00000000000000f1", 2))).To(Succeed())
+	system.expect.Eventually(system.state(0, "00000000000000f1")).WithTimeout(patience).Should(Equal("completed"))
+	system.expect.Expect(system.kept.Records()).To(Equal(2), "its spec and its progress")
+	// While specs can't be taken away the progress must stay, or the job would run again.
+	system.kept.Fault(func(call ptstandin.KeptCall, _ string) error {
+		if call == ptstandin.KeptPut {
+			return ptkept.ErrRefused
+		}
+		return nil
+	})
+	system.expect.Consistently(system.kept.Records).WithTimeout(rememberEnded + time.Second).Should(Equal(2))
+	system.kept.Fault(nil)
+	system.expect.Eventually(system.kept.Records).WithTimeout(patience).Should(BeZero())
+	system.expect.Eventually(system.state(1, "00000000000000f1")).WithTimeout(patience).Should(Equal("unknown"))
+}
+
 func TestCancelledKeptJobsAreStopped(test *testing.T) {
 	system := newSystem(test, 2, 1)
 	system.expect.Expect(system.brokers[0].Accept(context.Background(), keptSpec("00000000000000d1", 3))).To(Succeed())
--- /dev/null
+++ b/ptbroker/strangers.go
@@ -0,0 +1,93 @@
+package ptbroker
+
+import (
+	"context"
+	"time"
+
+	"github.com/primrosetiller/primrosetiller/ptid"
+	"github.com/primrosetiller/primrosetiller/ptkept"
+	"github.com/primrosetiller/primrosetiller/ptrun"
+)
+
+// stranger is a run of an earlier owner whose job is not known here yet: it was put after
+// the specs were read, and the earlier owner read it first.
+type stranger struct {
+	agent ptid.AgentName
+	run   ptrun.ID
+}
+
+// meet keeps a run until its job is known, or known not to be. The caller holds the lock.
+func (broker *Broker) meet(held *owned, met stranger) {
+	id := met.run.Task.Job
+	held.strangers[id] = append(held.strangers[id], met)
+	broker.identify(held, id)
+}
+
+// identify looks a job up that is not known here. The caller holds the lock.
+func (broker *Broker) identify(held *owned, id ptid.JobID) {
+	if held.identifying[id] || held.unknown[id] {
+		return
+	}
+	held.identifying[id] = true
+	go broker.lookUp(held, id)
+}
+
+// lookUp reads a job from the log until it answers or the partition is another's.
+func (broker *Broker) lookUp(held *owned, id ptid.JobID) {
+	for {
+		ctx, cancel := context.WithTimeout(context.Background(), putTimeout)
+		spec, progress, err := broker.keeper.store.Lookup(ctx, held.number, id)
+		cancel()
+		broker.mu.Lock()
+		current := broker.keeper.owned[held.number] == held
+		if current && err == nil {
+			broker.identified(held, id, spec, progress)
+		}
+		broker.mu.Unlock()
+		if err == nil || !current {
+			return
+		}
+		broker.deps.Log.Info("job not looked up", "job", id, "partition", held.number, "error", err.Error())
+		time.Sleep(storeRetry)
+	}
+}
+
+// identified takes what the log has of a job. The caller holds the lock.
+func (broker *Broker) identified(held *owned, id ptid.JobID, spec, progress []byte) {
+	delete(held.identifying, id)
+	broker.deps.Log.Info("job looked up", "job", id, "partition", held.number, "epoch", held.epoch, "found", len(spec) > 0, "runs", len(held.strangers[id]))
+	if held.jobs[id] != nil {
+		return
+	}
+	if len(progress) > 0 {
+		decoded, err := ptkept.DecodeProgress(progress)
+		if err != nil {
+			broker.deps.Log.Error(err, "kept progress ignored", "job", id)
+		} else {
+			held.earlier[id] = decoded
+		}
+	}
+	if len(spec) > 0 {
+		broker.addKept(held, id, spec)
+	}
+	if held.jobs[id] == nil {
+		held.unknown[id] = true
+		broker.claim(held, id)
+	}
+}
+
+// claim takes the runs that waited for their job; without one they are stopped. The
+// caller holds the lock.
+func (broker *Broker) claim(held *owned, id ptid.JobID) {
+	met := held.strangers[id]
+	delete(held.strangers, id)
+	now := broker.deps.Clock.Now()
+	for _, stranger := range met {
+		broker.do(broker.core.Adopt(stranger.agent, stranger.run, now))
+	}
+	if job := held.jobs[id]; job != nil && len(met) > 0 && !held.frozen {
+		for _, open := range job.open {
+			broker.do(broker.core.Thaw(open, now))
+		}
+	}
+}
--- a/ptstandin/kept.go
+++ b/ptstandin/kept.go
@@ -42,6 +42,9 @@
 	KeptSave KeptCall = "save"
 	KeptJoin KeptCall = "join"
 	KeptRead KeptCall = "read"
+	// KeptFollow waits for later specs; KeptProgress may block, which holds up that call alone.
+	KeptFollow   KeptCall = "follow"
+	KeptProgress KeptCall = "progress"
 )
 
 // NewKept returns an empty log.
@@ -94,7 +97,7 @@
 	const poll = 2 * time.Millisecond
 	for until := time.Now().Add(wait); ; {
 		kept.mu.Lock()
-		log, fault := slices.Clone(kept.logs[partition][from:]), kept.fails(KeptRead)
+		log, fault := slices.Clone(kept.logs[partition][from:]), kept.fails(KeptFollow)
 		kept.mu.Unlock()
 		if fault != nil {
 			return nil, from, fault
@@ -108,12 +111,20 @@
 
 // Progress implements [ptkept.Store].
 func (kept *KeptClient) Progress(_ context.Context, partition ptkept.Partition) (records []ptkept.Record, err error) {
+	kept.mu.Lock()
+	fault := kept.fault
+	kept.mu.Unlock()
+	if fault != nil {
+		if err := fault(KeptProgress, kept.name); err != nil {
+			return nil, err
+		}
+	}
 	kept.mu.Lock()
 	defer kept.mu.Unlock()
 	for _, key := range slices.Sorted(maps.Keys(kept.progress[partition])) {
 		records = append(records, ptkept.Record{Key: key, Value: kept.progress[partition][key]})
 	}
-	return records, kept.fails(KeptRead)
+	return records, nil
 }
 
 // Lookup implements [ptkept.Store].
@@ -218,3 +229,28 @@
 	defer kept.mu.Unlock()
 	return maps.Clone(kept.owners), nil
 }
+
+// Records returns how many specs, cancellations and progress records are kept.
+func (kept *Kept) Records() (count int) {
+	kept.mu.Lock()
+	defer kept.mu.Unlock()
+	newest := make(map[string][]byte)
+	for _, log := range kept.logs {
+		for _, record := range log {
+			newest[record.Key] = record.Value
+		}
+	}
+	for _, value := range newest {
+		if len(value) > 0 {
+			count++
+		}
+	}
+	for _, progress := range kept.progress {
+		for _, value := range progress {
+			if len(value) > 0 {
+				count++
+			}
+		}
+	}
+	return count
+}
