ptbroker: ends of jobs that are not known yet count once they are

Their ends were told with the adoption and dropped; the job was placed anew as soon as it was looked up, and the old ends acknowledged later. Ruled out: the progress of the former owner (it could not save it any more). Change: ends wait for their job like runs, and count before it is placed. Test: TestEndsOfAJobThatTheLaterOwnerHasNotReadCount, failed before.

--- a/ptbroker/kept.go
+++ b/ptbroker/kept.go
@@ -478,8 +478,7 @@
 	case job != nil && job.kept < job.changes && (job.progress.State.Ended() || job.open[end.Run.Task.Occurrence] == nil):
 		// The end is in the progress that waits to be kept; its acknowledgement comes then.
 	case job == nil && !held.unknown[end.Run.Task.Job]:
-		// The agent tells the end again until then.
-		broker.identify(held, end.Run.Task.Job)
+		broker.meet(held, stranger{agent: link.name(), run: end.Run, end: &end})
 	case job == nil || job.progress.State.Ended() || job.open[end.Run.Task.Occurrence] == nil:
 		link.acknowledge(end.Run)
 	default:
--- a/ptbroker/ptbroker_test.go
+++ b/ptbroker/ptbroker_test.go
@@ -281,9 +281,10 @@
 	system.expect.Eventually(system.workers[0].Acknowledged).WithTimeout(patience).Should(BeTrue())
 }
 
-// A job is put while its partition changes hands: the former owner reads it and starts it,
-// and the later one has read the specs just before. Its runs go on, and it is done once.
-func TestRunsOfAJobThatTheLaterOwnerHasNotReadGoOn(test *testing.T) {
+// changeHands lets a job be put while its partition changes hands: the former owner reads
+// it and starts its two tasks, and the later one has read the specs just before. meanwhile
+// happens before the later owner goes on.
+func changeHands(test *testing.T, meanwhile func(system *system)) (changed *system, id string) {
 	system := newSystem(test, 2, 1)
 	owners, err := system.kept.Owners(context.Background())
 	system.expect.Expect(err).NotTo(HaveOccurred())
@@ -293,7 +294,6 @@
 			moved++
 		}
 	}
-	id := ""
 	for index := 1; id == ""; index++ {
 		candidate := fmt.Sprintf("%016x", index)
 		if owners[ptkept.PartitionOf(ptid.JobID(candidate), len(owners))] == former {
@@ -305,7 +305,7 @@
 	started := make(chan struct{})
 	system.kept.Fault(func(call ptstandin.KeptCall, client string) error {
 		switch {
-		case client == "entry0" && call == ptstandin.KeptJoin, client == "entry1" && call == ptstandin.KeptFollow:
+		case client == "entry0" && (call == ptstandin.KeptJoin || call == ptstandin.KeptSave), client == "entry1" && call == ptstandin.KeptFollow:
 			return ptkept.ErrUnanswered
 		case client == "entry1" && call == ptstandin.KeptProgress:
 			loading.Done()
@@ -316,7 +316,13 @@
 	loading.Wait()
 	system.expect.Expect(system.brokers[0].Accept(context.Background(), keptSpec(id, 2))).To(Succeed())
 	system.expect.Eventually(system.active).WithTimeout(patience).Should(Equal(2))
+	meanwhile(system)
 	close(started)
+	return system, id
+}
+
+func TestRunsOfAJobThatTheLaterOwnerHasNotReadGoOn(test *testing.T) {
+	system, id := changeHands(test, func(*system) {})
 	system.expect.Consistently(system.active).WithTimeout(2 * time.Second).Should(Equal(2))
 	system.kept.Fault(nil)
 	system.endAll()
@@ -324,6 +330,16 @@
 	system.expect.Expect(system.starts(id, 2)).To(Equal(1))
 }
 
+// The runs end as done before the later owner knows the job, and the former one can no
+// longer keep that.
+func TestEndsOfAJobThatTheLaterOwnerHasNotReadCount(test *testing.T) {
+	system, id := changeHands(test, func(system *system) { system.endAll() })
+	system.expect.Eventually(system.state(1, id)).WithTimeout(patience).Should(Equal("completed"))
+	system.kept.Fault(nil)
+	system.expect.Eventually(system.workers[0].Acknowledged).WithTimeout(patience).Should(BeTrue())
+	system.expect.Expect(system.starts(id, 2)).To(Equal(1))
+}
+
 func TestLongEndedJobsLeaveNothingBehind(test *testing.T) {
 	system := newSystem(test, 2, 1)
 	system.workers[0].RunTime = time.Millisecond
--- a/ptbroker/strangers.go
+++ b/ptbroker/strangers.go
@@ -9,16 +9,27 @@
 	"github.com/primrosetiller/primrosetiller/ptrun"
 )
 
-// stranger is a run of an earlier owner whose job is not known here yet: it was put after
-// the specs were read, and the earlier owner read it first.
+// stranger is a run of an earlier owner, or the end of one, whose job is not known here
+// yet: it was put after the specs were read, and the earlier owner read it first.
 type stranger struct {
 	agent ptid.AgentName
 	run   ptrun.ID
+	// end is set where the run has ended.
+	end *ptrun.End
 }
 
-// meet keeps a run until its job is known, or known not to be. The caller holds the lock.
+// meet keeps a run or its end until its job is known, or known not to be. The caller holds
+// the lock.
 func (broker *Broker) meet(held *owned, met stranger) {
 	id := met.run.Task.Job
+	for index := range held.strangers[id] {
+		if known := &held.strangers[id][index]; known.run == met.run && known.agent == met.agent {
+			if met.end != nil {
+				known.end = met.end
+			}
+			return
+		}
+	}
 	held.strangers[id] = append(held.strangers[id], met)
 	broker.identify(held, id)
 }
@@ -76,14 +87,20 @@
 	}
 }
 
-// claim takes the runs that waited for their job; without one they are stopped. The
+// claim takes the runs and the ends that waited for their job, before it is placed. Without
+// one the runs are stopped, and the ends are acknowledged when they are told again. The
 // caller holds the lock.
 func (broker *Broker) claim(held *owned, id ptid.JobID) {
 	met := held.strangers[id]
 	delete(held.strangers, id)
 	now := broker.deps.Clock.Now()
 	for _, stranger := range met {
-		broker.do(broker.core.Adopt(stranger.agent, stranger.run, now))
+		if stranger.end == nil {
+			broker.do(broker.core.Adopt(stranger.agent, stranger.run, now))
+			continue
+		}
+		effects, _ := broker.core.Absorb(stranger.agent, *stranger.end, now)
+		broker.do(effects)
 	}
 	if job := held.jobs[id]; job != nil && len(met) > 0 && !held.frozen {
 		for _, open := range job.open {
