ptroom: a silent worker gets no longer lease

Ruled out: the owner (it was told nothing), adoption (seven seconds later the agent still listed them as going on). Change: after 300 ms without an answer calls renew nothing until the worker answers. Test: TestRunsOfAWorkerThatIsGoneAreLost failed before. TestLeaseLapsesWhereKeptEnds- ReachNobody lists the worker now, which answers there; its checks are the same.

--- a/ptroom/ptroom.go
+++ b/ptroom/ptroom.go
@@ -352,10 +352,13 @@
 	return core.clock + ptrun.WorkerTime(passed.Milliseconds())
 }
 
-// Hold returns what the next call that renews the lease should carry.
+// Hold returns what the next call that renews the lease should carry. A worker that does
+// not answer gets no longer lease: each call may be carried out, and with another lease
+// each time its runs would never be over.
 func (core *Core) Hold(now ptid.Instant) (hold ptrun.Hold) {
 	hold.Acknowledged = core.acknowledged()
-	if core.clock > 0 && !core.mustLapse(now) {
+	silent := now.Sub(core.listedAt) > UnreachableAfter
+	if core.clock > 0 && !silent && !core.mustLapse(now) {
 		hold.Until = core.extend(now)
 	}
 	return hold
--- a/ptroom/ptroom_test.go
+++ b/ptroom/ptroom_test.go
@@ -290,7 +290,10 @@
 	fixture.Started(kept, 1001, nil, at(2))
 	fixture.list(1010, at(8), at(9), []ptrun.ListedEnd{{Sequence: 1, End: ptrun.End{Run: kept, Result: ptrun.Done}}})
 	fixture.Leave(owner.Entry, at(10))
+	// The worker itself answers all the time.
+	fixture.list(3390, at(2389), at(2390), nil)
 	fixture.expect.Expect(fixture.Hold(at(2400)).Until).NotTo(BeZero())
+	fixture.list(3590, at(2589), at(2590), nil)
 	fixture.expect.Expect(fixture.Hold(at(2600)).Until).To(BeZero())
 	fixture.Tick(at(2700))
 	fixture.expect.Expect(fixture.Withheld()).To(BeTrue())
@@ -336,3 +339,18 @@
 	expect.Expect(told(fixture.Tick(at(351)))).To(HaveLen(1))
 	expect.Expect(starts(order(2, 501))).To(BeEmpty(), "an order from before a long silence")
 }
+
+// The load: a worker is gone for good, without a word, and no other life comes in its
+// place. Calls to it go on, and its runs are over all the same.
+func TestRunsOfAWorkerThatIsGoneAreLost(test *testing.T) {
+	fixture := newFixture(test)
+	fixture.order(run(0, 1), 1000, at(1))
+	fixture.Started(run(0, 1), 1001, nil, at(2))
+	var ends []ptrun.End
+	for millis := 10; millis < 1400 && len(ends) == 0; millis += 20 {
+		fixture.Hold(at(millis))
+		ends = told(fixture.Unreachable(at(millis + 10)))
+	}
+	fixture.expect.Expect(ends).To(HaveLen(1))
+	fixture.expect.Expect(ends[0].Result).To(Equal(ptrun.Lost))
+}
