ptfitness: agents judge their workers, by the runs of all entries

Cause: each entry learned a worker's pace, failures and hangs from its own runs.

Ruled out: verdicts at the agent alone (where all workers are slow, or hopeless jobs fail everywhere, none is worse than the others; an agent can't tell), and verdicts told with frames that go anyway alone (a worker that fails at once looks empty: dozens of runs were lost in the 25 ms to the next tick, so a change of grade is told to every entry at once).

Change: entries send the run time that they expect with an order. Agents measure wall time against the work done, from the progress that the worker lists, so a slow worker shows within 200 ms, before its runs end; and the share of runs that fail. Entries weigh the words of a service against each other, set the worst aside, never more than half, and take them back by new words. One entry at a time gets the turn to try such a worker. The forecast counts room of slow workers as freed later.

--- a/ptassign/fitness.go
+++ b/ptassign/fitness.go
@@ -1,8 +1,12 @@
 package ptassign
 
 import (
+	"math"
+	"slices"
 	"time"
 
+	"github.com/primrosetiller/primrosetiller/ptfitness"
+	"github.com/primrosetiller/primrosetiller/ptgraph"
 	"github.com/primrosetiller/primrosetiller/ptid"
 	"github.com/primrosetiller/primrosetiller/ptrun"
 )
@@ -23,6 +27,9 @@
 	hangFloor  = 100 * time.Millisecond
 	// mostPatience bounds how often the patience with a task doubles.
 	mostPatience = 10
+	// ownMemory is how long an entry's own view of a pace outlasts what the agent says, which
+	// sees more: a third of it is left after that time.
+	ownMemory = time.Second
 	// hangRuns is how many late runs without any end in between make a worker hang.
 	hangRuns = 2
 )
@@ -37,25 +44,91 @@
 	isolation time.Duration
 	until     ptid.Instant
 	probing   bool
+	toldAt    ptid.Instant
 }
 
 func newFitness() fitness { return fitness{pace: 1, isolation: firstIsolation} }
 
+// WorkerSetAside tells that a worker gets no ordinary work any more, or gets it again.
+type WorkerSetAside struct {
+	Agent ptid.AgentName
+	Aside bool
+	Word  ptfitness.Word
+}
+
+func (WorkerSetAside) isEffect() {}
+
+// weighWords sets workers aside by what their agents say, and takes them back.
+func (core *Core) weighWords() {
+	if !slices.ContainsFunc(core.ordered, func(known *agent) bool { return known.aside || known.state.Word.Poor() }) {
+		return
+	}
+	judged := make(map[ptid.ServiceName][]*agent)
+	for _, known := range core.ordered {
+		if known.isThere() && known.state.Word.Known() {
+			judged[known.service] = append(judged[known.service], known)
+		}
+	}
+	for _, agents := range judged {
+		words := make([]ptfitness.Word, 0, len(agents))
+		for _, known := range agents {
+			words = append(words, known.state.Word)
+		}
+		for index, aside := range ptfitness.SetAside(words) {
+			if known := agents[index]; known.aside != aside {
+				known.aside = aside
+				if !aside {
+					known.fitness.until, known.fitness.isolation = 0, firstIsolation
+				}
+				core.emit(WorkerSetAside{Agent: known.name, Aside: aside, Word: known.state.Word})
+			}
+		}
+	}
+}
+
 // admits reports whether the worker may get a task beside those that it has.
-func (fitness *fitness) admits(runs int, now ptid.Instant) bool {
-	if now < fitness.until {
+func (agent *agent) admits(now ptid.Instant) bool {
+	fitness := &agent.fitness
+	alone := len(agent.runs) == 0 && !fitness.probing
+	switch {
+	case agent.aside:
+		// The agent paces the tries of all entries.
+		return alone && agent.state.Turn
+	case now < fitness.until:
 		return false
+	case fitness.until > 0 || fitness.pace > slowPace*max(1, agent.state.Word.Pace):
+		return alone
+	default:
+		return true
 	}
-	if fitness.until > 0 || fitness.pace > slowPace {
-		return runs == 0 && !fitness.probing
+}
+
+// placed records that a task was placed on the worker.
+func (agent *agent) placed() {
+	if agent.fitness.until > 0 || agent.aside {
+		agent.fitness.probing = true
+	}
+	agent.state.Turn = false
+}
+
+// pace returns how slow the worker is by all that is known.
+func (agent *agent) pace() float64 { return max(agent.fitness.pace, agent.state.Word.Pace) }
+
+// told lets the own view of the pace fade towards what the agent says.
+func (fitness *fitness) told(word ptfitness.Word, now ptid.Instant) {
+	if word.Known() {
+		fitness.pace += (word.Pace - fitness.pace) * (1 - math.Exp(-now.Sub(fitness.toldAt).Seconds()/ownMemory.Seconds()))
 	}
-	return true
+	fitness.toldAt = now
 }
 
-func (fitness *fitness) placed() {
-	if fitness.until > 0 {
-		fitness.probing = true
+// telling returns the expected run time of a task where it tells something of the worker.
+func (core *Core) telling(chosen *agent, job *Job, step *ptgraph.Step) (expected time.Duration) {
+	remote := step.NearLabel != "" && !slices.Contains(chosen.state.Labels, step.NearLabel)
+	if step.Endless || step.Filling || step.Gang || remote {
+		return 0
 	}
+	return core.expected(job.Queue.Name, step)
 }
 
 func (fitness *fitness) returned() { fitness.probing = false }
--- a/ptassign/forecast.go
+++ b/ptassign/forecast.go
@@ -133,7 +133,7 @@
 
 // supply returns the room that this entry's jobs can have which need it at a rate.
 func (core *Core) supply(service ptid.ServiceName, own ptrun.MillicoresPerSecond, now ptid.Instant) (supply Supply) {
-	held, known, weighted, wanted, told := ptrun.Millicores(0), ptrun.Millicores(0), 0.0, ptrun.MillicoresPerSecond(0), 0
+	held, known, weighted, wanted, told := 0.0, ptrun.Millicores(0), 0.0, ptrun.MillicoresPerSecond(0), 0
 	for _, agent := range core.ordered {
 		if agent.service != service || !agent.connected || agent.state.Unusable {
 			continue
@@ -141,8 +141,10 @@
 		if agent.usable(now) {
 			supply.Free += max(0, agent.free().CPU)
 		}
-		// Room that the runs of other entries free is there for all.
-		held += agent.own.CPU + agent.others.CPU
+		// Room that the runs of other entries free is there for all, that of slow workers later.
+		if !agent.aside {
+			held += float64(agent.own.CPU+agent.others.CPU) / max(1, agent.pace())
+		}
 		known += agent.own.CPU
 		weighted += agent.expected
 		wanted += agent.state.Wanted
@@ -154,7 +156,7 @@
 	mean := weighted / float64(known)
 	// It is offered in proportion to the rates that entries need.
 	others := wanted / ptrun.MillicoresPerSecond(told)
-	supply.Freed = ptrun.MillicoresPerSecond(float64(held)/mean) * own / (own + others)
+	supply.Freed = ptrun.MillicoresPerSecond(held/mean) * own / (own + others)
 	return supply
 }
 
--- a/ptassign/ptassign.go
+++ b/ptassign/ptassign.go
@@ -17,7 +17,8 @@
 //     and of the queue's average, since both are off by about as much.
 //  5. Entries tell agents at what rate they need room (see want.go); agents offer the
 //     room that ends free in proportion, so that callers wait alike at every entry.
-//  6. Workers that fail, hang or are slow get less or nothing (see fitness.go).
+//  6. Workers that fail, hang or are slow get less or nothing, by what their agents say
+//     and by what became of the runs that were placed there (see fitness.go).
 //  7. A task is placed again only when its run is proved to be over: its end was told,
 //     another incarnation of the agent has joined, or nothing was heard from the agent
 //     for [ProvedAfter].
@@ -42,6 +43,7 @@
 	"slices"
 	"time"
 
+	"github.com/primrosetiller/primrosetiller/ptfitness"
 	"github.com/primrosetiller/primrosetiller/ptgraph"
 	"github.com/primrosetiller/primrosetiller/ptid"
 	"github.com/primrosetiller/primrosetiller/ptqueue"
@@ -161,6 +163,9 @@
 	StartBy ptid.Instant
 	Wait    time.Duration
 	Key     ptid.Instant
+	// Expected is how long the run should take on a sound worker; zero where that says
+	// nothing of the worker.
+	Expected time.Duration
 	// Checkpoint is what the run resumes from.
 	Checkpoint ptrun.Checkpoint
 	Ticket     string
@@ -219,6 +224,10 @@
 	Unusable bool
 	// Wanted is the rate at which other entries need room.
 	Wanted ptrun.MillicoresPerSecond
+	// Word is the agent's judgement of the worker, by the runs of all entries; Turn lets
+	// this entry try a worker that it has set aside.
+	Word ptfitness.Word
+	Turn bool
 }
 
 type agent struct {
@@ -234,6 +243,8 @@
 	own         ptrun.Demand
 	runs        map[ptrun.ID]*sent
 	fitness     fitness
+	// aside is true where the worker gets no ordinary work by the words of all agents.
+	aside bool
 	// expected adds up the expected run times of the runs, weighed by their processor time.
 	expected float64
 }
@@ -244,7 +255,7 @@
 }
 
 func (agent *agent) usable(now ptid.Instant) bool {
-	return agent.connected && agent.reported && !agent.state.Unusable && agent.fitness.admits(len(agent.runs), now)
+	return agent.isThere() && agent.admits(now)
 }
 
 // Core is the state of one entry's jobs. Make it with [New].
@@ -487,7 +498,7 @@
 	core.book(chosen, job, task, run, now)
 	core.measureRoom()
 	job.ready = -1
-	chosen.fitness.placed()
+	chosen.placed()
 	if job.FirstPlacedAt == 0 {
 		job.FirstPlacedAt = now
 	}
@@ -501,6 +512,7 @@
 	text, _ := ticketFor(chosen, job, task, now)
 	core.emit(SendOrder{
 		Agent: chosen.name, Ticket: text, Run: run, Job: job, Demand: task.Step.Room(), StartBy: startBy, Wait: wait, Key: job.key(now), Checkpoint: checkpoint,
+		Expected: core.telling(chosen, job, task.Step),
 	})
 }
 
@@ -573,7 +585,7 @@
 func (core *Core) cost(candidate *agent, task *ptgraph.Task) (cost float64) {
 	capacity := candidate.state.Capacity
 	load := 1 - float64(candidate.free().CPU)/float64(max(1, capacity.CPU))
-	cost = candidate.fitness.pace + loadPenalty*load*load + jitter*core.random.Float64()
+	cost = candidate.pace() + loadPenalty*load*load + jitter*core.random.Float64()
 	if !candidate.near {
 		cost += farPenalty
 	}
@@ -594,7 +606,7 @@
 	}
 	if known.incarnation != incarnation {
 		core.lose(known, ptrun.ReasonRestarted, Discarded, now)
-		known.fitness = newFitness()
+		known.fitness, known.aside = newFitness(), false
 	}
 	known.incarnation, known.service, known.near, known.connected = incarnation, service, near, true
 	for _, run := range sortedRuns(known.runs) {
@@ -641,9 +653,14 @@
 		return nil
 	}
 	if known.state.Worker != state.Worker {
-		known.fitness = newFitness()
+		known.fitness, known.aside = newFitness(), false
 	}
+	known.fitness.told(state.Word, now)
+	regraded := known.state.Word.Grade() != state.Word.Grade()
 	known.state, known.reported = state, true
+	if regraded {
+		core.weighWords()
+	}
 	known.others = state.Held.Minus(state.Own)
 	core.place(now)
 	return core.take()
@@ -744,6 +761,7 @@
 
 // Tick does what the passing of time asks for.
 func (core *Core) Tick(now ptid.Instant) (effects []Effect) {
+	core.weighWords()
 	for _, known := range core.ordered {
 		if !known.connected && len(known.runs) > 0 && now.Sub(known.lostAt) > ProvedAfter {
 			core.lose(known, ptrun.ReasonLeaseLapsed, Discarded, now)
--- a/ptassign/ptassign_test.go
+++ b/ptassign/ptassign_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/primrosetiller/primrosetiller/ptassert"
 	"github.com/primrosetiller/primrosetiller/ptassign"
+	"github.com/primrosetiller/primrosetiller/ptfitness"
 	"github.com/primrosetiller/primrosetiller/ptgraph"
 	"github.com/primrosetiller/primrosetiller/ptid"
 	"github.com/primrosetiller/primrosetiller/ptlink"
@@ -233,6 +234,30 @@
 	fixture.expect.Expect(counts[bad]).To(BeNumerically("<=", 4))
 }
 
+// A worker that its agent says is bad, by the runs of all entries, gets one task where its
+// agent gives the turn, and all again once its agent says that it is sound.
+func TestAWorkerThatItsAgentSaysIsBadIsTriedInTurn(test *testing.T) {
+	fixture := newFixture(test, 4)
+	sound := ptfitness.Word{Pace: 1, MeasuredAt: start}
+	for index := range 4 {
+		fixture.report(index, ptassign.AgentState{Word: sound})
+	}
+	bad := ptassign.AgentState{Word: ptfitness.Word{Pace: 1, Failing: 0.8, MeasuredAt: start}}
+	effects := fixture.report(0, bad)
+	fixture.expect.Expect(effects).To(ContainElement(ptassign.WorkerSetAside{Agent: agentName(0), Aside: true, Word: bad.Word}))
+	_, refusal, effects := fixture.submit(4, 100*time.Millisecond, at(0))
+	fixture.expect.Expect(refusal).To(BeNil())
+	fixture.expect.Expect(orders(effects)).To(HaveLen(3))
+	bad.Turn = true
+	tried := orders(fixture.report(0, bad))
+	fixture.expect.Expect(tried).To(HaveLen(1))
+	fixture.expect.Expect(tried[0].Agent).To(Equal(agentName(0)))
+	fixture.expect.Expect(tried[0].Expected).To(BeNumerically(">", 0))
+	failed := orders(fixture.RunEnded(agentName(0), ptrun.End{Run: tried[0].Run, Result: ptrun.Failed}, at(10)))
+	fixture.expect.Expect(failed).To(BeEmpty(), "the turn is used")
+	fixture.expect.Expect(orders(fixture.report(0, ptassign.AgentState{Word: sound}))).To(HaveLen(1))
+}
+
 func TestTasksThatStandStillAreStoppedAndTheirWorkerIsolated(test *testing.T) {
 	fixture := newFixture(test, 1)
 	fixture.Reported(agentName(0), ptassign.AgentState{Worker: "wide", Capacity: ptrun.Demand{CPU: 4000}}, start)
--- a/ptbroker/ptbroker.go
+++ b/ptbroker/ptbroker.go
@@ -282,6 +282,9 @@
 			if job := broker.core.Job(effect.Job); job != nil && job.Queue.Advice != nil {
 				go broker.advise(effect, *job.Queue.Advice)
 			}
+		case ptassign.WorkerSetAside:
+			broker.deps.Log.Info("worker set aside", "agent", effect.Agent, "aside", effect.Aside, "pace", effect.Word.Pace,
+				"failing", effect.Word.Failing, "age", broker.deps.Clock.Now().Sub(effect.Word.MeasuredAt).String())
 		case ptassign.Progressed:
 			broker.progressed(effect)
 		case ptassign.JobEnded:
--- a/ptbroker/session.go
+++ b/ptbroker/session.go
@@ -12,6 +12,7 @@
 	"storj.io/drpc/drpcserver"
 
 	"github.com/primrosetiller/primrosetiller/ptassign"
+	"github.com/primrosetiller/primrosetiller/ptfitness"
 	"github.com/primrosetiller/primrosetiller/ptid"
 	"github.com/primrosetiller/primrosetiller/ptkept"
 	"github.com/primrosetiller/primrosetiller/ptlink"
@@ -56,7 +57,7 @@
 		Run: effect.Run.Ref(), Spec: effect.Job.Payload, CpuMillicores: int64(effect.Demand.CPU),
 		MemoryMebibytes: int64(effect.Demand.Memory), Accelerators: effect.Demand.Accelerators,
 		StartByNanos: int64(link.clock.Convert(effect.StartBy)), WaitNanos: int64(effect.Wait), OrderNanos: int64(link.clock.Convert(effect.Key)),
-		Checkpoint: string(effect.Checkpoint), Ticket: effect.Ticket, Endless: step.Endless, Filling: step.Filling, TailTargetNanos: int64(step.TailTarget),
+		Checkpoint: string(effect.Checkpoint), Ticket: effect.Ticket, Endless: step.Endless, Filling: step.Filling, TailTargetNanos: int64(step.TailTarget), ExpectedNanos: int64(effect.Expected),
 	}
 	if effect.Job.Kept {
 		held, _ := link.broker.keptOf(effect.Job.ID)
@@ -107,7 +108,7 @@
 		return
 	}
 	if frame.Room != nil {
-		broker.do(broker.core.Reported(link.name(), stateOf(frame.Room), now))
+		broker.do(broker.core.Reported(link.name(), stateOf(frame.Room, now), now))
 	}
 	for _, message := range frame.RunEnds {
 		end := ptrun.FromEnd(message)
@@ -128,11 +129,16 @@
 	}
 }
 
-func stateOf(room *ptwire.Room) ptassign.AgentState {
+func stateOf(room *ptwire.Room, now ptid.Instant) ptassign.AgentState {
 	demand := func(cpu, memory, accelerators int64) ptrun.Demand {
 		return ptrun.Demand{CPU: ptrun.Millicores(cpu), Memory: ptrun.Mebibytes(memory), Accelerators: accelerators}
 	}
+	var word ptfitness.Word
+	if room.Pace > 0 && room.Failing >= 0 && room.JudgedAgeNanos >= 0 {
+		word = ptfitness.Word{Pace: room.Pace, Failing: room.Failing, MeasuredAt: now.Add(-time.Duration(room.JudgedAgeNanos))}
+	}
 	return ptassign.AgentState{
+		Word: word, Turn: room.Turn,
 		Worker:   ptrun.WorkerID(room.Worker),
 		Capacity: demand(room.CpuMillicores, room.MemoryMebibytes, room.Accelerators),
 		Held:     demand(room.HeldCpuMillicores, room.HeldMemoryMebibytes, room.HeldAccelerators),
@@ -208,7 +214,7 @@
 		broker.do(broker.core.Joined(joining.name(), ptid.Incarnation(greeting.Incarnation), ptid.ServiceName(greeting.Service),
 			ptid.Zone(greeting.AvailabilityZone) == broker.setting.Zone, now))
 		if frame.Room != nil {
-			broker.do(broker.core.Reported(joining.name(), stateOf(frame.Room), now))
+			broker.do(broker.core.Reported(joining.name(), stateOf(frame.Room, now), now))
 		}
 		for _, held := range broker.keeper.owned {
 			if held.loaded {
--- a/ptroom/answers.go
+++ b/ptroom/answers.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/pkg/errors"
 
+	"github.com/primrosetiller/primrosetiller/ptfitness"
 	"github.com/primrosetiller/primrosetiller/ptid"
 	"github.com/primrosetiller/primrosetiller/ptrun"
 )
@@ -112,6 +113,7 @@
 		return
 	}
 	run.confirmed, run.percent, run.tail = true, listed.Percent, listed.Tail
+	core.gauge.Progressed(id, listed.Percent, now)
 	if listed.Checkpoint != "" {
 		run.Checkpoint = listed.Checkpoint
 	}
@@ -255,6 +257,7 @@
 	}
 	core.tellUnowned(now)
 	core.pace(now)
+	core.giveTurn(now)
 	core.fill(now)
 	return core.take()
 }
@@ -269,6 +272,9 @@
 	Unusable bool
 	// Wanted is the rate at which other entries need room.
 	Wanted ptrun.MillicoresPerSecond
+	// Word judges the worker; Turn lets the entry try one that it has set aside.
+	Word ptfitness.Word
+	Turn bool
 }
 
 // Report returns what a frame to an entry tells now. Waiting runs and the room that is kept for
@@ -276,7 +282,8 @@
 func (core *Core) Report(entry ptid.EntryName) (report Report) {
 	report = Report{
 		Worker: core.worker.ID, Capacity: core.worker.Capacity, Labels: core.worker.Labels,
-		Wanted:   core.wantedByOthers(entry),
+		Wanted: core.wantedByOthers(entry),
+		Word:   core.gauge.Word(), Turn: core.turns.Holder() == entry,
 		Unusable: !core.known || !core.reachable || core.drain || core.worker.Leaving,
 	}
 	for _, run := range core.runs {
--- /dev/null
+++ b/ptroom/judge.go
@@ -0,0 +1,50 @@
+package ptroom
+
+import (
+	"github.com/primrosetiller/primrosetiller/ptfitness"
+	"github.com/primrosetiller/primrosetiller/ptid"
+	"github.com/primrosetiller/primrosetiller/ptrun"
+)
+
+// measure takes what the end of a run tells of the worker.
+func (core *Core) measure(end ptrun.End, now ptid.Instant) {
+	switch end.Result {
+	case ptrun.Done:
+		core.gauge.Done(end.Run, now)
+	case ptrun.Failed:
+		core.gauge.Failed(end.Run, now)
+	case ptrun.Stopped, ptrun.Lost, ptrun.NeverStarted:
+		core.gauge.Dropped(end.Run)
+	}
+	core.grade()
+}
+
+// grade tells all entries where the worker looks better or worse than before: a worker that
+// fails everything at once looks empty, and gets dozens of runs in a few milliseconds.
+func (core *Core) grade() {
+	word := core.gauge.Word()
+	if grade := word.Grade(); grade != core.graded {
+		core.graded = grade
+		core.emit(WorkerJudged{Word: word})
+	}
+}
+
+// giveTurn gives one entry the turn to try a worker that looks bad.
+func (core *Core) giveTurn(now ptid.Instant) {
+	core.grade()
+	word := core.gauge.Word()
+	var entries []ptid.EntryName
+	if word.Poor() {
+		for name, owner := range core.owners {
+			if owner.connected {
+				entries = append(entries, name)
+			}
+		}
+	}
+	if holder, changed := core.turns.Next(word.Poor(), len(core.runs) == 0, entries, now); changed {
+		core.emit(OfferRoom{Owner: Owner{Entry: holder, Incarnation: core.owners[holder].incarnation}})
+	}
+}
+
+// Word returns what is known of the worker.
+func (core *Core) Word() ptfitness.Word { return core.gauge.Word() }
--- a/ptroom/ptroom.go
+++ b/ptroom/ptroom.go
@@ -27,7 +27,10 @@
 //     partition adopts its runs ([Core.Adopt]); orders of a lower epoch are refused.
 //  8. A worker whose kept ends no entry can be told of is left to lapse: an owner that
 //     can't reach the agent starts those tasks again after that bound.
-//  9. Ends are remembered until the session that carried them has outlived them by
+//  9. The worker is judged by the runs of all entries (package ptfitness). Every frame
+//     tells the word; each entry is told at once where the worker looks better or
+//     worse, and one at a time gets the turn to try one that does.
+//  10. Ends are remembered until the session that carried them has outlived them by
 //     [RememberFor], since the next session may ask for them.
 //
 // # Usage
@@ -48,6 +51,7 @@
 	"time"
 
 	"github.com/primrosetiller/primrosetiller/ptassert"
+	"github.com/primrosetiller/primrosetiller/ptfitness"
 	"github.com/primrosetiller/primrosetiller/ptid"
 	"github.com/primrosetiller/primrosetiller/ptkept"
 	"github.com/primrosetiller/primrosetiller/ptrun"
@@ -110,6 +114,8 @@
 	// that serve users.
 	Filling    bool
 	TailTarget time.Duration
+	// Expected is how long the run should take on a sound worker; zero where nobody knows.
+	Expected time.Duration
 }
 
 // kept reports whether the run is of a kept job.
@@ -161,17 +167,22 @@
 	Percent int
 }
 
+// WorkerJudged tells that the worker looks better or worse than before; every entry is to
+// be told at once.
+type WorkerJudged struct{ Word ptfitness.Word }
+
 // OfferRoom asks for a frame to an entry that room is kept for.
 type OfferRoom struct{ Owner Owner }
 
-func (StartRun) isEffect()    {}
-func (OfferRoom) isEffect()   {}
-func (StopRun) isEffect()     {}
-func (Look) isEffect()        {}
-func (Tell) isEffect()        {}
-func (TellAll) isEffect()     {}
-func (TellAdopted) isEffect() {}
-func (PaceRun) isEffect()     {}
+func (StartRun) isEffect()     {}
+func (OfferRoom) isEffect()    {}
+func (WorkerJudged) isEffect() {}
+func (StopRun) isEffect()      {}
+func (Look) isEffect()         {}
+func (Tell) isEffect()         {}
+func (TellAll) isEffect()      {}
+func (TellAdopted) isEffect()  {}
+func (PaceRun) isEffect()      {}
 
 type state uint8
 
@@ -251,6 +262,11 @@
 	owners map[ptid.EntryName]*ownerState
 	epochs map[ptkept.Partition]ptkept.Epoch
 	pacing pacing
+	// gauge judges the worker by the runs of all entries, turns deals out who may try one
+	// that looks bad; graded is what entries were told last.
+	gauge  *ptfitness.Gauge
+	turns  *ptfitness.Turns
+	graded ptfitness.Grade
 	drain  bool
 	held   ptrun.Demand
 
@@ -264,6 +280,7 @@
 		token: token, tokenStep: firstTokenStep, createdAt: now, strangers: make(map[ptrun.ID]ptid.Instant),
 		runs: make(map[ptrun.ID]*run), ends: make(map[ptrun.ID]*ended), owners: make(map[ptid.EntryName]*ownerState),
 		unacked: make(map[ptrun.ID]*unackedEnd), epochs: make(map[ptkept.Partition]ptkept.Epoch),
+		gauge: ptfitness.NewGauge(), turns: ptfitness.NewTurns(),
 	}
 }
 
@@ -325,6 +342,7 @@
 		}
 	}
 	core.seen, core.leaseUntil, core.clock = 0, 0, 0
+	core.gauge, core.turns = ptfitness.NewGauge(), ptfitness.NewTurns()
 	clear(core.strangers)
 	clear(core.unacked)
 }
@@ -390,6 +408,9 @@
 	}
 	ordered := &run{Order: order, percent: fullPace, asked: fullPace}
 	core.runs[order.Run] = ordered
+	if core.graded > 0 {
+		core.turns.Tried()
+	}
 	offered := core.useOffer(&order)
 	switch {
 	case core.drain || core.worker.Leaving:
@@ -472,6 +493,7 @@
 	run.state, run.startedAt = starting, now
 	run.startBy = core.estimate(now) + ptrun.WorkerTime(StartWithin.Milliseconds())
 	core.leaseUntil = max(core.leaseUntil, run.startBy)
+	core.gauge.Started(run.Run, run.Expected, run.Checkpoint != "", now)
 	core.held = core.held.Plus(run.Demand)
 	ptassert.That(core.worker.Capacity.Holds(core.held), "runs hold no more than the worker's capacity", "held", core.held)
 	core.emit(StartRun{
@@ -516,6 +538,7 @@
 		core.held = core.held.Minus(run.Demand)
 		end.RunTime = now.Sub(run.startedAt)
 	}
+	core.measure(end, now)
 	if end.Checkpoint == "" {
 		end.Checkpoint = run.Checkpoint
 	}
--- a/ptrunner/ptrunner.go
+++ b/ptrunner/ptrunner.go
@@ -188,6 +188,10 @@
 			go func() { _ = runner.list(0) }()
 		case ptroom.Tell:
 			runner.tell(effect)
+		case ptroom.WorkerJudged:
+			runner.deps.Log.Info("worker judged", "grade", effect.Word.Grade(), "pace", effect.Word.Pace, "failing", effect.Word.Failing,
+				"age", runner.deps.Clock.Now().Sub(effect.Word.MeasuredAt).String())
+			runner.tellRoom()
 		case ptroom.OfferRoom:
 			if peer := runner.peers[effect.Owner.Entry]; peer != nil && peer.owner == effect.Owner {
 				peer.session.Post(func(*ptwire.Frame) {})
--- a/ptrunner/session.go
+++ b/ptrunner/session.go
@@ -71,17 +71,22 @@
 	defer runner.mu.Unlock()
 	report := runner.core.Report(peer.owner.Entry)
 	peer.told, peer.toldAt = report, now
-	frame.Room = roomMessage(report)
+	frame.Room = roomMessage(report, now)
 }
 
-func roomMessage(report ptroom.Report) *ptwire.Room {
-	return &ptwire.Room{
+func roomMessage(report ptroom.Report, now ptid.Instant) (room *ptwire.Room) {
+	room = &ptwire.Room{
 		Worker:        string(report.Worker),
 		CpuMillicores: int64(report.Capacity.CPU), MemoryMebibytes: int64(report.Capacity.Memory), Accelerators: report.Capacity.Accelerators,
 		HeldCpuMillicores: int64(report.Held.CPU), HeldMemoryMebibytes: int64(report.Held.Memory), HeldAccelerators: report.Held.Accelerators,
 		OwnCpuMillicores: int64(report.Own.CPU), OwnMemoryMebibytes: int64(report.Own.Memory), OwnAccelerators: report.Own.Accelerators,
-		Labels: report.Labels, Unusable: report.Unusable, WantedRate: float64(report.Wanted),
+		Labels: report.Labels, Unusable: report.Unusable, WantedRate: float64(report.Wanted), Turn: report.Turn,
 	}
+	if report.Word.Known() {
+		room.Pace, room.Failing = report.Word.Pace, report.Word.Failing
+		room.JudgedAgeNanos = int64(now.Sub(report.Word.MeasuredAt))
+	}
+	return room
 }
 
 // Delivered implements [ptsession.Handler].
@@ -114,7 +119,7 @@
 			},
 			StartBy: ptid.Instant(order.StartByNanos), WaitUntil: now.Add(time.Duration(order.WaitNanos)), Key: ptid.Instant(order.OrderNanos), Checkpoint: ptrun.Checkpoint(order.Checkpoint),
 			Partition: ptkept.Partition(order.Partition), Epoch: ptkept.Epoch(order.Epoch), Ticket: order.Ticket,
-			Filling: order.Filling, TailTarget: time.Duration(order.TailTargetNanos),
+			Filling: order.Filling, TailTarget: time.Duration(order.TailTargetNanos), Expected: time.Duration(order.ExpectedNanos),
 		}, now))
 	}
 	for _, ref := range frame.RunStops {
--- a/ptsim/agent.go
+++ b/ptsim/agent.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/primrosetiller/primrosetiller/ptassign"
@@ -41,16 +43,70 @@
 	capacity    ptrun.Demand
 	pace        float64
 	peers       []peer
-	running     map[ptrun.ID]ptrun.Millicores
+	running     map[ptrun.ID]*work
 	ends        ptrun.EndSequence
 	away        bool
 	failing     bool
+	// slowness is how many times as long work takes; badSince is since when the worker
+	// fails or is slow.
+	slowness float64
+	badSince ptid.Instant
+}
+
+// work is a run on a worker.
+type work struct {
+	cpu ptrun.Millicores
+	// whole is its run time while the worker is not slow, done what was done of it at an
+	// instant.
+	whole, done time.Duration
+	at          ptid.Instant
+	result      ptrun.Result
+	// version counts the changes of its end.
+	version int
+}
+
+// advance brings a run up to now.
+func (agent *agent) advance(run *work) {
+	now := agent.fleet.Now()
+	run.done += time.Duration(float64(now.Sub(run.at)) / agent.slowness)
+	run.at = now
+}
+
+// schedule plans the end of a run.
+func (agent *agent) schedule(id ptrun.ID, run *work) {
+	run.version++
+	version := run.version
+	agent.fleet.After(time.Duration(float64(run.whole-run.done)*agent.slowness), func() {
+		if agent.running[id] == run && run.version == version && !agent.away {
+			agent.end(id, run.result)
+		}
+	})
+}
+
+// slow changes how long work takes.
+func (agent *agent) slow(factor float64) {
+	for _, run := range agent.running {
+		agent.advance(run)
+	}
+	agent.slowness = factor
+	agent.turnBad(factor > 1)
+	for _, id := range slices.SortedFunc(maps.Keys(agent.running), ptrun.Compare) {
+		agent.schedule(id, agent.running[id])
+	}
+}
+
+// turnBad records since when the worker is bad.
+func (agent *agent) turnBad(bad bool) {
+	agent.badSince = ptid.Never
+	if bad {
+		agent.badSince = agent.fleet.Now()
+	}
 }
 
 func (fleet *fleet) newAgent(index int) *agent {
 	size := sizes[index%len(sizes)]
 	agent := &agent{
-		fleet: fleet, index: index, pace: paces[fleet.random.IntN(len(paces))],
+		fleet: fleet, index: index, slowness: 1, badSince: ptid.Never, pace: paces[fleet.random.IntN(len(paces))],
 		capacity: ptrun.Demand{
 			CPU: ptrun.Millicores(size * float64(fleet.setting.Capacity.CPU)), Memory: ptrun.Mebibytes(size * float64(fleet.setting.Capacity.Memory)),
 		},
@@ -80,7 +136,7 @@
 func (agent *agent) join() {
 	fleet, now := agent.fleet, agent.fleet.Now()
 	agent.incarnation++
-	agent.core, agent.bornAt, agent.running, agent.ends = ptroom.New(1, now), now, make(map[ptrun.ID]ptrun.Millicores), 0
+	agent.core, agent.bornAt, agent.running, agent.ends = ptroom.New(1, now), now, make(map[ptrun.ID]*work), 0
 	agent.peers = make([]peer, len(fleet.entries))
 	agent.core.Announced(ptrun.Worker{WorkerIdentity: agent.identity(), Service: service, Capacity: agent.capacity, Sequence: 1}, agent.clock(), now)
 	agent.list(nil)
@@ -101,8 +157,8 @@
 }
 
 func (agent *agent) held() (held ptrun.Millicores) {
-	for _, cpu := range agent.running {
-		held += cpu
+	for _, run := range agent.running {
+		held += run.cpu
 	}
 	return held
 }
@@ -113,7 +169,7 @@
 		agent.join()
 		return
 	}
-	agent.running = make(map[ptrun.ID]ptrun.Millicores)
+	agent.running = make(map[ptrun.ID]*work)
 	for _, entry := range agent.fleet.entries {
 		agent.fleet.After(foundAfter, func() { entry.core.Lost(agent.name(), agent.fleet.Now()) })
 	}
@@ -128,6 +184,7 @@
 			arrive()
 			entry.do(entry.core.Reported(agent.name(), ptassign.AgentState{
 				Worker: report.Worker, Capacity: report.Capacity, Held: report.Held, Own: report.Own, Unusable: report.Unusable, Wanted: report.Wanted,
+				Word: report.Word, Turn: report.Turn,
 			}, agent.fleet.Now()))
 			received := agent.fleet.Now()
 			agent.fleet.After(ackWithin, func() {
@@ -172,8 +229,10 @@
 	now := agent.fleet.Now()
 	agent.core.Hold(now)
 	listing := ptrun.Listing{BornAt: agent.identity().BornAt, Clock: agent.clock(), Ends: ends}
-	for id := range agent.running {
-		listing.Active = append(listing.Active, ptrun.ListedRun{Run: id, Percent: 100})
+	for _, id := range slices.SortedFunc(maps.Keys(agent.running), ptrun.Compare) {
+		run := agent.running[id]
+		agent.advance(run)
+		listing.Active = append(listing.Active, ptrun.ListedRun{Run: id, Percent: min(99, int(100*run.done/run.whole))})
 	}
 	agent.do(agent.core.Listed(listing, now, now))
 }
@@ -195,6 +254,10 @@
 		case ptroom.OfferRoom:
 			fleet.report.Offers++
 			agent.send(fleet.entryOf(effect.Owner.Entry), func() {})
+		case ptroom.WorkerJudged:
+			for _, entry := range fleet.entries {
+				agent.send(entry, func() {})
+			}
 		case ptroom.Look:
 			agent.list(nil)
 		case ptroom.TellAll, ptroom.TellAdopted, ptroom.PaceRun:
@@ -218,21 +281,20 @@
 		return
 	}
 	caller := fleet.callers[id.Task.Job]
-	work, result := time.Millisecond, ptrun.Done
+	whole, result := time.Millisecond, ptrun.Done
 	if caller != nil {
-		work = time.Duration(float64(caller.work[id.Task.Index]) / agent.pace)
+		whole = time.Duration(float64(caller.work[id.Task.Index]) / agent.pace)
 	}
 	if agent.failing {
-		work, result = time.Millisecond, ptrun.Failed
+		whole, result = time.Millisecond, ptrun.Failed
+	}
+	run := &work{cpu: agent.core.DemandOf(id).CPU, whole: whole, at: fleet.Now(), result: result}
+	agent.running[id] = run
+	if agent.badSince != ptid.Never && fleet.Now().Sub(agent.badSince) > foundOut {
+		fleet.report.Wasted++
 	}
-	agent.running[id] = agent.core.DemandOf(id).CPU
-	incarnation := agent.incarnation
 	agent.do(agent.core.Started(id, agent.clock(), nil, fleet.Now()))
-	fleet.After(work, func() {
-		if agent.incarnation == incarnation && !agent.away {
-			agent.end(id, result)
-		}
-	})
+	agent.schedule(id, run)
 }
 
 // end lets the worker end a run.
--- a/ptsim/entry.go
+++ b/ptsim/entry.go
@@ -103,6 +103,7 @@
 			entry.send(agent, func() {
 				agent.do(agent.core.Order(ptroom.Order{
 					Run: effect.Run, Owner: entry.owner(), Demand: effect.Demand, StartBy: effect.StartBy, WaitUntil: fleet.Now().Add(effect.Wait), Key: effect.Key,
+					Expected: effect.Expected,
 				}, fleet.Now()))
 			})
 		case ptassign.SendStop:
@@ -113,7 +114,7 @@
 			entry.send(agent, func() { agent.do(agent.core.Query(entry.owner(), effect.Run, fleet.Now())) })
 		case ptassign.JobEnded:
 			fleet.answered(effect.Job.ID, effect.Job.State(), effect.Refusal != nil)
-		case ptassign.Progressed, ptassign.AskAdvice:
+		case ptassign.Progressed, ptassign.AskAdvice, ptassign.WorkerSetAside:
 		}
 	}
 }
--- a/ptsim/ptsim.go
+++ b/ptsim/ptsim.go
@@ -21,7 +21,7 @@
 // # Limits
 //
 // Links and processes do not fail here. Workers may be away or fail their runs for a
-// while ([Trouble]).
+// while, or be slow ([Trouble]).
 package ptsim
 
 import (
@@ -47,6 +47,9 @@
 	settleFor = 5 * time.Second
 	// lateWorth is what a late answer is worth against one in time.
 	lateWorth = 0.2
+	// foundOut is after what time runs on a bad worker count as wasted: a run shows by then
+	// that it takes much longer than expected.
+	foundOut = 300 * time.Millisecond
 )
 
 // Kind is a kind of job.
@@ -92,8 +95,17 @@
 	For     time.Duration
 }
 
+// Slow lets what runs on workers take so many times as long for a while.
+type Slow struct {
+	Workers int
+	From    time.Duration
+	For     time.Duration
+	Factor  float64
+}
+
 func (Away) isTrouble()    {}
 func (Failing) isTrouble() {}
+func (Slow) isTrouble()    {}
 
 // Entry is an entry of the deployment.
 type Entry struct {
@@ -153,6 +165,9 @@
 	// Orders, GivenBack and RoomFrames count messages between entries and agents: orders,
 	// those that found no room, and frames that told of the room alone.
 	Orders, GivenBack, RoomFrames, WantFrames, AckFrames, Offers int
+	// Wasted is how many runs were started on workers that had been failing or slow for
+	// [foundOut].
+	Wasted int
 	// IdleShare is the part of the capacity that nothing used while jobs waited.
 	IdleShare float64
 }
@@ -257,7 +272,18 @@
 	case Away:
 		change(trouble.Workers, trouble.From, trouble.For, (*agent).goAway)
 	case Failing:
-		change(trouble.Workers, trouble.From, trouble.For, func(agent *agent, on bool) { agent.failing = on })
+		change(trouble.Workers, trouble.From, trouble.For, func(agent *agent, on bool) {
+			agent.failing = on
+			agent.turnBad(on)
+		})
+	case Slow:
+		change(trouble.Workers, trouble.From, trouble.For, func(agent *agent, on bool) {
+			factor := 1.0
+			if on {
+				factor = trouble.Factor
+			}
+			agent.slow(factor)
+		})
 	}
 }
 
