ptassign: words of sound workers do not decide where a task goes

The words were part of the cost of a worker.

Change: a word counts in the cost where it is poor, and lets an entry's own view of a slow worker fade. TestWordsOfSoundWorkersDoNotDecide fails before (0 of 100 jobs to the other worker) and passes after; the tests of bad workers and of overload hold.

--- a/ptassign/fitness.go
+++ b/ptassign/fitness.go
@@ -111,12 +111,19 @@
 	agent.state.Turn = false
 }
 
-// pace returns how slow the worker is by all that is known.
-func (agent *agent) pace() float64 { return max(agent.fitness.pace, agent.state.Word.Pace) }
+// pace returns how slow the worker is. What the agent says counts where that is bad: words
+// of sound workers differ by what just runs there, and entries that all hear the same would
+// all choose the same worker.
+func (agent *agent) pace() float64 {
+	if agent.state.Word.Poor() {
+		return max(agent.fitness.pace, agent.state.Word.Pace)
+	}
+	return agent.fitness.pace
+}
 
-// told lets the own view of the pace fade towards what the agent says.
+// told lets an own view of a slow worker fade towards what the agent says.
 func (fitness *fitness) told(word ptfitness.Word, now ptid.Instant) {
-	if word.Known() {
+	if word.Known() && fitness.pace > max(slowPace, word.Pace) {
 		fitness.pace += (word.Pace - fitness.pace) * (1 - math.Exp(-now.Sub(fitness.toldAt).Seconds()/ownMemory.Seconds()))
 	}
 	fitness.toldAt = now
--- a/ptassign/ptassign_test.go
+++ b/ptassign/ptassign_test.go
@@ -258,6 +258,24 @@
 	fixture.expect.Expect(orders(fixture.report(0, ptassign.AgentState{Word: sound}))).To(HaveLen(1))
 }
 
+// The load: many entries hear the same words of all agents, which differ by what just runs
+// there. They must not all choose the worker with the best word.
+func TestWordsOfSoundWorkersDoNotDecide(test *testing.T) {
+	fixture := newFixture(test, 2)
+	chosen := make(map[ptid.AgentName]int)
+	const jobs = 100
+	for job := range jobs {
+		now := at(100 * job)
+		fixture.report(0, ptassign.AgentState{Word: ptfitness.Word{Pace: 0.6, MeasuredAt: now}})
+		fixture.report(1, ptassign.AgentState{Word: ptfitness.Word{Pace: 1.4, MeasuredAt: now}})
+		_, _, effects := fixture.submit(1, 50*time.Millisecond, now)
+		sent := orders(effects)[0]
+		chosen[sent.Agent]++
+		fixture.RunEnded(sent.Agent, ptrun.End{Run: sent.Run, Result: ptrun.Done, RunTime: 50 * time.Millisecond}, now.Add(50*time.Millisecond))
+	}
+	fixture.expect.Expect(chosen[agentName(1)]).To(BeNumerically(">", jobs/4))
+}
+
 func TestTasksThatStandStillAreStoppedAndTheirWorkerIsolated(test *testing.T) {
 	fixture := newFixture(test, 1)
 	fixture.Reported(agentName(0), ptassign.AgentState{Worker: "wide", Capacity: ptrun.Demand{CPU: 4000}}, start)
