ptassign: kept jobs use a bad worker rather than none

A worker that is set aside gets one run at a time, from the entry whose turn it is; with 35 entries the turn of a kept job's owner comes after many seconds. A kept job whose label, or whose gang, only such workers can take would have nothing running for longer than the three seconds that are allowed.

Ruled out: turns by what waits (the agent does not know labels), and the same for best-effort jobs (they are refused or late; a failing worker would draw them).

Change: a kept job that has had nothing placed for a second may use workers that are set aside, as the last ones; their own isolation by this entry still holds. Jobs that nobody keeps are placed as before.

TestKeptJobsUseABadWorkerRatherThanNone fails before, passes after.

--- a/ptassign/advice.go
+++ b/ptassign/advice.go
@@ -85,7 +85,7 @@
 	}
 	var lapsed, unnamed []*agent
 	for _, candidate := range core.ordered {
-		if candidate.service != job.Queue.Service || !candidate.usable(now) || !fits(candidate, job, task) {
+		if candidate.service != job.Queue.Service || !core.usableFor(candidate, job, now) || !fits(candidate, job, task) {
 			continue
 		}
 		judged, named := known.judged[candidate.state.Worker]
--- a/ptassign/fitness.go
+++ b/ptassign/fitness.go
@@ -30,6 +30,8 @@
 	// ownMemory is how long an entry's own view of a pace outlasts what the agent says, which
 	// sees more: a third of it is left after that time.
 	ownMemory = time.Second
+	// lastResortAfter is how long a kept job waits for sound workers.
+	lastResortAfter = time.Second
 	// hangRuns is how many late runs without any end in between make a worker hang.
 	hangRuns = 2
 )
@@ -103,6 +105,19 @@
 	}
 }
 
+// isLastResortDue reports whether a job may use workers that are set aside.
+//
+// It answers kept jobs that need what only bad workers have, as a label or the room of a
+// gang: they must be done some time, and slowly is better than not.
+func (core *Core) isLastResortDue(job *Job, now ptid.Instant) bool {
+	return job.Kept && len(core.lastResort) > 0 && now.Sub(max(job.SubmittedAt, job.lastPlacedAt)) > lastResortAfter
+}
+
+// usableFor reports whether the worker may get a task of a job.
+func (core *Core) usableFor(agent *agent, job *Job, now ptid.Instant) bool {
+	return agent.usable(now) || agent.aside && agent.isThere() && now >= agent.fitness.until && core.isLastResortDue(job, now)
+}
+
 // placed records that a task was placed on the worker.
 func (agent *agent) placed() {
 	if agent.fitness.until > 0 || agent.aside {
--- a/ptassign/gang.go
+++ b/ptassign/gang.go
@@ -39,7 +39,7 @@
 	var all []*agent
 	racks := make(map[string][]*agent)
 	for _, candidate := range core.ordered {
-		if candidate.service != job.Queue.Service || !candidate.usable(now) || !fits(candidate, job, task) {
+		if candidate.service != job.Queue.Service || !core.usableFor(candidate, job, now) || !fits(candidate, job, task) {
 			continue
 		}
 		if _, allowed := ticketFor(candidate, job, task, now); !allowed {
--- a/ptassign/ptassign.go
+++ b/ptassign/ptassign.go
@@ -129,8 +129,8 @@
 	Objective ptid.Instant
 	UsefulBy  ptid.Instant
 	Deadline  ptid.Instant
-	// FirstPlacedAt is zero until a task was placed.
-	FirstPlacedAt ptid.Instant
+	// FirstPlacedAt is zero until a task was placed, lastPlacedAt is the same of the last one.
+	FirstPlacedAt, lastPlacedAt ptid.Instant
 	// Kept jobs were accepted for good: they are never refused or given up.
 	Kept bool
 	// Frozen jobs wait until the runs of an earlier owner are known.
@@ -278,6 +278,8 @@
 	// that one of them has free of each resource; both hold during a call of place.
 	open     []*agent
 	roomiest ptrun.Demand
+	// lastResort are the agents of workers that are set aside.
+	lastResort []*agent
 	// waitingSince is since when jobs wait, wantsToldAt when all agents were last told.
 	waitingSince, wantsToldAt ptid.Instant
 }
@@ -454,10 +456,13 @@
 
 // lookForRoom finds the agents that may get tasks now.
 func (core *Core) lookForRoom(now ptid.Instant) {
-	core.open = core.open[:0]
+	core.open, core.lastResort = core.open[:0], core.lastResort[:0]
 	for _, known := range core.ordered {
-		if known.usable(now) {
+		switch {
+		case known.usable(now):
 			core.open = append(core.open, known)
+		case known.aside:
+			core.lastResort = append(core.lastResort, known)
 		}
 	}
 	core.measureRoom()
@@ -473,7 +478,7 @@
 
 // placeJob places the ready tasks of a job and reports whether all found room.
 func (core *Core) placeJob(job *Job, now ptid.Instant) (all bool) {
-	if core.readyDemand(job) > 0 && job.Queue.Advice == nil && !core.roomiest.Holds(job.least) {
+	if core.readyDemand(job) > 0 && job.Queue.Advice == nil && !core.roomiest.Holds(job.least) && !core.isLastResortDue(job, now) {
 		return false
 	}
 	ready := job.Ready()
@@ -507,6 +512,7 @@
 	if job.FirstPlacedAt == 0 {
 		job.FirstPlacedAt = now
 	}
+	job.lastPlacedAt = now
 	startBy, wait := now.Add(OrderLife), WaitAtAgent
 	if task.Step.Gang {
 		wait = GangWaitAtAgent
@@ -542,9 +548,17 @@
 
 // choose returns the agent for a task; nil where none has room.
 func (core *Core) choose(job *Job, task *ptgraph.Task, now ptid.Instant) (chosen *agent) {
+	chosen = core.chooseOf(core.open, job, task, now)
+	if chosen == nil && core.isLastResortDue(job, now) {
+		chosen = core.chooseOf(core.lastResort, job, task, now)
+	}
+	return chosen
+}
+
+func (core *Core) chooseOf(candidates []*agent, job *Job, task *ptgraph.Task, now ptid.Instant) (chosen *agent) {
 	best := math.Inf(1)
-	for _, candidate := range core.open {
-		if candidate.service != job.Queue.Service || !candidate.free().Holds(task.Step.Room()) || !candidate.usable(now) {
+	for _, candidate := range candidates {
+		if candidate.service != job.Queue.Service || !candidate.free().Holds(task.Step.Room()) || !core.usableFor(candidate, job, now) {
 			continue
 		}
 		if _, allowed := ticketFor(candidate, job, task, now); !allowed || !fits(candidate, job, task) {
--- a/ptassign/ptassign_test.go
+++ b/ptassign/ptassign_test.go
@@ -462,3 +462,24 @@
 	fixture.expect.Expect(sent).To(HaveLen(1))
 	fixture.expect.Expect(sent[0].Job.ID).To(Equal(ptid.JobID("00000000000000a2")))
 }
+
+// The load: kept jobs need a label that only a bad worker has. The agent's turns go round all
+// entries, so the owner's may come many seconds later.
+func TestKeptJobsUseABadWorkerRatherThanNone(test *testing.T) {
+	fixture := newFixture(test, 3)
+	for index := range 3 {
+		state := ptassign.AgentState{Word: ptfitness.Word{Pace: 1, MeasuredAt: start}}
+		if index == 0 {
+			state.Labels, state.Word.Pace = []string{"b"}, 6
+		}
+		fixture.report(index, state)
+	}
+	fixture.Tick(at(0))
+	_, effects, err := fixture.Keep(ptassign.Spec{Queue: queue, Spec: ptgraph.Spec{ID: "00000000000000a1", MaxAttempts: 3, Steps: []ptgraph.Step{
+		{Count: 1, Demand: ptrun.Demand{CPU: 1000}, Label: "b"},
+	}}}, nil, false, at(0))
+	fixture.expect.Expect(err).NotTo(HaveOccurred())
+	fixture.expect.Expect(orders(effects)).To(BeEmpty())
+	fixture.expect.Expect(orders(fixture.Tick(at(900)))).To(BeEmpty())
+	fixture.expect.Expect(orders(fixture.Tick(at(1100)))).To(HaveLen(1))
+}
