--- a/ptbroker/ptbroker.go
+++ b/ptbroker/ptbroker.go
@@ -221,7 +221,8 @@
 	broker.deps.Metrics.Counter(ptmetric.Refusals, "reason", string(refusal.Reason)).Inc()
 	broker.deps.Log.Info("job refused", "job", job, "queue", queue, "reason", refusal.Reason,
 		"forecast", refusal.Wait.String(), "aheadMillicores", refusal.Ahead, "freeMillicores", refusal.Supply.Free,
-		"freedMillicoresPerSecond", int64(refusal.Supply.Freed), "retryAfter", refusal.RetryAfter.String())
+		"freedMillicoresPerSecond", int64(refusal.Supply.Freed),
+		"reservedMillicoresPerSecond", int64(refusal.Supply.Reserved), "retryAfter", refusal.RetryAfter.String())
 }
 
 // Abandon records that one caller of a job has gone; with the last one the job ends.
--- a/ptfitness/ptfitness.go
+++ b/ptfitness/ptfitness.go
@@ -28,7 +28,7 @@
 //	gauge.Started(run, expected, false, now)
 //	gauge.Progressed(run, 40, now)
 //	gauge.Done(run, now)
-//	word := gauge.Word(now)
+//	word := gauge.Word()
 //
 //	aside := ptfitness.SetAside(words)
 //
--- a/ptroom/judge.go
+++ b/ptroom/judge.go
@@ -1,7 +1,6 @@
 package ptroom
 
 import (
-	"github.com/primrosetiller/primrosetiller/ptfitness"
 	"github.com/primrosetiller/primrosetiller/ptid"
 	"github.com/primrosetiller/primrosetiller/ptrun"
 )
@@ -45,6 +44,3 @@
 		core.emit(OfferRoom{Owner: Owner{Entry: holder, Incarnation: core.owners[holder].incarnation}})
 	}
 }
-
-// Word returns what is known of the worker.
-func (core *Core) Word() ptfitness.Word { return core.gauge.Word() }
