ptbroker: ready once a worker takes orders, not at the first session

A session counted as ready, and the agent tells of its worker some frames later; in between every job is refused, though the balancer sends callers. It is a fault of the product: after a restart an entry refuses what it could serve some milliseconds later.

Before: TestIsReadyOnceAWorkerTakesOrders fails at 'with a session alone'. After: it passes; ptbroker, ptassign and platform with its soak pass.

Conclusion: readiness follows the first worker that takes orders. A worker that turns unusable later does not make an entry unready, since its refusals are at once and true.

--- a/ptassign/forecast.go
+++ b/ptassign/forecast.go
@@ -1,6 +1,7 @@
 package ptassign
 
 import (
+	"slices"
 	"time"
 
 	"github.com/primrosetiller/primrosetiller/ptid"
@@ -39,6 +40,9 @@
 // isThere reports whether the agent has a session and a worker.
 func (agent *agent) isThere() bool { return agent.connected && agent.reported && !agent.state.Unusable }
 
+// HasWorker reports whether some agent has a session and a worker that takes orders.
+func (core *Core) HasWorker() bool { return slices.ContainsFunc(core.ordered, (*agent).isThere) }
+
 // isExpected reports whether the agent has lost its session a moment ago and may soon be back.
 //
 // It answers links that all go silent at once: for some hundred milliseconds an entry has no
--- a/ptbroker/hostile_test.go
+++ b/ptbroker/hostile_test.go
@@ -63,6 +63,28 @@
 	}
 }
 
+// A ready entry must not refuse what comes for want of a worker: a session says nothing of the
+// worker yet, and the worker may have to be seen without runs of a former agent first.
+func TestIsReadyOnceAWorkerTakesOrders(test *testing.T) {
+	expect := NewWithT(test)
+	queues := ptqueue.NewHolder()
+	queues.Offer(ptqueue.NewCatalog(1, nil, ptqueue.Limits{}))
+	broker := New(Setting{Name: "entry", Zone: "zone", Seed: 1}, Dependencies{
+		Log: logr.Discard(), Metrics: ptmetric.New(), Clock: ptid.NewClock(), Queues: queues, Kept: ptstandin.NewKept(4).Client("entry"), Member: "127.0.0.1:1",
+	})
+	expect.Expect(broker.Ready()).To(BeFalse())
+	joined := join(broker, "agent")
+	broker.sessions.Store(1)
+	expect.Expect(broker.Ready()).To(BeFalse(), "with a session alone")
+	room := &ptwire.Room{Worker: "worker", CpuMillicores: 4000, MemoryMebibytes: 4000, Pace: 1, Unusable: true}
+	joined.Receive(nil, &ptwire.Frame{Room: room})
+	expect.Expect(broker.Ready()).To(BeFalse(), "with a worker that takes no orders yet")
+	room.Unusable = false
+	joined.Receive(nil, &ptwire.Frame{Room: room})
+	expect.Expect(broker.Ready()).To(BeTrue())
+	submit(expect, broker, 1)
+}
+
 func join(broker *Broker, name string) (joined *link) {
 	joined = &link{broker: broker, greeting: &ptwire.Greeting{Agent: name, Service: "service", Incarnation: 1, Session: 1}}
 	joined.session = ptsession.New(ptlink.EntrySide, broker.deps.Clock, ptstandin.DeafStream{}, func() {}, time.Second, joined)
--- a/ptbroker/ptbroker.go
+++ b/ptbroker/ptbroker.go
@@ -118,7 +118,9 @@
 	unready     atomic.Bool
 	draining    atomic.Bool
 	sessions    atomic.Int64
-	count       counters
+	// reached is true once an agent has told of a worker that takes orders.
+	reached atomic.Bool
+	count   counters
 	// wants is what waits for room, by service, as of the last tick.
 	wants atomic.Pointer[map[ptid.ServiceName]ptrun.Want]
 
@@ -179,9 +181,12 @@
 	return broker
 }
 
-// Ready reports whether the broker takes jobs: it knows the queues and has a worker.
+// Ready reports whether the broker takes jobs: it knows the queues, has a session, and has
+// heard of a worker that takes orders. A session alone is not enough, since the agent tells
+// of its worker some frames later, and jobs that come before are refused. Workers that turn
+// unusable later do not make the broker unready: its refusals are at once and true.
 func (broker *Broker) Ready() bool {
-	return !broker.unready.Load() && broker.deps.Queues.Load() != nil && broker.sessions.Load() > 0
+	return !broker.unready.Load() && broker.deps.Queues.Load() != nil && broker.sessions.Load() > 0 && broker.reached.Load()
 }
 
 // Leaving reports whether callers should look for another entry.
--- a/ptbroker/session.go
+++ b/ptbroker/session.go
@@ -107,9 +107,7 @@
 	if broker.links[link.name()] != link {
 		return
 	}
-	if frame.Room != nil {
-		broker.do(broker.core.Reported(link.name(), stateOf(frame.Room, now), now))
-	}
+	broker.reported(link, frame.Room, now)
 	for _, message := range frame.RunEnds {
 		end := ptrun.FromEnd(message)
 		if end.Result != ptrun.Done {
@@ -129,6 +127,17 @@
 	}
 }
 
+// reported takes what a frame tells of a worker, if it does. The caller holds the lock.
+func (broker *Broker) reported(link *link, room *ptwire.Room, now ptid.Instant) {
+	if room == nil {
+		return
+	}
+	broker.do(broker.core.Reported(link.name(), stateOf(room, now), now))
+	if !broker.reached.Load() && broker.core.HasWorker() {
+		broker.reached.Store(true)
+	}
+}
+
 func stateOf(room *ptwire.Room, now ptid.Instant) ptassign.AgentState {
 	demand := func(cpu, memory, accelerators int64) ptrun.Demand {
 		return ptrun.Demand{CPU: ptrun.Millicores(cpu), Memory: ptrun.Mebibytes(memory), Accelerators: accelerators}
@@ -209,9 +218,7 @@
 	if broker.links[joining.name()] == joining {
 		broker.do(broker.core.Joined(joining.name(), ptid.Incarnation(greeting.Incarnation), ptid.ServiceName(greeting.Service),
 			ptid.Zone(greeting.AvailabilityZone) == broker.setting.Zone, now))
-		if frame.Room != nil {
-			broker.do(broker.core.Reported(joining.name(), stateOf(frame.Room, now), now))
-		}
+		broker.reported(joining, frame.Room, now)
 		for _, held := range broker.keeper.owned {
 			if held.loaded {
 				joining.adopt(held, broker.keeper.store.Partitions())
