--- a/ptassign/ptassign.go
+++ b/ptassign/ptassign.go
@@ -61,8 +61,10 @@
 	// holds it up by some hundreds of milliseconds at most.
 	OrderLife = 500 * time.Millisecond
 	// WaitAtAgent is how long an order may wait for room at its agent. Room that was
-	// free by the last report is taken by another entry at times, and freed soon.
-	WaitAtAgent = 40 * time.Millisecond
+	// free by the last report is taken by another entry at times, and freed soon; an urgent
+	// job has some 80 ms to find all of its room, so a longer wait at a full worker costs it
+	// the next try (docs/design/11-fitness-and-urgency.md).
+	WaitAtAgent = 10 * time.Millisecond
 	// GangWaitAtAgent is the same for members of a gang: a refusal ends the work of all
 	// the others, so it is worth more time, well below that after which they give up.
 	GangWaitAtAgent = 300 * time.Millisecond
@@ -590,8 +592,10 @@
 }
 
 const (
-	// farPenalty is the cost of another availability zone against a pace of 1.
-	farPenalty = 0.03
+	// farPenalty is the cost of another availability zone against a pace of 1. It is as
+	// much as that of a full worker: the entries of a zone use its workers first, so that
+	// the orders of fewer entries meet at each, and what they know of its room is newer.
+	farPenalty = 0.3
 	// remotePenalty is the cost of a worker away from the step's data.
 	remotePenalty = 0.5
 	// loadPenalty is the cost of a full worker; its room may be taken by the time that
--- a/ptbroker/session.go
+++ b/ptbroker/session.go
@@ -207,7 +207,7 @@
 	}
 	err = stream.Send(&ptwire.Frame{Welcome: &ptwire.Welcome{
 		Entry: string(broker.setting.Name), Incarnation: uint64(broker.incarnation), Session: greeting.Session,
-		HeartbeatIntervalNanos: int64(interval),
+		HeartbeatIntervalNanos: int64(interval), AvailabilityZone: string(broker.setting.Zone),
 	}})
 	if err != nil {
 		joining.session.Close(err)
--- a/ptroom/offers.go
+++ b/ptroom/offers.go
@@ -13,6 +13,23 @@
 // the order that uses it take a trip each, some milliseconds where the entry is busy.
 const OfferFor = 10 * time.Millisecond
 
+const (
+	// roomShare is the least time between two frames that tell of the room alone, for each
+	// entry that is told, and shortestRoomInterval that of all: the entries' tick.
+	roomShare            = 32 * time.Millisecond
+	shortestRoomInterval = 25 * time.Millisecond
+)
+
+// RoomInterval returns the least time between two frames to an entry that tell of the room
+// alone. Entries of the worker's availability zone use it most and are told more often,
+// others half as often as if all were alike. Room that an entry waits for is offered at once.
+func RoomInterval(near bool, nearEntries, entries int) time.Duration {
+	if near {
+		return max(shortestRoomInterval, time.Duration(nearEntries)*roomShare)
+	}
+	return max(shortestRoomInterval, 2*time.Duration(entries)*roomShare)
+}
+
 // Wants takes what an entry has waiting.
 func (core *Core) Wants(entry ptid.EntryName, want ptrun.Want, now ptid.Instant) (effects []Effect) {
 	owner := core.owners[entry]
--- a/ptroom/offers_test.go
+++ b/ptroom/offers_test.go
@@ -98,3 +98,14 @@
 	fixture.Leave(other.Entry, at(2))
 	fixture.expect.Expect(starts(fixture.orderOf(owner, run(0, 1), at(3)))).To(ConsistOf(run(0, 1)))
 }
+
+// The load: 35 entries in five zones, of which those of the worker's zone use it most. Most
+// frames go to them, and no more in all than when each entry is told alike.
+func TestNearEntriesAreToldOfRoomMoreOften(test *testing.T) {
+	expect := NewWithT(test)
+	const near, entries = 7, 35
+	nearly, farther := ptroom.RoomInterval(true, near, entries), ptroom.RoomInterval(false, near, entries)
+	expect.Expect(nearly).To(BeNumerically("<=", farther/5))
+	expect.Expect(near/nearly.Seconds()+(entries-near)/farther.Seconds()).To(BeNumerically("<=", 50), "frames a second")
+	expect.Expect(ptroom.RoomInterval(true, 1, 1)).To(BeNumerically(">=", 25*time.Millisecond), "a small deployment")
+}
--- a/ptrunner/ptrunner.go
+++ b/ptrunner/ptrunner.go
@@ -62,9 +62,6 @@
 	absentWait = 50 * time.Millisecond
 	// tickInterval paces stops, deadlines and the room's frames.
 	tickInterval = 25 * time.Millisecond
-	// roomShare is the least time between two frames that tell of the room alone, for
-	// each entry that is told. Room that an entry waits for is offered at once.
-	roomShare = 32 * time.Millisecond
 	// drainPollInterval paces the wait for the last runs.
 	drainPollInterval = 20 * time.Millisecond
 	// leavingNotice is how long a leaving agent stays so that entries learn of it.
@@ -443,12 +440,17 @@
 // refreshPeers sends frames to entries whose view of the room is old, and paces the
 // heartbeats. The caller holds the lock.
 func (runner *Runner) refreshPeers(now ptid.Instant) {
-	every := max(tickInterval, time.Duration(len(runner.peers))*roomShare)
+	near := 0
+	for _, peer := range runner.peers {
+		if peer.near {
+			near++
+		}
+	}
 	for _, peer := range runner.peers {
 		report := runner.core.Report(peer.owner.Entry)
 		peer.pace(report.Own != ptrun.Demand{})
 		changed := !sameRoom(report, peer.told)
-		if changed && now.Sub(peer.toldAt) >= every {
+		if changed && now.Sub(peer.toldAt) >= ptroom.RoomInterval(peer.near, near, len(runner.peers)) {
 			peer.session.Post(func(*ptwire.Frame) {})
 		}
 	}
--- a/ptrunner/session.go
+++ b/ptrunner/session.go
@@ -44,9 +44,11 @@
 	owner    ptroom.Owner
 	session  *ptsession.Session
 	interval time.Duration
-	busy     bool
-	told     ptroom.Report
-	toldAt   ptid.Instant
+	// near entries are in the agent's availability zone.
+	near   bool
+	busy   bool
+	told   ptroom.Report
+	toldAt ptid.Instant
 }
 
 // pace sets the heartbeat interval. The caller holds the lock.
@@ -221,7 +223,7 @@
 
 func (runner *Runner) serveSession(stream ptsession.Stream, closer func(), welcome *ptwire.Welcome) (err error) {
 	joined := &peer{
-		runner: runner, interval: time.Duration(welcome.HeartbeatIntervalNanos),
+		runner: runner, interval: time.Duration(welcome.HeartbeatIntervalNanos), near: ptid.Zone(welcome.AvailabilityZone) == runner.setting.Zone,
 		owner: ptroom.Owner{Entry: ptid.EntryName(welcome.Entry), Incarnation: ptid.Incarnation(welcome.Incarnation)},
 	}
 	joined.session = ptsession.New(ptlink.AgentSide, runner.deps.Clock, stream, closer, joined.interval, joined)
--- a/ptsim/agent.go
+++ b/ptsim/agent.go
@@ -200,9 +200,6 @@
 // ackWithin is that of package ptlink, and half a tick.
 const ackWithin = 112 * time.Millisecond
 
-// roomShare is that of package ptrunner.
-const roomShare = 32 * time.Millisecond
-
 // tick does what is due, and tells the entries whose view of the room is old.
 func (agent *agent) tick() {
 	fleet, now := agent.fleet, agent.fleet.Now()
@@ -210,13 +207,19 @@
 		return
 	}
 	agent.do(agent.core.Tick(now))
-	every := max(tick, time.Duration(len(agent.peers))*roomShare)
+	near := 0
+	for _, entry := range fleet.entries {
+		if fleet.near(entry, agent) {
+			near++
+		}
+	}
 	for index, peer := range agent.peers {
-		report := agent.core.Report(fleet.entries[index].name())
-		others := report.Held.Minus(report.Own)
-		if others != peer.told.Held.Minus(peer.told.Own) && now.Sub(peer.toldAt) >= every {
+		entry := fleet.entries[index]
+		report := agent.core.Report(entry.name())
+		every := ptroom.RoomInterval(fleet.near(entry, agent), near, len(agent.peers))
+		if others := report.Held.Minus(report.Own); others != peer.told.Held.Minus(peer.told.Own) && now.Sub(peer.toldAt) >= every {
 			fleet.report.RoomFrames++
-			agent.send(fleet.entries[index], func() {})
+			agent.send(entry, func() {})
 		}
 	}
 }
