Failed try: urgent needs weigh four times at agents (reverted)

Cause looked for: checks at 35 entries get a small part of the room that becomes free. Tried: their need counts four times that of the next priority where agents share it out.

--- a/ptassign/want.go
+++ b/ptassign/want.go
@@ -1,7 +1,6 @@
 package ptassign
 
 import (
-	"math"
 	"time"
 
 	"github.com/primrosetiller/primrosetiller/ptid"
@@ -18,9 +17,6 @@
 	// wantAfter is how long jobs must have waited before all agents are told: most wait for
 	// milliseconds.
 	wantAfter = 25 * time.Millisecond
-	// urgencyStep is how many times as much the need of a job counts as that of one which is
-	// less urgent by a step of priority, where agents share room that becomes free.
-	urgencyStep = 4
 	// WantInterval is the least time between two frames to an agent that tell of it alone;
 	// others that go to it tell as well.
 	WantInterval = 200 * time.Millisecond
@@ -57,16 +53,11 @@
 	return wants, alone
 }
 
-// need returns the rate at which room must become free for a job to start in time, weighed
-// by its urgency.
-//
-// It answers an overload at many entries: each gets a small part of the room that becomes
-// free, and an urgent job with several tasks needs much of it at once.
+// need returns the rate at which room must become free for a job to start in time.
 func (core *Core) need(job *Job, now ptid.Instant) (rate ptrun.MillicoresPerSecond) {
 	slack := lateSlack
 	if latest := job.latestStart(); latest >= now || job.Started() {
 		slack = max(leastSlack, latest.Sub(now))
 	}
-	urgency := math.Pow(urgencyStep, -float64(job.Queue.Priority))
-	return ptrun.MillicoresPerSecond(float64(core.readyDemand(job)) / slack.Seconds() * urgency)
+	return ptrun.MillicoresPerSecond(float64(core.readyDemand(job)) / slack.Seconds())
 }
