ptbroker: progress that an earlier owner has left is taken away; hand-overs played

Cause: the new test of hand-overs (three entries, one after the other cut from the log while jobs come) left progress records in the log for good: an owner takes the spec of a long ended job away, then its progress; where the partition changes hands between the two, the later owner reads progress without a spec and keeps it, in the log and in memory. Now it looks such jobs up, eight at a time, and takes the progress away where the log has no spec and the job has ended.

The same test first showed tasks that started twice. Traced by the log lines of one job: the stand-in of the log returned the whole history of a partition as its newest specs, so a job whose spec had been taken away came back without its progress. The platform returns the newest record of each key, and the port says so; ptstandin follows it now, and drops keys without a value. No check of the tests is changed by that.

Ruled out: former owners that act beside the later one.

--- a/ptbroker/kept.go
+++ b/ptbroker/kept.go
@@ -33,6 +33,9 @@
 	putTimeout = time.Second
 	// meetAgents is how long a new entry waits for the agents to find it.
 	meetAgents = 2500 * time.Millisecond
+	// leftAtOnce bounds the jobs that are looked up at a time since an earlier owner has left
+	// their progress alone: each takes two calls to the log.
+	leftAtOnce = 8
 	// forgetParts is how often, in the time that ended jobs are remembered, older ones are
 	// looked for.
 	forgetParts = 30
@@ -526,6 +529,7 @@
 		if now >= held.forgetAt {
 			held.forgetAt = now.Add(broker.setting.RememberEnded / forgetParts)
 			broker.forgetOld(held)
+			broker.forgetLeft(held)
 		}
 		if len(held.dirty) > 0 && !held.saving {
 			broker.save(held)
--- a/ptbroker/strangers.go
+++ b/ptbroker/strangers.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/primrosetiller/primrosetiller/ptid"
@@ -84,6 +86,27 @@
 	if held.jobs[id] == nil {
 		held.unknown[id] = true
 		broker.claim(held, id)
+		if left, found := held.earlier[id]; found && left.State.Ended() && len(spec) == 0 {
+			delete(held.earlier, id)
+			held.dirty[id] = true
+		}
+	}
+}
+
+// forgetLeft looks for jobs that ended long ago, of which an earlier owner has taken the spec
+// away and not the progress. The spec may also have been put after the specs were read, so
+// each is looked up. The caller holds the lock.
+func (broker *Broker) forgetLeft(held *owned) {
+	looked := 0
+	for _, id := range slices.Sorted(maps.Keys(held.earlier)) {
+		if !held.earlier[id].State.Ended() {
+			continue
+		}
+		if looked == leftAtOnce {
+			return
+		}
+		looked++
+		broker.identify(held, id)
 	}
 }
 
--- a/ptstandin/kept.go
+++ b/ptstandin/kept.go
@@ -89,7 +89,12 @@
 	kept.mu.Lock()
 	defer kept.mu.Unlock()
 	log := kept.logs[partition]
-	return slices.Clone(log), ptkept.Offset(len(log)), kept.fails(KeptRead)
+	for index, record := range log {
+		if len(record.Value) > 0 && !slices.ContainsFunc(log[index+1:], func(later ptkept.Record) bool { return later.Key == record.Key }) {
+			records = append(records, record)
+		}
+	}
+	return records, ptkept.Offset(len(log)), kept.fails(KeptRead)
 }
 
 // Follow implements [ptkept.Store].
@@ -163,6 +168,10 @@
 		kept.progress[partition] = make(map[string][]byte)
 	}
 	for _, record := range records {
+		if len(record.Value) == 0 {
+			delete(kept.progress[partition], record.Key)
+			continue
+		}
 		kept.progress[partition][record.Key] = record.Value
 	}
 	return nil
@@ -246,11 +255,7 @@
 		}
 	}
 	for _, progress := range kept.progress {
-		for _, value := range progress {
-			if len(value) > 0 {
-				count++
-			}
-		}
+		count += len(progress)
 	}
 	return count
 }
