Callers of kept jobs hear of the end at once

Other entries look at the owner every 20 ms. The end is kept at once.

Ruled out: placing (0 ms), adoption, the store's 4 ms. Weighed in docs/design/10-platform.md: longer waits, open questions at the owner, a push from owners.

Open: submissions while an entry is cut from the store.

--- a/ptbroker/ask.go
+++ b/ptbroker/ask.go
@@ -21,6 +21,10 @@
 	askTimeout = 400 * time.Millisecond
 	// ownersAge is how old the list of owners may be.
 	ownersAge = time.Second
+	// ownStep and peerStep are the pauses between two looks for the end of a job that a caller
+	// waits for: one takes a lock, the other a question to another entry.
+	ownStep  = 10 * time.Millisecond
+	peerStep = 20 * time.Millisecond
 	// pendingAge is how old the count of another entry's pending jobs may be.
 	pendingAge = 700 * time.Millisecond
 )
@@ -99,13 +103,46 @@
 	return asking.owners, nil
 }
 
+// keptView is what is known of a kept job.
+type keptView struct {
+	state ptgraph.State
+	// endsSoon is true for jobs that end by themselves, own for those of this entry.
+	endsSoon, own bool
+}
+
 // KeptState returns the state of a kept job: from its owner, or else from the log.
 func (broker *Broker) KeptState(ctx context.Context, id ptid.JobID) (state ptgraph.State, found bool, err error) {
+	view, found, err := broker.view(ctx, id)
+	return view.state, found, err
+}
+
+// AwaitKept returns the state of a kept job as soon as it has ended, and else at an instant.
+// Jobs that run at set times or until they are cancelled are not waited for, nor is anything
+// while the entry leaves.
+//
+// It answers callers that ask some times a second: they would learn of an end a quarter of
+// a second late.
+func (broker *Broker) AwaitKept(ctx context.Context, id ptid.JobID, until ptid.Instant) (state ptgraph.State, found bool, err error) {
+	for {
+		view, found, err := broker.view(ctx, id)
+		step := peerStep
+		if view.own {
+			step = ownStep
+		}
+		if err != nil || !found || view.state.Ended() || !view.endsSoon || broker.Leaving() || broker.deps.Clock.Now().Add(step) > until {
+			return view.state, found, err
+		}
+		pause(ctx, step)
+	}
+}
+
+// view asks the owner of a kept job, or else the log.
+func (broker *Broker) view(ctx context.Context, id ptid.JobID) (view keptView, found bool, err error) {
 	if broker.keeper.store == nil {
-		return 0, false, nil
+		return view, false, nil
 	}
-	if state, known := broker.ownState(id); known {
-		return state, true, nil
+	if view, found = broker.ownView(id); found {
+		return view, true, nil
 	}
 	partition := ptkept.PartitionOf(id, broker.keeper.store.Partitions())
 	owners, err := broker.owners(ctx)
@@ -116,13 +153,14 @@
 			return err
 		})
 		if asked == nil && reply.Known && len(reply.Tasks) == 1 {
-			return ptgraph.State(reply.Tasks[0].State), true, nil
+			return keptView{state: ptgraph.State(reply.Tasks[0].State), endsSoon: reply.EndsSoon}, true, nil
 		}
 		if asked != nil {
 			broker.deps.Log.Info("owner not reached", "job", id, "partition", partition, "owner", owners[partition], "error", asked.Error())
 		}
 	}
-	return broker.lookup(ctx, partition, id)
+	view.state, found, err = broker.lookup(ctx, partition, id)
+	return view, found, err
 }
 
 // lookup reads the state of a job from the log.
@@ -145,29 +183,30 @@
 	}
 }
 
-// ownState returns the state of a kept job of ours.
-func (broker *Broker) ownState(id ptid.JobID) (state ptgraph.State, known bool) {
+// ownView returns what is known of a kept job of ours.
+func (broker *Broker) ownView(id ptid.JobID) (view keptView, known bool) {
 	broker.mu.Lock()
 	defer broker.mu.Unlock()
 	held, job := broker.keptOf(id)
 	if job == nil || !held.loaded {
-		return 0, false
+		return view, false
 	}
+	view = keptView{state: job.shown, endsSoon: job.endsSoon(), own: true}
 	if job.shown.Ended() {
-		return job.shown, true
+		return view, true
 	}
 	for _, open := range job.open {
 		if !open.Untouched() {
-			return ptgraph.Running, true
+			view.state = ptgraph.Running
 		}
 	}
-	return job.shown, true
+	return view, true
 }
 
 // Job implements the drpc service: it tells another entry the state of a job of ours.
 func (broker *Broker) Job(_ context.Context, query *ptwire.JobQuery) (reply *ptwire.JobReply, err error) {
-	state, known := broker.ownState(ptid.JobID(query.Job))
-	return &ptwire.JobReply{Known: known, Ended: state.Ended(), Tasks: []*ptwire.TaskEnd{{State: uint32(state)}}}, nil
+	view, known := broker.ownView(ptid.JobID(query.Job))
+	return &ptwire.JobReply{Known: known, Ended: view.state.Ended(), EndsSoon: view.endsSoon, Tasks: []*ptwire.TaskEnd{{State: uint32(view.state)}}}, nil
 }
 
 // Peer implements the drpc service: it tells who answers, and how many kept jobs of a
--- a/ptbroker/kept.go
+++ b/ptbroker/kept.go
@@ -68,6 +68,11 @@
 
 func (job *keptJob) timed() bool { return job.spec.Times > 0 }
 
+// endsSoon reports whether the job ends by itself once its tasks have run.
+func (job *keptJob) endsSoon() bool {
+	return !job.timed() && !slices.ContainsFunc(job.spec.Steps, func(step ptgraph.Step) bool { return step.Endless })
+}
+
 // owned is a partition of ours.
 type owned struct {
 	number   ptkept.Partition
@@ -420,6 +425,10 @@
 	}
 	broker.deps.Metrics.Counter(ptmetric.Jobs, "outcome", state.String()).Inc()
 	broker.deps.Log.Info("kept job ended", "job", job.spec.ID, "queue", job.spec.Queue, "state", state.String())
+	if held.loaded && !held.saving {
+		// Its callers wait for this; the next tick is up to 25 ms away.
+		broker.save(held)
+	}
 }
 
 // keptOf returns a kept job of ours. The caller holds the lock.
