ptbroker: another entry puts what one that is cut from the log cannot

Change: a put without an answer after 100 ms, or refused, is asked of another entry beside the own call; after a put without success the next ones ask at once, and one own call at a time looks for the log's return. Refused only where every try was refused.

Ruled out: a second own call, since the log is as silent for it; an unready entry, since best-effort callers and open connections would suffer (docs/design/10-platform.md).

--- a/ptbroker/ask.go
+++ b/ptbroker/ask.go
@@ -203,8 +203,12 @@
 	return view, true
 }
 
-// Job implements the drpc service: it tells another entry the state of a job of ours.
-func (broker *Broker) Job(_ context.Context, query *ptwire.JobQuery) (reply *ptwire.JobReply, err error) {
+// Job implements the drpc service: it tells another entry the state of a job of ours, or puts
+// a record for it.
+func (broker *Broker) Job(ctx context.Context, query *ptwire.JobQuery) (reply *ptwire.JobReply, err error) {
+	if query.PutKey != "" {
+		return broker.putForPeer(ctx, query), nil
+	}
 	view, known := broker.ownView(ptid.JobID(query.Job))
 	return &ptwire.JobReply{Known: known, Ended: view.state.Ended(), EndsSoon: view.endsSoon, Tasks: []*ptwire.TaskEnd{{State: uint32(view.state)}}}, nil
 }
--- a/ptbroker/kept.go
+++ b/ptbroker/kept.go
@@ -125,19 +125,13 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, putTimeout)
-	defer cancel()
-	store := broker.keeper.store
-	return store.Put(ctx, ptkept.PartitionOf(spec.ID, store.Partitions()), ptkept.Record{Key: ptkept.SpecKey(spec.ID), Value: record})
+	return broker.putKept(ctx, spec.ID, ptkept.Record{Key: ptkept.SpecKey(spec.ID), Value: record})
 }
 
 // CancelKept keeps the cancellation of a job.
 func (broker *Broker) CancelKept(ctx context.Context, id ptid.JobID) (err error) {
 	defer func() { broker.deps.Log.Info("cancellation put", "job", id, "error", errorText(err)) }()
-	ctx, cancel := context.WithTimeout(ctx, putTimeout)
-	defer cancel()
-	store := broker.keeper.store
-	return store.Put(ctx, ptkept.PartitionOf(id, store.Partitions()), ptkept.Record{Key: ptkept.CancelKey(id), Value: []byte("{}")})
+	return broker.putKept(ctx, id, ptkept.Record{Key: ptkept.CancelKey(id), Value: []byte("{}")})
 }
 
 func errorText(err error) string {
--- a/ptbroker/ptbroker.go
+++ b/ptbroker/ptbroker.go
@@ -120,6 +120,10 @@
 	sessions    atomic.Int64
 	// reached is true once an agent has told of a worker that takes orders.
 	reached atomic.Bool
+	// cutAt is when a put into the log last had no success; zero once one had.
+	cutAt atomic.Int64
+	// probing is true while a put looks whether the log answers again.
+	probing atomic.Bool
 	count   counters
 	// wants is what waits for room, by service, as of the last tick.
 	wants atomic.Pointer[map[ptid.ServiceName]ptrun.Want]
