--- /dev/null
+++ b/ptassign/place_bench_test.go
@@ -0,0 +1,51 @@
+package ptassign_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/primrosetiller/primrosetiller/ptassign"
+	"github.com/primrosetiller/primrosetiller/ptgraph"
+	"github.com/primrosetiller/primrosetiller/ptid"
+	"github.com/primrosetiller/primrosetiller/ptrun"
+)
+
+// BenchmarkPlacing plays jobs of eight tasks, from their arrival to their last end, at an entry
+// that knows so many agents, while the workers have room and while all are full by the views
+// of the entry.
+func BenchmarkPlacing(bench *testing.B) {
+	for _, agents := range []int{11, 160, 680} {
+		for name, held := range map[string]ptrun.Millicores{"room": 0, "full": 64_000} {
+			bench.Run(fmt.Sprintf("%d agents, %s", agents, name), func(bench *testing.B) {
+				core := ptassign.New(1)
+				for index := range agents {
+					core.Joined(agentName(index), 1, service, index%5 == 0, start)
+					core.Reported(agentName(index), ptassign.AgentState{
+						Worker: ptrun.WorkerID(fmt.Sprint("worker", index)), Capacity: ptrun.Demand{CPU: 64_000, Memory: 128_000},
+						Held: ptrun.Demand{CPU: held},
+					}, start)
+				}
+				now := start
+				for job := 0; bench.Loop(); job++ {
+					now = now.Add(time.Millisecond)
+					_, refusal, effects, err := core.Submit(ptassign.Spec{
+						Spec: ptgraph.Spec{ID: ptid.JobID(fmt.Sprintf("%016x", job)), MaxAttempts: 3, Steps: []ptgraph.Step{
+							{Count: 8, Demand: ptrun.Demand{CPU: 10_000, Memory: 64}, Estimate: 60 * time.Millisecond},
+						}},
+						Queue: queue, Deadline: now.Add(time.Second),
+					}, now)
+					if err != nil || refusal != nil {
+						bench.Fatal(err, refusal)
+					}
+					for _, order := range orders(effects) {
+						core.RunEnded(order.Agent, ptrun.End{Run: order.Run, Result: ptrun.Done, RunTime: 60 * time.Millisecond}, now)
+					}
+					if held > 0 {
+						core.Cancel(ptassign.Key{ID: ptid.JobID(fmt.Sprintf("%016x", job))}, now)
+					}
+				}
+			})
+		}
+	}
+}
