ptbroker: look for a silent log every 200 ms, also beside a call without answer

While the log did not answer one call at a time looked for it; a call that a silent log has swallowed hangs for a second, so entries refused for up to a second after the log was back.

The cases of TestAPutIsRefusedOnlyWhereNoTryMayBeCarriedOut have a system each now, and one more: its third case found the own call withheld within 200 ms, where a refusal is true.

--- a/ptbroker/ptbroker.go
+++ b/ptbroker/ptbroker.go
@@ -122,9 +122,9 @@
 	reached atomic.Bool
 	// cutAt is when a put into the log last had no success; zero once one had.
 	cutAt atomic.Int64
-	// probing is true while a put looks whether the log answers again.
-	probing atomic.Bool
-	count   counters
+	// probedAt is when a put last looked whether the log answers again.
+	probedAt atomic.Int64
+	count    counters
 	// wants is what waits for room, by service, as of the last tick.
 	wants atomic.Pointer[map[ptid.ServiceName]ptrun.Want]
 
--- a/ptbroker/put.go
+++ b/ptbroker/put.go
@@ -18,6 +18,8 @@
 	putElsewhereAfter = 100 * time.Millisecond
 	// cutFor is how long after a put without success the next ones ask another entry at once.
 	cutFor = 2 * time.Second
+	// probeInterval is the least time between two puts that look whether the log answers again.
+	probeInterval = 200 * time.Millisecond
 	// refusedReason and unansweredReason tell another entry what became of its record.
 	refusedReason    = "refused"
 	unansweredReason = "unanswered"
@@ -68,14 +70,12 @@
 	}
 }
 
-// putOwn puts a record by a call of this entry. While the log does not answer, one call at a
-// time looks whether it does again, and the others are refused at once.
+// putOwn puts a record by a call of this entry. While the log does not answer, a call now and
+// then looks whether it does again, and the others are refused at once. A silent log never
+// answers what it has swallowed, so the next call does not wait for the end of the last.
 func (broker *Broker) putOwn(ctx context.Context, job ptid.JobID, record ptkept.Record) (err error) {
-	if broker.isCut() {
-		if !broker.probing.CompareAndSwap(false, true) {
-			return errors.Wrap(ptkept.ErrRefused, "the log has not answered lately")
-		}
-		defer broker.probing.Store(false)
+	if broker.isCut() && !broker.mayProbe() {
+		return errors.Wrap(ptkept.ErrRefused, "the log has not answered lately")
 	}
 	store := broker.keeper.store
 	if err = store.Put(ctx, ptkept.PartitionOf(job, store.Partitions()), record); err == nil {
@@ -92,6 +92,12 @@
 	return cutAt > 0 && broker.deps.Clock.Now().Sub(cutAt) < cutFor
 }
 
+// mayProbe reports whether a put may look for the log, and takes the turn.
+func (broker *Broker) mayProbe() bool {
+	last, now := broker.probedAt.Load(), broker.deps.Clock.Now()
+	return now.Sub(ptid.Instant(last)) >= probeInterval && broker.probedAt.CompareAndSwap(last, int64(now))
+}
+
 // putPatience returns how long a put waits before another entry is asked.
 func (broker *Broker) putPatience() time.Duration {
 	if broker.isCut() {
--- a/ptbroker/put_test.go
+++ b/ptbroker/put_test.go
@@ -65,13 +65,17 @@
 
 // A job that was refused never runs: it is refused only where no try may yet be carried out.
 func TestAPutIsRefusedOnlyWhereNoTryMayBeCarriedOut(test *testing.T) {
-	system := newSystem(test, 2, 1)
-	system.knowEachOther()
-	accept := func() error { return system.brokers[0].Accept(context.Background(), keptSpec("00000000000000b1", 1)) }
-	system.putFault(map[string]error{"entry0": ptkept.ErrRefused, "entry1": ptkept.ErrRefused})
-	system.expect.Expect(accept()).To(MatchError(ptkept.ErrRefused))
-	system.putFault(map[string]error{"entry0": ptkept.ErrRefused, "entry1": ptkept.ErrUnanswered})
-	system.expect.Expect(accept()).To(MatchError(ptkept.ErrUnanswered))
-	system.putFault(map[string]error{"entry0": ptkept.ErrUnanswered, "entry1": ptkept.ErrRefused})
-	system.expect.Expect(accept()).To(MatchError(ptkept.ErrUnanswered))
+	for _, tries := range []struct{ own, other, want error }{
+		{own: ptkept.ErrRefused, other: ptkept.ErrRefused, want: ptkept.ErrRefused},
+		{own: ptkept.ErrRefused, other: ptkept.ErrUnanswered, want: ptkept.ErrUnanswered},
+		{own: ptkept.ErrUnanswered, other: ptkept.ErrRefused, want: ptkept.ErrUnanswered},
+		{own: ptkept.ErrUnanswered, other: ptkept.ErrUnanswered, want: ptkept.ErrUnanswered},
+	} {
+		test.Run(fmt.Sprintf("%s, %s", tries.own, tries.other), func(test *testing.T) {
+			system := newSystem(test, 2, 1)
+			system.knowEachOther()
+			system.putFault(map[string]error{"entry0": tries.own, "entry1": tries.other})
+			system.expect.Expect(system.brokers[0].Accept(context.Background(), keptSpec("00000000000000b1", 1))).To(MatchError(tries.want))
+		})
+	}
 }
