ptassign: stops that were lost with a session are repeated at the next one

All connections are reset at 3.24 s; callers leave, and the stops of their runs are lost with the sessions. At the next session an entry asked what had become of each run, and did not ask for the stop again, so a run that nobody wants goes on to its end while the caller may have its job elsewhere.

Before: TestStopsThatWereLostWithASessionAreRepeated fails.

--- a/ptassign/ptassign.go
+++ b/ptassign/ptassign.go
@@ -634,6 +634,10 @@
 	known.incarnation, known.service, known.near, known.connected = incarnation, service, near, true
 	for _, run := range sortedRuns(known.runs) {
 		core.emit(SendQuery{Agent: name, Run: run})
+		if known.runs[run].stopped {
+			// The stop may have been lost with the former session.
+			core.emit(SendStop{Agent: name, Run: run, Why: ptrun.ReasonByOrder})
+		}
 	}
 	core.place(now)
 	return core.take()
--- a/ptassign/ptassign_test.go
+++ b/ptassign/ptassign_test.go
@@ -440,6 +440,27 @@
 	expect.Expect(sharedWait).To(BeNumerically(">", 2*aloneWait))
 }
 
+// The load: all connections are reset at once. A caller leaves, and the stop of its run is
+// lost with the session; the caller may submit the job elsewhere, so the run must not go on.
+func TestStopsThatWereLostWithASessionAreRepeated(test *testing.T) {
+	fixture := newFixture(test, 1)
+	stops := func(effects []ptassign.Effect) (runs []ptrun.ID) {
+		for _, effect := range effects {
+			if stop, is := effect.(ptassign.SendStop); is {
+				runs = append(runs, stop.Run)
+			}
+		}
+		return runs
+	}
+	job, _, effects := fixture.submit(1, 100*time.Millisecond, at(0))
+	run := orders(effects)[0].Run
+	fixture.Lost(agentName(0), at(10))
+	fixture.expect.Expect(stops(fixture.Cancel(job.Key(), at(20)))).To(ConsistOf(run))
+	fixture.expect.Expect(stops(fixture.Joined(agentName(0), 1, service, true, at(30)))).To(ConsistOf(run))
+	fixture.RunEnded(agentName(0), ptrun.End{Run: run, Result: ptrun.Stopped}, at(40))
+	fixture.expect.Expect(stops(fixture.Joined(agentName(0), 1, service, true, at(50)))).To(BeEmpty())
+}
+
 // The load: two zones with room alike. Entries of a zone use its workers first, and others
 // where these are full.
 func TestWorkersOfTheOwnZoneAreUsedFirst(test *testing.T) {
