--- a/ptbroker/ask.go
+++ b/ptbroker/ask.go
@@ -110,13 +110,8 @@
 	endsSoon, own bool
 }
 
-// KeptState returns the state of a kept job: from its owner, or else from the log.
-func (broker *Broker) KeptState(ctx context.Context, id ptid.JobID) (state ptgraph.State, found bool, err error) {
-	view, found, err := broker.view(ctx, id)
-	return view.state, found, err
-}
-
-// AwaitKept returns the state of a kept job as soon as it has ended, and else at an instant.
+// AwaitKept returns the state of a kept job, from its owner or else from the log: as soon as it
+// has ended, and else at an instant; at once where that has passed.
 // Jobs that run at set times or until they are cancelled are not waited for, nor is anything
 // while the entry leaves.
 //
--- a/ptbroker/ptbroker_test.go
+++ b/ptbroker/ptbroker_test.go
@@ -130,7 +130,7 @@
 
 func (system *system) state(index int, id string) func() string {
 	return func() string {
-		state, found, err := system.brokers[index].KeptState(context.Background(), ptid.JobID(id))
+		state, found, err := system.brokers[index].AwaitKept(context.Background(), ptid.JobID(id), 0)
 		if err != nil || !found {
 			return "unknown"
 		}
