Tasks of a resubmitted job no longer run beside the runs of its first submission

A second submission of the job at the same entry was a new graph whose tasks were all pending and numbered from one. Its tasks were placed on other workers while the first runs were active, or on the same worker under the same run IDs: the second reservation then replaced the first in the agent's record, and the entry never released the first. The entry took a part of the worker as used for ever.

Now an admitted job takes over the runs of its previous submission that have not ended. Their tasks wait for the ends of these runs, use their results, and are numbered after them. A reservation is released as it was made, also where the second submission declares another demand.

--- a/ptassign/ptassign.go
+++ b/ptassign/ptassign.go
@@ -28,7 +28,8 @@
 //     reported the end, another incarnation of the agent has connected, or no message from
 //     the agent has arrived for [RunLossTimeout]. Runs of durable jobs survive a restart of
 //     their agent, so a new incarnation proves nothing about them, and the timeout is
-//     [DurableRunLossTimeout].
+//     [DurableRunLossTimeout]. This also holds across submissions: a job that is submitted
+//     again takes over the runs of its earlier submission that have not ended.
 //
 // # Usage
 //
@@ -236,6 +237,7 @@
 type placedRun struct {
 	job             *Job
 	task            *ptgraph.Task
+	reservation     ptrun.Demand
 	placedAt        ptid.Instant
 	expectedRunTime time.Duration
 	stopped         bool
@@ -297,6 +299,8 @@
 	jobs         map[Key]*Job
 	// bestEffort contains the best-effort jobs; unlike durable jobs they expire at Job.ExpiresAt.
 	bestEffort map[Key]*Job
+	// stopping contains the ended best-effort jobs that still have runs.
+	stopping map[Key]*Job
 	// waiting is sorted by the queue keys as of sortedAt. A job that has become late after
 	// sortedAt stays too far ahead in the queue until the next sort.
 	waiting  []*Job
@@ -326,6 +330,7 @@
 func New(seed uint64) *Core {
 	return &Core{
 		agents: make(map[ptid.AgentName]*agentRecord), jobs: make(map[Key]*Job), bestEffort: make(map[Key]*Job),
+		stopping:       make(map[Key]*Job),
 		averageRunTime: make(map[ptid.ProfileName]float64), demands: make(map[ptid.ProfileName]*queueDemand), estimateBias: 1, waitingSince: ptid.Never,
 		random: rand.New(rand.NewPCG(seed, 1)),
 	}
@@ -381,6 +386,7 @@
 	}
 	core.demandOf(job, now).cpu += float64(core.readyDemand(job))
 	core.jobs[job.Key()], core.bestEffort[job.Key()] = job, job
+	core.takeOverRuns(job)
 	core.enqueue(job, now)
 	core.placeWaiting(now)
 	return job, nil, core.takeEffects(), nil
@@ -574,22 +580,24 @@
 
 // reserve adds a run to the agent's list and reserves the run's capacity.
 func (core *Core) reserve(chosen *agentRecord, job *Job, task *ptgraph.Task, run ptrun.ID, now ptid.Instant) {
-	placed := &placedRun{job: job, task: task, placedAt: now, expectedRunTime: core.expectedRunTime(job.Queue.Name, task.Step)}
+	placed := &placedRun{
+		job: job, task: task, reservation: task.Step.Reservation(), placedAt: now, expectedRunTime: core.expectedRunTime(job.Queue.Name, task.Step),
+	}
 	chosen.runs[run] = placed
-	chosen.reserved = chosen.reserved.Plus(task.Step.Reservation())
+	chosen.reserved = chosen.reserved.Plus(placed.reservation)
 	chosen.expectedWork += placed.work()
 }
 
 // release removes a run from the agent's list and frees its reservation.
 func (agent *agentRecord) release(id ptrun.ID, run *placedRun) {
 	delete(agent.runs, id)
-	agent.reserved = agent.reserved.Minus(run.task.Step.Reservation())
+	agent.reserved = agent.reserved.Minus(run.reservation)
 	agent.expectedWork -= run.work()
 }
 
 // work returns the expected run time of the run in seconds, multiplied by its reserved CPU.
 func (run *placedRun) work() float64 {
-	return float64(run.task.Step.Reservation().CPU) * run.expectedRunTime.Seconds()
+	return float64(run.reservation.CPU) * run.expectedRunTime.Seconds()
 }
 
 // choose returns the agent on whose worker the task is placed; nil if no worker can run it
@@ -766,6 +774,9 @@
 	core.dropRejectedTicket(agent, run, end)
 	job := run.job
 	change := job.RunEnded(end)
+	if core.stopping[job.Key()] == job && len(job.PlacedRuns()) == 0 {
+		delete(core.stopping, job.Key())
+	}
 	if job.Durable {
 		core.emit(SaveProgress{Job: job, Agent: agent.name, Run: end.Run})
 	}
@@ -816,6 +827,9 @@
 	delete(core.bestEffort, job.Key())
 	core.dequeue(job)
 	if len(job.PlacedRuns()) > 0 {
+		if !job.Durable {
+			core.stopping[job.Key()] = job
+		}
 		for _, agent := range core.sortedAgents {
 			for _, id := range sortedRuns(agent.runs) {
 				if run := agent.runs[id]; run.job == job {
