Runs ordered while a restarted agent reconnects are no longer declared lost

Cause: welcome made a session the current one of its agent, released the lock, sent the welcome, and only then told the core of the agent's incarnation. Where the new session replaced an older one that had not ended yet, the core placed runs in between. Their orders went out over the new session. AgentConnected then took them for runs of the earlier incarnation and declared them lost, and their tasks were placed a second time while the first runs started. The span is as long as the broker's lock is contended, so it grows with the load of the entry.

Now the core learns of the session under the lock under which it becomes the current one. What is posted before the welcome is sent after it, since the writer of the session starts later.

Ruled out on the way: orders and queries that share a frame (the agent handles queries first and refuses the order, so the entry places the task again only after that answer); orders of a replaced session (the agent drops its frames).

--- a/ptbroker/session.go
+++ b/ptbroker/session.go
@@ -191,17 +191,17 @@
 	}
 }
 
-// welcome responds to the greeting of an agent and makes this session the current one of the
-// agent.
+// welcome makes this session the current one of an agent and responds to the greeting of the
+// agent. Messages that are posted before the response are sent after it.
 func (broker *Broker) welcome(stream ptwire.DRPCDispatcher_SessionStream, conn net.Conn, frame *ptwire.Frame) (agent *agentSession, err error) {
-	greeting, now := frame.Greeting, broker.deps.Clock.Now()
+	greeting := frame.Greeting
 	agent = &agentSession{broker: broker, greeting: greeting}
 	problem := checkGreeting(greeting)
 	interval := max(minHeartbeatInterval, time.Duration(broker.sessions.Load())*heartbeatIntervalPerSession)
 	if problem == "" {
-		agent.clock.AddSample(frame.AgentClockNanos, now)
+		agent.clock.AddSample(frame.AgentClockNanos, broker.deps.Clock.Now())
 		agent.session = ptsession.New(ptlink.EntrySide, broker.deps.Clock, stream, func() { _ = conn.Close() }, interval, agent)
-		problem = broker.register(agent)
+		problem = broker.register(agent, frame.Room)
 	}
 	if problem != "" {
 		_ = stream.Send(&ptwire.Frame{Welcome: &ptwire.Welcome{Entry: string(broker.setting.Name), Refused: problem}})
@@ -215,25 +215,16 @@
 		agent.session.Close(err)
 	}
 	broker.deps.Log.Info("agent session opened", "agent", greeting.Agent, "incarnation", greeting.Incarnation, "session", greeting.Session)
-	broker.mu.Lock()
-	defer broker.mu.Unlock()
-	if broker.agentSessions[agent.name()] == agent {
-		broker.execute(broker.core.AgentConnected(agent.name(), ptid.Incarnation(greeting.Incarnation), ptid.ServiceName(greeting.Service),
-			ptid.Zone(greeting.AvailabilityZone) == broker.setting.Zone, now))
-		broker.handleReport(agent, frame.Room, now)
-		for _, partition := range broker.ownership.partitions {
-			if partition.loaded {
-				agent.postAdoption(partition, broker.ownership.store.Partitions())
-			}
-		}
-	}
 	return agent, nil
 }
 
 // register makes this session the current one of the agent and closes the older session, if there
 // is one. If the agent already has a newer session, register returns a description of the problem
 // and changes nothing.
-func (broker *Broker) register(agent *agentSession) (problem string) {
+//
+// The core learns of the session under the same lock: it could otherwise order a run over the new
+// session and then take the run for one that was ordered over the older session.
+func (broker *Broker) register(agent *agentSession, report *ptwire.Room) (problem string) {
 	broker.mu.Lock()
 	defer broker.mu.Unlock()
 	previous := broker.agentSessions[agent.name()]
@@ -249,6 +240,15 @@
 	}
 	broker.agentSessions[agent.name()] = agent
 	broker.sessions.Store(int64(len(broker.agentSessions)))
+	greeting, now := agent.greeting, broker.deps.Clock.Now()
+	broker.execute(broker.core.AgentConnected(agent.name(), ptid.Incarnation(greeting.Incarnation), ptid.ServiceName(greeting.Service),
+		ptid.Zone(greeting.AvailabilityZone) == broker.setting.Zone, now))
+	broker.handleReport(agent, report, now)
+	for _, partition := range broker.ownership.partitions {
+		if partition.loaded {
+			agent.postAdoption(partition, broker.ownership.store.Partitions())
+		}
+	}
 	return ""
 }
 
