Sessions of a process that is paused repeatedly time out

RunLossTimeout counts on the agent to notice within 575 ms that an entry is silent, and to stop its runs. The agent notices by a frame without acknowledgement.

Cause: a tick that comes more than 250 ms after the last one moved the deadlines of all frames to 300 ms after the tick. Where every tick is that late, because the process is starved of CPU time or paused again and again, no deadline ever passed: the session stayed open for ever. The runs of a silent entry then go on while another goroutine of the agent renews the lease, and the entry takes them for lost after 2.5 s.

Now a pause restarts the timeout of a frame once, and the receive timeout once between two received frames. With ticks 300 ms apart a missing acknowledgement is found after 0.9 s.

Not shown: that ticks of an agent were late for seconds on the users' machines.

--- a/ptlink/ptlink.go
+++ b/ptlink/ptlink.go
@@ -19,7 +19,9 @@
 //     intervals.
 //  6. If two ticks are further apart than [PauseThreshold], the process itself was paused. The
 //     timeouts of rules 2 and 5 then start again, because frames of the peer may still be
-//     unread in the socket.
+//     unread in the socket. The timeout of a frame starts again only once, and so does the
+//     receive timeout until the next frame is received: a process that is paused repeatedly
+//     must also detect that its peer is silent.
 //
 // # Usage
 //
@@ -98,6 +100,8 @@
 type sentFrame struct {
 	sequence ptid.Sequence
 	deadline ptid.Instant
+	// extended is true once the deadline was extended after a pause.
+	extended bool
 }
 
 // Link is the timing state of one side of a session. It is not safe for concurrent use.
@@ -110,6 +114,7 @@
 	ackDeadline         ptid.Instant
 	nextHeartbeat       ptid.Instant
 	receiveDeadline     ptid.Instant
+	receiveExtended     bool
 	lastTick            ptid.Instant
 	highestAcknowledged ptid.Sequence
 }
@@ -148,7 +153,7 @@
 // OnReceive records the sequence number and the acknowledgement of a received frame. fresh is
 // false if the frame is a duplicate and must be dropped.
 func (link *Link) OnReceive(now ptid.Instant, sequence, ack ptid.Sequence) (fresh bool) {
-	link.receiveDeadline = now.Add(ReceiveTimeoutIntervals * link.interval)
+	link.receiveDeadline, link.receiveExtended = now.Add(ReceiveTimeoutIntervals*link.interval), false
 	link.acknowledge(ack)
 	if sequence == 0 {
 		return true
@@ -201,7 +206,11 @@
 
 func (link *Link) extendDeadlines(now ptid.Instant) {
 	for i := range link.unacked {
-		link.unacked[i].deadline = max(link.unacked[i].deadline, now.Add(AckTimeout))
+		if frame := &link.unacked[i]; !frame.extended {
+			frame.deadline, frame.extended = max(frame.deadline, now.Add(AckTimeout)), true
+		}
+	}
+	if !link.receiveExtended {
+		link.receiveDeadline, link.receiveExtended = max(link.receiveDeadline, now.Add(ReceiveTimeoutIntervals*link.interval)), true
 	}
-	link.receiveDeadline = max(link.receiveDeadline, now.Add(ReceiveTimeoutIntervals*link.interval))
 }
