--- /dev/null
+++ b/ptruncontrol/overdue_stop_test.go
@@ -0,0 +1,86 @@
+package ptruncontrol_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/primrosetiller/primrosetiller/ptassign"
+	"github.com/primrosetiller/primrosetiller/ptrun"
+	"github.com/primrosetiller/primrosetiller/ptruncontrol"
+)
+
+const (
+	// silenceDetection is the longest time that an agent with runs of an entry needs to detect
+	// that the entry is silent: a heartbeat interval, the acknowledgement timeout, and a tick.
+	silenceDetection = 575
+	// resubmitDelay is the time from the loss of a caller's connection until the caller submits
+	// its job again.
+	resubmitDelay = 1300
+)
+
+// lastLease plays an agent from one instant to another, both in milliseconds after the start. The
+// worker answers each listing with the active runs, and answers no stop order. lastLease returns
+// the latest lease that the agent has granted, also in milliseconds after the start; the worker's
+// clock shows 1000 at the start.
+func (fixture *fixture) lastLease(from, until int, active ...ptrun.ID) (latest int) {
+	var latestClock ptrun.WorkerTime
+	for now := from; now <= until; now += 25 {
+		clock := ptrun.WorkerTime(1000 + now)
+		latestClock = max(latestClock, fixture.LeaseRenewal(at(now)).ExpiresAt)
+		effects := append(fixture.list(clock, at(now), at(now+1), nil, active...), fixture.Tick(at(now+2))...)
+		for _, id := range stops(effects) {
+			fixture.HandleStopResponse(id, 0, ptrun.ErrUnanswered, at(now+20))
+		}
+	}
+	return int(latestClock) - 1000
+}
+
+func (fixture *fixture) startRun(id ptrun.ID) {
+	fixture.expect.Expect(starts(fixture.order(id, 1000, at(0)))).To(ConsistOf(id))
+	fixture.HandleStartResponse(id, 1001, nil, at(1))
+}
+
+func milliseconds(duration time.Duration) int { return int(duration.Milliseconds()) }
+
+// The entry loses the session at the start and places the task again after its timeout.
+func TestOrphanedRunThatIgnoresStopsEndsBeforeItsTaskIsPlacedAgain(test *testing.T) {
+	fixture := newFixture(test)
+	fixture.startRun(run(0, 1))
+	until := milliseconds(ptassign.RunLossTimeout)
+	latest := fixture.lastLease(2, silenceDetection, run(0, 1))
+	fixture.SessionClosed(owner.Entry, at(silenceDetection))
+	latest = max(latest, fixture.lastLease(silenceDetection+1, until, run(0, 1)))
+	fixture.expect.Expect(latest).To(BeNumerically("<=", until))
+}
+
+func TestOrphanedDurableRunThatIgnoresStopsEndsBeforeItsTaskIsPlacedAgain(test *testing.T) {
+	fixture := newFixture(test)
+	id := run(0, 1<<20+1)
+	fixture.startRun(id)
+	until := milliseconds(ptassign.DurableRunLossTimeout)
+	latest := fixture.lastLease(2, silenceDetection, id)
+	fixture.SessionClosed(owner.Entry, at(silenceDetection))
+	latest = max(latest, fixture.lastLease(silenceDetection+1, until, id))
+	fixture.expect.Expect(latest).To(BeNumerically("<=", until))
+}
+
+// The caller's connection breaks at the start, and its entry stops the run at once. The caller
+// submits the job again to another entry.
+func TestStoppedRunThatIgnoresStopsEndsBeforeItsCallerSubmitsAgain(test *testing.T) {
+	fixture := newFixture(test)
+	fixture.startRun(run(0, 1))
+	fixture.Stop(run(0, 1), ptrun.ReasonStopRequested, at(2))
+	fixture.expect.Expect(fixture.lastLease(3, resubmitDelay, run(0, 1))).To(BeNumerically("<=", resubmitDelay))
+}
+
+// The earlier agent process ended at the start, and the restarted one finds its run.
+func TestRunOfEarlierAgentProcessThatIgnoresStopsEndsBeforeItsTaskIsPlacedAgain(test *testing.T) {
+	fixture := &fixture{Core: ptruncontrol.New(100, start), expect: NewWithT(test)}
+	fixture.HandleAnnouncement(ptrun.Worker{
+		WorkerIdentity: ptrun.WorkerIdentity{ID: "worker", StartedAt: time.UnixMilli(5)}, Capacity: ptrun.Demand{CPU: 4000, Memory: 1000}, Sequence: 1,
+	}, 1000, start)
+	until := milliseconds(ptassign.RunLossTimeout)
+	fixture.expect.Expect(fixture.lastLease(1, until, run(0, 1))).To(BeNumerically("<=", until))
+}
