Failing test: a later owner that an agent does not know

An agent that cannot reach the log does not learn of an added entry. The entry becomes the owner of partitions whose runs the agent has, hears from all agents that it knows, and places the tasks again 2.5 s after it was added, while the earlier owner keeps its session with the agent and the runs go on.

--- a/ptbroker/ptbroker_test.go
+++ b/ptbroker/ptbroker_test.go
@@ -95,14 +95,19 @@
 }
 
 func (system *system) startAgent(index int) {
+	system.startAgentThatKnows(index, func() []string {
+		system.mu.Lock()
+		defer system.mu.Unlock()
+		return append([]string(nil), system.addresses...)
+	})
+}
+
+// startAgentThatKnows starts an agent that discovers the given entry addresses.
+func (system *system) startAgentThatKnows(index int, discover func() []string) {
 	worker := ptstandin.NewWorker(ptrun.WorkerID(fmt.Sprint("worker", index)), ptrun.Demand{CPU: 4000, Memory: 1000})
 	system.workers = append(system.workers, worker)
 	runner := ptrunner.New(ptrunner.Setting{Name: ptid.AgentName(fmt.Sprint("agent", index)), Zone: "zone", Service: "service"}, ptrunner.Dependencies{
-		Log: logr.Discard(), Metrics: ptmetric.New(), Clock: ptid.NewClock(), Executor: worker, Discover: func() []string {
-			system.mu.Lock()
-			defer system.mu.Unlock()
-			return append([]string(nil), system.addresses...)
-		},
+		Log: logr.Discard(), Metrics: ptmetric.New(), Clock: ptid.NewClock(), Executor: worker, Discover: discover,
 	})
 	runner.WorkerAnnounced(worker.Announcement(), worker.Clock())
 	ctx, stop := context.WithCancel(context.Background())
