Repeated ends of failed runs no longer fail durable jobs

Seen: in reading what an owner does with ends that it has not stored yet. Rules: a job is shown as failed without cause, or a run number is used twice.

Cause: an agent repeats the end of a run every 500 ms until the owner has stored it. Where the task waits for capacity meanwhile, AdoptEnd took the repeated end for that of another run: each repetition of a failure used up an attempt, so a log that is silent for a second failed a job of three attempts after one failed run. The same with a later owner that restores the failure and then receives the end. A repeated end of an older run also set the task's run number back, so the next run got a number that a later run had had.

Now a task keeps the number of the latest run whose failure is counted, also in the stored progress, and the highest number of all its runs. A failure of a run that was declared lost before still counts, and an end as done is always taken.

Progress that an earlier version stored has no such number; its failures may be counted once more, as before.

--- a/ptgraph/progress.go
+++ b/ptgraph/progress.go
@@ -3,7 +3,8 @@
 import "github.com/primrosetiller/primrosetiller/ptrun"
 
 // Progress is the part of a job's state that must survive its owner: which tasks are done,
-// and the failures and checkpoints of the other tasks. Run numbers need not be stored,
+// and the failures and checkpoints of the other tasks. Except for the number of the latest failed
+// run, which identifies the failures that are counted already, run numbers need not be stored,
 // because a later owner uses higher numbers than all earlier owners.
 type Progress struct {
 	State State `json:"state"`
@@ -19,6 +20,7 @@
 	Step       ptrun.StepIndex  `json:"step"`
 	Index      int              `json:"index"`
 	Failures   int              `json:"fails,omitempty"`
+	FailedRun  ptrun.Number     `json:"failedRun,omitempty"`
 	Checkpoint ptrun.Checkpoint `json:"checkpoint,omitempty"`
 }
 
@@ -40,7 +42,7 @@
 				progress.Done[step][index/bitsPerByte] |= 1 << (index % bitsPerByte)
 			case task.failures > 0 || task.Checkpoint != "":
 				progress.Tasks = append(progress.Tasks, TaskProgress{
-					Step: ptrun.StepIndex(step), Index: index, Failures: task.failures, Checkpoint: task.Checkpoint,
+					Step: ptrun.StepIndex(step), Index: index, Failures: task.failures, FailedRun: task.failedRun, Checkpoint: task.Checkpoint,
 				})
 			}
 		}
@@ -67,7 +69,7 @@
 	for _, entry := range progress.Tasks {
 		if int(entry.Step) < len(job.tasks) && entry.Index >= 0 && entry.Index < len(job.tasks[entry.Step]) {
 			task := &job.tasks[entry.Step][entry.Index]
-			task.failures, task.Checkpoint = entry.Failures, entry.Checkpoint
+			task.failures, task.failedRun, task.Checkpoint = entry.Failures, entry.FailedRun, entry.Checkpoint
 		}
 	}
 	job.state = progress.State
--- a/ptgraph/ptgraph.go
+++ b/ptgraph/ptgraph.go
@@ -128,12 +128,16 @@
 
 // Task is a task of a step.
 type Task struct {
-	ID        ptrun.TaskID
-	Step      *Step
-	placed    bool
-	done      bool
-	runNumber ptrun.Number
+	ID     ptrun.TaskID
+	Step   *Step
+	placed bool
+	done   bool
+	// runNumber is the number of the current run, or of the latest one. It may be lower than
+	// highestRun, the highest number of any run, if an older run was adopted.
+	runNumber, highestRun ptrun.Number
+	// failures counts the failed runs. failedRun is the highest number of these runs.
 	failures  int
+	failedRun ptrun.Number
 	// TimedOutRuns counts the runs that were stopped because they took far longer than expected.
 	// The timeout of the next run grows with this count.
 	TimedOutRuns int
@@ -259,7 +263,8 @@
 // Place marks a pending task as placed and returns its next run.
 func (job *Job) Place(task *Task) (run ptrun.ID) {
 	task.placed = true
-	task.runNumber = max(task.runNumber, job.RunNumberBase) + 1
+	task.runNumber = max(task.highestRun, job.RunNumberBase) + 1
+	task.highestRun = task.runNumber
 	return task.CurrentRun()
 }
 
@@ -269,10 +274,10 @@
 	tasks := job.tasks[step]
 	highest := job.RunNumberBase
 	for i := range tasks {
-		highest = max(highest, tasks[i].runNumber)
+		highest = max(highest, tasks[i].highestRun)
 	}
 	for i := range tasks {
-		tasks[i].placed, tasks[i].runNumber = true, highest+1
+		tasks[i].placed, tasks[i].runNumber, tasks[i].highestRun = true, highest+1, highest+1
 		runs = append(runs, tasks[i].CurrentRun())
 	}
 	return runs
@@ -286,14 +291,18 @@
 		return false
 	}
 	task.placed, task.runNumber, job.started = true, run.Number, true
+	task.highestRun = max(task.highestRun, run.Number)
 	job.markRunning()
 	return true
 }
 
 // AdoptEnd processes the end of a run that an earlier owner has started and whose end has not
-// been recorded.
+// been recorded. Agents repeat an end until its owner has stored it, so a failure may have been
+// counted before.
 func (job *Job) AdoptEnd(end ptrun.End) (change Change) {
-	if end.Result == ptrun.NeverStarted || !job.Adopt(end.Run) {
+	task := job.Task(end.Run.Task)
+	counted := task != nil && end.Result == ptrun.Failed && end.Run.Number <= task.failedRun
+	if counted || end.Result == ptrun.NeverStarted || !job.Adopt(end.Run) {
 		return Change{}
 	}
 	return job.RunEnded(end)
@@ -345,9 +354,10 @@
 		job.taskDone(task)
 	case ptrun.Failed:
 		task.failures++
+		task.failedRun = max(task.failedRun, end.Run.Number)
 	case ptrun.NeverStarted:
 		if end.Reason == ptrun.ReasonHigherRunEnded {
-			task.runNumber += runNumberSkip
+			task.highestRun += runNumberSkip
 		}
 	case ptrun.Stopped, ptrun.Lost:
 	}
