--- a/ptbroker/ptbroker_test.go
+++ b/ptbroker/ptbroker_test.go
@@ -105,9 +105,14 @@
 // startAgentThatKnows starts an agent that discovers the given entry addresses.
 func (system *system) startAgentThatKnows(index int, discover func() []string) {
 	worker := ptstandin.NewWorker(ptrun.WorkerID(fmt.Sprint("worker", index)), ptrun.Demand{CPU: 4000, Memory: 1000})
+	system.startRunner(index, worker, worker, discover)
+}
+
+// startRunner starts an agent that calls its worker through an executor.
+func (system *system) startRunner(index int, executor ptrun.Executor, worker *ptstandin.Worker, discover func() []string) {
 	system.workers = append(system.workers, worker)
 	runner := ptrunner.New(ptrunner.Setting{Name: ptid.AgentName(fmt.Sprint("agent", index)), Zone: "zone", Service: "service"}, ptrunner.Dependencies{
-		Log: logr.Discard(), Metrics: ptmetric.New(), Clock: ptid.NewClock(), Executor: worker, Discover: discover,
+		Log: logr.Discard(), Metrics: ptmetric.New(), Clock: ptid.NewClock(), Executor: executor, Discover: discover,
 	})
 	runner.WorkerAnnounced(worker.Announcement(), worker.Clock())
 	ctx, stop := context.WithCancel(context.Background())
