Runs that an agent or an entry gives up without the worker's word are logged

New lines: unaccounted runs changed, takeover complete, worker replaced, worker lease expired, order ignored (agent); runs declared lost (entry).

No decision changes: the new effects are only logged. Ruled out: one line per listing (ten a second and run); a line is written when the set changes.

--- a/ptassign/ptassign.go
+++ b/ptassign/ptassign.go
@@ -226,11 +226,21 @@
 	Refusal *Refusal
 }
 
+// RunsLost reports that the entry has declared runs lost without a report from their agent.
+// DisconnectedAt is when the session with the agent ended.
+type RunsLost struct {
+	Agent          ptid.AgentName
+	Reason         ptrun.Reason
+	Runs           int
+	DisconnectedAt ptid.Instant
+}
+
 func (SendOrder) isEffect()    {}
 func (SendStop) isEffect()     {}
 func (SendQuery) isEffect()    {}
 func (SaveProgress) isEffect() {}
 func (JobEnded) isEffect()     {}
+func (RunsLost) isEffect()     {}
 
 // placedRun is a run that was sent to an agent and has not ended.
 type placedRun struct {
@@ -713,11 +723,16 @@
 
 // loseRuns ends runs of an agent with the result lost.
 func (core *Core) loseRuns(agent *agentRecord, reason ptrun.Reason, scope runScope, now ptid.Instant) {
+	lost := 0
 	for _, run := range sortedRuns(agent.runs) {
 		if scope == allRuns || !agent.runs[run].job.Durable {
+			lost++
 			core.runEnded(agent, ptrun.End{Run: run, Result: ptrun.Lost, Reason: reason}, now)
 		}
 	}
+	if lost > 0 {
+		core.emit(RunsLost{Agent: agent.name, Reason: reason, Runs: lost, DisconnectedAt: agent.disconnectedAt})
+	}
 }
 
 // AgentDisconnected records that the session with an agent has ended.
--- a/ptbroker/ptbroker.go
+++ b/ptbroker/ptbroker.go
@@ -308,6 +308,9 @@
 		case ptassign.WorkerQuarantined:
 			broker.deps.Log.Info("worker quarantine changed", "agent", effect.Agent, "aside", effect.Quarantined, "pace", effect.Assessment.Slowdown,
 				"failing", effect.Assessment.FailureRate, "age", broker.deps.Clock.Now().Sub(effect.Assessment.MeasuredAt).String())
+		case ptassign.RunsLost:
+			broker.deps.Log.Info("runs declared lost", "agent", effect.Agent, "reason", effect.Reason, "runs", effect.Runs,
+				"disconnectedFor", broker.deps.Clock.Now().Sub(effect.DisconnectedAt).String())
 		case ptassign.SaveProgress:
 			broker.handleProgress(effect)
 		case ptassign.JobEnded:
--- a/ptrun/ptrun.go
+++ b/ptrun/ptrun.go
@@ -24,6 +24,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/pkg/errors"
@@ -112,6 +113,11 @@
 	Number Number
 }
 
+// String returns the identity of the run for logs.
+func (id ID) String() string {
+	return fmt.Sprintf("%s.%d.%d.%d/%d", id.Task.Job, id.Task.Occurrence, id.Task.Step, id.Task.Index, id.Number)
+}
+
 // Compare orders runs. Sorting by it makes seeded tests independent of map iteration order.
 func Compare(left, right ID) int {
 	return cmp.Or(
--- a/ptruncontrol/ptruncontrol.go
+++ b/ptruncontrol/ptruncontrol.go
@@ -198,15 +198,51 @@
 // whose turn it is to probe the worker.
 type SendReport struct{ Owner Owner }
 
-func (StartRun) isEffect()          {}
-func (SendReport) isEffect()        {}
-func (AssessmentChanged) isEffect() {}
-func (StopRun) isEffect()           {}
-func (ListRuns) isEffect()          {}
-func (SendEnd) isEffect()           {}
-func (BroadcastEnd) isEffect()      {}
-func (SendAdopted) isEffect()       {}
-func (ThrottleRun) isEffect()       {}
+// UnaccountedRunsChanged reports that the worker lists other active runs without an entry in the
+// agent's records than before. Ended counts those whose end the agent has already reported.
+type UnaccountedRunsChanged struct {
+	Worker           ptrun.WorkerIdentity
+	Runs             []ptrun.ID
+	Ended            int
+	TakeoverComplete bool
+}
+
+// WorkerReplaced reports that another incarnation of the worker has replaced the previous one,
+// and how many runs were lost with the previous one.
+type WorkerReplaced struct {
+	Previous ptrun.WorkerIdentity
+	Lost     int
+}
+
+// LeaseExpired reports that the runs were declared lost, because no listing has arrived since
+// ListedAt and the last lease that may have been granted expired at ExpiredAt.
+type LeaseExpired struct {
+	Worker    ptrun.WorkerIdentity
+	ListedAt  ptid.Instant
+	ExpiredAt ptid.Instant
+	Lost      int
+}
+
+// OrderIgnored reports that an order had no effect, because the run belongs to another owner.
+type OrderIgnored struct {
+	Run     ptrun.ID
+	Owner   Owner
+	Current Owner
+}
+
+func (StartRun) isEffect()               {}
+func (SendReport) isEffect()             {}
+func (AssessmentChanged) isEffect()      {}
+func (StopRun) isEffect()                {}
+func (ListRuns) isEffect()               {}
+func (SendEnd) isEffect()                {}
+func (BroadcastEnd) isEffect()           {}
+func (SendAdopted) isEffect()            {}
+func (ThrottleRun) isEffect()            {}
+func (UnaccountedRunsChanged) isEffect() {}
+func (WorkerReplaced) isEffect()         {}
+func (LeaseExpired) isEffect()           {}
+func (OrderIgnored) isEffect()           {}
 
 // state is the state of a run at the agent.
 type state uint8
@@ -292,6 +328,8 @@
 	// which the next stop order is due.
 	unacked     map[ptrun.ID]*unackedEnd
 	unknownRuns map[ptrun.ID]ptid.Instant
+	// unaccounted holds the active runs of the newest listing that are not in runs.
+	unaccounted []ptrun.ID
 
 	runs   map[ptrun.ID]*run
 	ends   map[ptrun.ID]*endRecord
@@ -376,15 +414,21 @@
 
 // replaceWorker ends all runs of the previous incarnation of the worker.
 func (core *Core) replaceWorker(now ptid.Instant) {
+	lost := 0
 	for _, run := range core.sortedRuns() {
 		if run.holdsCapacity() {
+			lost++
 			core.finish(run, ptrun.End{Run: run.Run, Result: ptrun.Lost, Reason: ptrun.ReasonRestarted}, now)
 		}
 	}
+	if core.worker.ID != "" {
+		core.emit(WorkerReplaced{Previous: core.worker.WorkerIdentity, Lost: lost})
+	}
 	core.highestEnd, core.leaseExpiresAt, core.clock = 0, 0, 0
 	core.estimator, core.probeTurns = ptfitness.NewEstimator(), ptfitness.NewProbeTurns()
 	clear(core.unknownRuns)
 	clear(core.unacked)
+	core.unaccounted = nil
 }
 
 // HandleWorkerGone records that the worker has left, or that another incarnation responded at
@@ -438,7 +482,10 @@
 
 // Order processes an order of an entry.
 func (core *Core) Order(order Order, now ptid.Instant) (effects []Effect) {
-	if core.runs[order.Run] != nil {
+	if existing := core.runs[order.Run]; existing != nil {
+		if existing.Owner != order.Owner {
+			return []Effect{OrderIgnored{Run: order.Run, Owner: order.Owner, Current: existing.Owner}}
+		}
 		return nil
 	}
 	if known := core.ends[order.Run]; known != nil {
--- a/ptruncontrol/responses.go
+++ b/ptruncontrol/responses.go
@@ -1,6 +1,8 @@
 package ptruncontrol
 
 import (
+	"slices"
+
 	"github.com/pkg/errors"
 
 	"github.com/primrosetiller/primrosetiller/ptfitness"
@@ -88,6 +90,7 @@
 	if len(active) == 0 {
 		core.takeoverComplete = true
 	}
+	core.reportUnaccounted(listing.Active, requestedAt, now)
 	for _, run := range core.sortedRuns() {
 		if !active[run.Run] {
 			core.handleUnlistedRun(run, listing.Clock, requestedAt, now)
@@ -125,6 +128,34 @@
 	}
 }
 
+// reportUnaccounted reports a change of the active runs that are not in the records of this
+// agent. A run whose end was recorded after the listing was requested is not counted.
+func (core *Core) reportUnaccounted(active []ptrun.ListedRun, requestedAt, now ptid.Instant) {
+	var unaccounted []ptrun.ID
+	ended := 0
+	for _, listed := range active {
+		if core.runs[listed.Run] != nil {
+			continue
+		}
+		if end := core.ends[listed.Run]; end != nil {
+			if requestedAt <= end.at {
+				continue
+			}
+			ended++
+		}
+		unaccounted = append(unaccounted, listed.Run)
+	}
+	slices.SortFunc(unaccounted, ptrun.Compare)
+	if !slices.Equal(unaccounted, core.unaccounted) {
+		core.unaccounted = unaccounted
+		core.emit(UnaccountedRunsChanged{Worker: core.worker.WorkerIdentity, Runs: unaccounted, Ended: ended, TakeoverComplete: core.TakeoverComplete(now)})
+	}
+}
+
+// UnaccountedRuns returns the number of active runs in the newest listing that are not in the
+// records of this agent.
+func (core *Core) UnaccountedRuns() int { return len(core.unaccounted) }
+
 // handleUnlistedRun processes a run that is missing from a listing.
 func (core *Core) handleUnlistedRun(run *run, clock ptrun.WorkerTime, requestedAt, now ptid.Instant) {
 	requestedAfterResponse := requestedAt > run.respondedAt
@@ -167,11 +198,16 @@
 	if now <= core.leasesExpireBy() {
 		return core.takeEffects()
 	}
+	lost := 0
 	for _, run := range core.sortedRuns() {
 		if run.holdsCapacity() && run.state != starting {
+			lost++
 			core.finish(run, ptrun.End{Run: run.Run, Result: ptrun.Lost, Reason: ptrun.ReasonLeaseExpired}, now)
 		}
 	}
+	if lost > 0 {
+		core.emit(LeaseExpired{Worker: core.worker.WorkerIdentity, ListedAt: core.listedAt, ExpiredAt: core.leasesExpireBy(), Lost: lost})
+	}
 	return core.takeEffects()
 }
 
--- a/ptrunner/ptrunner.go
+++ b/ptrunner/ptrunner.go
@@ -135,6 +135,7 @@
 	}
 	gauge(ptmetric.WaitingRuns, func() int { waiting, _ := runner.core.RunCounts(); return waiting })
 	gauge(ptmetric.HoldingRuns, func() int { _, holding := runner.core.RunCounts(); return holding })
+	gauge(ptmetric.UnaccountedRuns, func() int { return runner.core.UnaccountedRuns() })
 	gauge(ptmetric.Sessions, func() int { return len(runner.peers) })
 	return runner
 }
@@ -215,7 +216,32 @@
 			runner.sendAdopted(effect)
 		case ptruncontrol.ThrottleRun:
 			go runner.throttle(effect)
+		default:
+			runner.logObservation(effect)
+		}
+	}
+}
+
+// logObservation logs the effects that only report what the core has observed. The caller holds
+// the lock.
+func (runner *Runner) logObservation(effect ptruncontrol.Effect) {
+	now := runner.deps.Clock.Now()
+	switch effect := effect.(type) {
+	case ptruncontrol.UnaccountedRunsChanged:
+		first := ""
+		if len(effect.Runs) > 0 {
+			first = effect.Runs[0].String()
 		}
+		runner.deps.Log.Info("unaccounted runs changed", "worker", effect.Worker.ID, "born", effect.Worker.StartedAt, "runs", len(effect.Runs),
+			"ended", effect.Ended, "first", first, "takeoverComplete", effect.TakeoverComplete)
+	case ptruncontrol.WorkerReplaced:
+		runner.deps.Log.Info("worker replaced", "previous", effect.Previous.ID, "born", effect.Previous.StartedAt, "lostRuns", effect.Lost)
+	case ptruncontrol.LeaseExpired:
+		runner.deps.Log.Info("worker lease expired", "worker", effect.Worker.ID, "lostRuns", effect.Lost,
+			"listingAge", now.Sub(effect.ListedAt).String(), "expiredFor", now.Sub(effect.ExpiredAt).String())
+	case ptruncontrol.OrderIgnored:
+		runner.deps.Log.Info("order ignored, the run belongs to another owner", "job", effect.Run.Task.Job, "step", effect.Run.Task.Step,
+			"task", effect.Run.Task.Index, "run", effect.Run.Number, "entry", effect.Owner.Entry, "owner", effect.Current.Entry, "ownerIncarnation", effect.Current.Incarnation)
 	}
 }
 
--- a/ptrunner/session.go
+++ b/ptrunner/session.go
@@ -134,10 +134,16 @@
 // dialLoop starts one dialing goroutine for each known entry address, once the worker executes
 // no run of an earlier agent process.
 func (runner *Runner) dialLoop(ctx context.Context) {
+	logged, startedAt := false, runner.deps.Clock.Now()
 	for ctx.Err() == nil {
 		runner.mu.Lock()
-		takeoverComplete := runner.core.TakeoverComplete(runner.deps.Clock.Now())
+		now := runner.deps.Clock.Now()
+		takeoverComplete, unaccounted := runner.core.TakeoverComplete(now), runner.core.UnaccountedRuns()
 		runner.mu.Unlock()
+		if takeoverComplete && !logged {
+			logged = true
+			runner.deps.Log.Info("takeover complete", "after", now.Sub(startedAt).String(), "unaccountedRuns", unaccounted)
+		}
 		if takeoverComplete {
 			runner.dialNewAddresses(ctx, runner.deps.Discover())
 		}
