ptruncontrol: a listed run that the books lack holds the worker and is stopped

Cause: a run that the worker lists, but whose end the agent had declared (leaseLapsed, workerRestarted, unknownRun), was taken for a line of an old listing. It was neither counted nor stopped nor logged, for as long as it ran. A run of an earlier agent process was stopped, but not counted either.

Why this works: every listing names what runs. Only a listing that was requested before the end was recorded is out of date: a later one speaks of the present. Ruled out: to restore the run in the books; its entry has been told of the end and may have placed the task again.

--- a/ptruncontrol/ptruncontrol.go
+++ b/ptruncontrol/ptruncontrol.go
@@ -24,7 +24,9 @@
 //     Its runs of durable jobs are stopped after [DurableOrphanTimeout]. When a new
 //     incarnation of an entry opens a session, the best-effort runs of the earlier
 //     incarnations are stopped immediately.
-//  6. Runs that the worker lists and that this agent has not ordered are stopped. The agent
+//  6. Runs that the worker lists and that hold no capacity in the agent's records are stopped:
+//     runs that this agent has not ordered, and runs whose end it has declared. While the
+//     worker lists such a run, no run starts, because its demand is unknown. The agent
 //     takes no orders until the worker has listed no active runs, or every lease granted by
 //     an earlier agent process has expired ([Core.TakeoverComplete]).
 //  7. The end of a run of a durable job (a durable end) is acknowledged to the worker only
@@ -324,12 +326,12 @@
 	leaseExpiresAt ptrun.WorkerTime
 	highestEnd     ptrun.EndSequence
 	// unacked holds the listed ends of runs of durable jobs that the worker must not discard
-	// yet. unknownRuns holds listed runs that this agent has not ordered, with the time at
-	// which the next stop order is due.
-	unacked     map[ptrun.ID]*unackedEnd
-	unknownRuns map[ptrun.ID]ptid.Instant
-	// unaccounted holds the active runs of the newest listing that are not in runs.
-	unaccounted []ptrun.ID
+	// yet.
+	unacked map[ptrun.ID]*unackedEnd
+	// unaccounted holds the listed active runs that hold no capacity in runs, and
+	// reportedUnaccounted the identities that were reported last.
+	unaccounted         map[ptrun.ID]*unaccountedRun
+	reportedUnaccounted []ptrun.ID
 
 	runs   map[ptrun.ID]*run
 	ends   map[ptrun.ID]*endRecord
@@ -354,7 +356,7 @@
 // higher than the tokens of earlier agent processes, and is raised if the worker refuses it.
 func New(token ptrun.FenceToken, now ptid.Instant) *Core {
 	return &Core{
-		token: token, tokenStep: firstTokenStep, createdAt: now, unknownRuns: make(map[ptrun.ID]ptid.Instant),
+		token: token, tokenStep: firstTokenStep, createdAt: now, unaccounted: make(map[ptrun.ID]*unaccountedRun),
 		runs: make(map[ptrun.ID]*run), ends: make(map[ptrun.ID]*endRecord), owners: make(map[ptid.EntryName]*ownerState),
 		unacked: make(map[ptrun.ID]*unackedEnd), epochs: make(map[ptjobstore.Partition]ptjobstore.Epoch),
 		estimator: ptfitness.NewEstimator(), probeTurns: ptfitness.NewProbeTurns(),
@@ -426,9 +428,8 @@
 	}
 	core.highestEnd, core.leaseExpiresAt, core.clock = 0, 0, 0
 	core.estimator, core.probeTurns = ptfitness.NewEstimator(), ptfitness.NewProbeTurns()
-	clear(core.unknownRuns)
+	clear(core.unaccounted)
 	clear(core.unacked)
-	core.unaccounted = nil
 }
 
 // HandleWorkerGone records that the worker has left, or that another incarnation responded at
@@ -557,7 +558,7 @@
 
 // canStart reports whether there is capacity for a waiting run.
 func (core *Core) canStart(run *run) bool {
-	if run.state != waiting || core.clock == 0 || core.taskActive(run) {
+	if run.state != waiting || core.clock == 0 || len(core.unaccounted) > 0 || core.taskActive(run) {
 		return false
 	}
 	return core.worker.Capacity.Minus(core.held).Minus(core.offeredToOthers(run.Owner.Entry)).Covers(run.Demand)
--- a/ptruncontrol/responses.go
+++ b/ptruncontrol/responses.go
@@ -1,8 +1,6 @@
 package ptruncontrol
 
 import (
-	"slices"
-
 	"github.com/pkg/errors"
 
 	"github.com/primrosetiller/primrosetiller/ptfitness"
@@ -85,12 +83,13 @@
 	active := make(map[ptrun.ID]bool, len(listing.Active))
 	for _, listed := range listing.Active {
 		active[listed.Run] = true
-		core.handleListedRun(listed, now)
+		core.handleListedRun(listed, requestedAt, now)
 	}
+	core.pruneUnaccounted(active, requestedAt)
 	if len(active) == 0 {
 		core.takeoverComplete = true
 	}
-	core.reportUnaccounted(listing.Active, requestedAt, now)
+	core.reportUnaccounted(now)
 	for _, run := range core.sortedRuns() {
 		if !active[run.Run] {
 			core.handleUnlistedRun(run, listing.Clock, requestedAt, now)
@@ -100,18 +99,14 @@
 	return core.takeEffects()
 }
 
-// handleListedRun processes a run that the worker lists as active.
-func (core *Core) handleListedRun(listed ptrun.ListedRun, now ptid.Instant) {
+// handleListedRun processes a run that the worker lists as active. Listings overtake each other,
+// so a listing that was requested before the end of the run was recorded is out of date.
+func (core *Core) handleListedRun(listed ptrun.ListedRun, requestedAt, now ptid.Instant) {
 	id := listed.Run
 	run := core.runs[id]
-	if run == nil {
-		if _, ended := core.ends[id]; ended {
-			// The end of this run is already known, so this listing is out of date.
-			return
-		}
-		if retryAt, stopSent := core.unknownRuns[id]; !stopSent || now >= retryAt {
-			core.unknownRuns[id] = now.Add(StopRetryInterval)
-			core.emit(StopRun{Worker: core.worker.WorkerIdentity, Token: core.token, Run: id, Reason: ptrun.ReasonUnknownRun})
+	if run == nil || run.state == waiting {
+		if !core.isOutdated(id, requestedAt) {
+			core.handleUnaccountedRun(id, now)
 		}
 		return
 	}
@@ -128,34 +123,6 @@
 	}
 }
 
-// reportUnaccounted reports a change of the active runs that are not in the records of this
-// agent. A run whose end was recorded after the listing was requested is not counted.
-func (core *Core) reportUnaccounted(active []ptrun.ListedRun, requestedAt, now ptid.Instant) {
-	var unaccounted []ptrun.ID
-	ended := 0
-	for _, listed := range active {
-		if core.runs[listed.Run] != nil {
-			continue
-		}
-		if end := core.ends[listed.Run]; end != nil {
-			if requestedAt <= end.at {
-				continue
-			}
-			ended++
-		}
-		unaccounted = append(unaccounted, listed.Run)
-	}
-	slices.SortFunc(unaccounted, ptrun.Compare)
-	if !slices.Equal(unaccounted, core.unaccounted) {
-		core.unaccounted = unaccounted
-		core.emit(UnaccountedRunsChanged{Worker: core.worker.WorkerIdentity, Runs: unaccounted, Ended: ended, TakeoverComplete: core.TakeoverComplete(now)})
-	}
-}
-
-// UnaccountedRuns returns the number of active runs in the newest listing that are not in the
-// records of this agent.
-func (core *Core) UnaccountedRuns() int { return len(core.unaccounted) }
-
 // handleUnlistedRun processes a run that is missing from a listing.
 func (core *Core) handleUnlistedRun(run *run, clock ptrun.WorkerTime, requestedAt, now ptid.Instant) {
 	requestedAfterResponse := requestedAt > run.respondedAt
@@ -320,7 +287,7 @@
 }
 
 // CapacityReport returns the current report for an entry. The demands of waiting runs and the
-// capacity offered to other entries count as held.
+// capacity offered to other entries count as held. Unaccounted runs count as the whole capacity.
 func (core *Core) CapacityReport(entry ptid.EntryName) (report CapacityReport) {
 	report = CapacityReport{
 		Worker: core.worker.ID, Capacity: core.worker.Capacity, Labels: core.worker.Labels,
@@ -335,6 +302,9 @@
 		}
 	}
 	report.Held = report.Held.Plus(core.offeredToOthers(entry))
+	if len(core.unaccounted) > 0 {
+		report.Held = report.Held.Max(report.Capacity)
+	}
 	return report
 }
 
--- a/ptrunner/ptrunner.go
+++ b/ptrunner/ptrunner.go
@@ -217,14 +217,14 @@
 		case ptruncontrol.ThrottleRun:
 			go runner.throttle(effect)
 		default:
-			runner.logObservation(effect)
+			runner.handleObservation(effect)
 		}
 	}
 }
 
-// logObservation logs the effects that only report what the core has observed. The caller holds
+// handleObservation logs the effects that report what the core has observed. The caller holds
 // the lock.
-func (runner *Runner) logObservation(effect ptruncontrol.Effect) {
+func (runner *Runner) handleObservation(effect ptruncontrol.Effect) {
 	now := runner.deps.Clock.Now()
 	switch effect := effect.(type) {
 	case ptruncontrol.UnaccountedRunsChanged:
@@ -234,6 +234,7 @@
 		}
 		runner.deps.Log.Info("unaccounted runs changed", "worker", effect.Worker.ID, "born", effect.Worker.StartedAt, "runs", len(effect.Runs),
 			"ended", effect.Ended, "first", first, "takeoverComplete", effect.TakeoverComplete)
+		runner.broadcastReport()
 	case ptruncontrol.WorkerReplaced:
 		runner.deps.Log.Info("worker replaced", "previous", effect.Previous.ID, "born", effect.Previous.StartedAt, "lostRuns", effect.Lost)
 	case ptruncontrol.LeaseExpired:
