ptruncontrol: a restarted agent takes over only when the worker lists no runs

Cause: the takeover counted as complete 1,218 ms after the process had started, because every lease of the earlier process had run out by then. But the new process renewed the lease of all that ran there from its second listing on. Where stop orders were slow, lost or late, the unknown runs went on, sessions were opened, and entries took the new incarnation for proof that its runs had ended.

Whether the users' record has this cause is open: it needs runs that outlast the restart and stops that fail.

Why this works: no bound is left. Sessions wait for a listing without active runs, which only this process's token can get, and until then the lease isn't renewed, so unknown runs that can't be stopped lapse within a second. Ruled out: a longer bound; the ground of any bound is undone as long as somebody renews. An agent whose worker is silent opens no session; before, it opened one and reported the worker as unusable.

--- a/ptdrill/link.go
+++ b/ptdrill/link.go
@@ -61,7 +61,7 @@
 // dial opens sessions with all reachable entries.
 func (agent *agent) dial() {
 	simulation := agent.simulation
-	if !agent.core.TakeoverComplete(simulation.Now()) {
+	if !agent.core.TakeoverComplete() {
 		return
 	}
 	for index, target := range simulation.entries {
--- a/ptdrill/ptdrill.go
+++ b/ptdrill/ptdrill.go
@@ -166,7 +166,7 @@
 	agent := simulation.agents[index]
 	agent.incarnation++
 	token := ptrun.FenceToken(firstToken + simulation.random.IntN(5000))
-	agent.core, agent.alive, agent.demands = ptruncontrol.New(token, simulation.Now()), true, make(map[ptrun.ID]ptrun.Demand)
+	agent.core, agent.alive, agent.demands = ptruncontrol.New(token), true, make(map[ptrun.ID]ptrun.Demand)
 	agent.announce()
 	incarnation := agent.incarnation
 	var list func()
--- a/ptruncontrol/ptruncontrol.go
+++ b/ptruncontrol/ptruncontrol.go
@@ -27,8 +27,8 @@
 //  6. Runs that the worker lists and that hold no capacity in the agent's records are stopped:
 //     runs that this agent has not ordered, and runs whose end it has declared. While the
 //     worker lists such a run, no run starts, because its demand is unknown. The agent
-//     takes no orders until the worker has listed no active runs, or every lease granted by
-//     an earlier agent process has expired ([Core.TakeoverComplete]).
+//     opens no sessions until the worker has listed no active runs
+//     ([Core.TakeoverComplete]), and does not renew the lease before that.
 //  7. The end of a run of a durable job (a durable end) is acknowledged to the worker only
 //     when its owner has stored it ([Core.AcknowledgeEnd]). Until then it is sent to every
 //     entry repeatedly, also if this agent has not ordered the run. An entry that takes
@@ -50,7 +50,7 @@
 //
 // # Usage
 //
-//	core := ptruncontrol.New(token, now)
+//	core := ptruncontrol.New(token)
 //	effects := core.HandleAnnouncement(worker, clock, now)
 //	effects = core.Order(order, now)
 //	effects = core.HandleListing(listing, requestedAt, now)
@@ -312,7 +312,6 @@
 type Core struct {
 	token            ptrun.FenceToken
 	tokenStep        ptrun.FenceToken
-	createdAt        ptid.Instant
 	takeoverComplete bool
 
 	worker    ptrun.Worker
@@ -354,9 +353,9 @@
 
 // New returns a core without a worker. token is the first fence token to try. It should be
 // higher than the tokens of earlier agent processes, and is raised if the worker refuses it.
-func New(token ptrun.FenceToken, now ptid.Instant) *Core {
+func New(token ptrun.FenceToken) *Core {
 	return &Core{
-		token: token, tokenStep: firstTokenStep, createdAt: now, unaccounted: make(map[ptrun.ID]*unaccountedRun),
+		token: token, tokenStep: firstTokenStep, unaccounted: make(map[ptrun.ID]*unaccountedRun),
 		runs: make(map[ptrun.ID]*run), ends: make(map[ptrun.ID]*endRecord), owners: make(map[ptid.EntryName]*ownerState),
 		unacked: make(map[ptrun.ID]*unackedEnd), epochs: make(map[ptjobstore.Partition]ptjobstore.Epoch),
 		estimator: ptfitness.NewEstimator(), probeTurns: ptfitness.NewProbeTurns(),
@@ -377,10 +376,9 @@
 func (core *Core) FenceToken() ptrun.FenceToken { return core.token }
 
 // TakeoverComplete reports whether all runs that earlier agent processes started on the worker
-// have certainly ended.
-func (core *Core) TakeoverComplete(now ptid.Instant) bool {
-	return core.takeoverComplete || now.Sub(core.createdAt) > LeaseDuration+LeaseDuration/ClockDriftDivisor+StartOrderTTL
-}
+// have certainly ended: the worker has listed no active runs. The listing call carries this
+// process's fence token, so no order of an earlier process is executed after it.
+func (core *Core) TakeoverComplete() bool { return core.takeoverComplete }
 
 // RaiseToken raises the fence token after the worker has refused the given one.
 func (core *Core) RaiseToken(refused ptrun.FenceToken) {
@@ -460,10 +458,11 @@
 // the lease of a worker that has not responded for [UnreachableTimeout]. The worker may still
 // carry out a call to which it has not responded. If such calls extended the lease, the latest
 // possible expiry would move on with each call, and the runs could never be declared lost.
+// Nor does it extend the lease of runs that only earlier agent processes have started.
 func (core *Core) LeaseRenewal(now ptid.Instant) (renewal ptrun.LeaseRenewal) {
 	renewal.Acknowledged = core.ackableSequence()
 	unreachable := now.Sub(core.listedAt) > UnreachableTimeout
-	if core.clock > 0 && !unreachable && !core.mustLetLeaseExpire(now) {
+	if core.clock > 0 && !unreachable && core.takeoverComplete && !core.mustLetLeaseExpire(now) {
 		renewal.ExpiresAt = core.extendLease(now)
 	}
 	return renewal
--- a/ptruncontrol/ptruncontrol_test.go
+++ b/ptruncontrol/ptruncontrol_test.go
@@ -32,7 +32,7 @@
 
 func newFixture(test *testing.T) *fixture {
 	ptassert.PanicOnFailure()
-	fixture := &fixture{Core: ptruncontrol.New(100, start), expect: NewWithT(test)}
+	fixture := &fixture{Core: ptruncontrol.New(100), expect: NewWithT(test)}
 	fixture.HandleAnnouncement(ptrun.Worker{
 		WorkerIdentity: ptrun.WorkerIdentity{ID: "worker", StartedAt: time.UnixMilli(5)}, Capacity: ptrun.Demand{CPU: 4000, Memory: 1000}, Sequence: 1,
 	}, 1000, start)
@@ -192,29 +192,29 @@
 }
 
 func TestUnknownRunsAreStoppedAndDelayTakeover(test *testing.T) {
-	core := ptruncontrol.New(100, start)
+	core := ptruncontrol.New(100)
 	expect := NewWithT(test)
 	core.HandleAnnouncement(ptrun.Worker{WorkerIdentity: ptrun.WorkerIdentity{ID: "worker"}, Capacity: ptrun.Demand{CPU: 10}, Sequence: 1}, 1000, start)
 	effects := core.HandleListing(ptrun.Listing{Clock: 1001, Active: []ptrun.ListedRun{{Run: run(0, 3)}}}, start, at(1))
 	expect.Expect(stops(effects)).To(ConsistOf(run(0, 3)))
-	expect.Expect(core.TakeoverComplete(at(1))).To(BeFalse())
+	expect.Expect(core.TakeoverComplete()).To(BeFalse())
 	core.HandleListing(ptrun.Listing{Clock: 1005}, at(4), at(5))
-	expect.Expect(core.TakeoverComplete(at(5))).To(BeTrue())
+	expect.Expect(core.TakeoverComplete()).To(BeTrue())
 }
 
 func TestRestoredWorkerIsUsedAfterFirstListing(test *testing.T) {
-	core := ptruncontrol.New(100, start)
+	core := ptruncontrol.New(100)
 	expect := NewWithT(test)
 	identity := ptrun.WorkerIdentity{ID: "worker", StartedAt: time.UnixMilli(5)}
 	core.HandleAnnouncement(ptrun.Worker{WorkerIdentity: identity, Capacity: ptrun.Demand{CPU: 10}}, 0, start)
-	expect.Expect(core.TakeoverComplete(at(1))).To(BeFalse())
+	expect.Expect(core.TakeoverComplete()).To(BeFalse())
 	expect.Expect(core.LeaseRenewal(at(1)).ExpiresAt).To(BeZero(), "the clock of the worker is not known")
 	core.HandleListing(ptrun.Listing{WorkerStartedAt: time.UnixMilli(5), Clock: 90_000}, at(1), at(2))
-	expect.Expect(core.TakeoverComplete(at(2))).To(BeTrue())
+	expect.Expect(core.TakeoverComplete()).To(BeTrue())
 	core.SessionOpened(owner, at(2))
 	expect.Expect(starts(core.Order(ptruncontrol.Order{Run: run(0, 1), Owner: owner, Demand: ptrun.Demand{CPU: 5}, StartBy: at(40), WaitUntil: at(40)}, at(3)))).To(HaveLen(1))
 	// The restored worker is not used if another incarnation responds at its address.
-	other := ptruncontrol.New(100, start)
+	other := ptruncontrol.New(100)
 	other.HandleAnnouncement(ptrun.Worker{WorkerIdentity: identity, Capacity: ptrun.Demand{CPU: 10}}, 0, start)
 	other.HandleListing(ptrun.Listing{WorkerStartedAt: time.UnixMilli(9), Clock: 10}, at(1), at(2))
 	_, known := other.Worker()
@@ -222,7 +222,7 @@
 }
 
 func TestTokenIsRaisedAboveRefusedToken(test *testing.T) {
-	core := ptruncontrol.New(100, start)
+	core := ptruncontrol.New(100)
 	core.RaiseToken(100)
 	raisedToken := core.FenceToken()
 	core.RaiseToken(100)
--- a/ptruncontrol/responses.go
+++ b/ptruncontrol/responses.go
@@ -89,7 +89,7 @@
 	if len(active) == 0 {
 		core.takeoverComplete = true
 	}
-	core.reportUnaccounted(now)
+	core.reportUnaccounted()
 	for _, run := range core.sortedRuns() {
 		if !active[run.Run] {
 			core.handleUnlistedRun(run, listing.Clock, requestedAt, now)
--- a/ptruncontrol/takeover_test.go
+++ b/ptruncontrol/takeover_test.go
@@ -37,7 +37,7 @@
 }
 
 func TestRestartedAgentStartsNothingBesideUnknownRuns(test *testing.T) {
-	core := ptruncontrol.New(100, start)
+	core := ptruncontrol.New(100)
 	expect := NewWithT(test)
 	worker := sameWorker(1)
 	core.HandleAnnouncement(worker, 1000, start)
@@ -52,7 +52,7 @@
 			stopOrders++
 			core.HandleStopResponse(id, 0, ptrun.ErrUnanswered, at(millis))
 		}
-		expect.Expect(core.TakeoverComplete(at(millis))).To(BeFalse(), "%d ms after the restart", millis)
+		expect.Expect(core.TakeoverComplete()).To(BeFalse(), "%d ms after the restart", millis)
 	}
 	expect.Expect(stopOrders).To(BeNumerically(">", 10))
 	core.SessionOpened(owner, at(5000))
@@ -65,18 +65,18 @@
 	ended := []ptrun.ListedEnd{{Sequence: 1, End: ptrun.End{Run: run(0, 1), Result: ptrun.Done}}}
 	effects := core.HandleListing(ptrun.Listing{WorkerStartedAt: worker.StartedAt, Clock: 6050, Ends: ended}, at(5049), at(5050))
 	expect.Expect(starts(append(effects, order(2, 5051)...))).To(HaveLen(1))
-	expect.Expect(core.TakeoverComplete(at(5050))).To(BeTrue())
+	expect.Expect(core.TakeoverComplete()).To(BeTrue())
 }
 
 func TestSilentWorkerDoesNotCompleteTakeover(test *testing.T) {
-	core := ptruncontrol.New(100, start)
+	core := ptruncontrol.New(100)
 	expect := NewWithT(test)
 	worker := sameWorker(1)
 	core.HandleAnnouncement(worker, 1000, start)
 	core.HandleListing(ptrun.Listing{WorkerStartedAt: worker.StartedAt, Clock: 1001, Active: []ptrun.ListedRun{{Run: run(0, 1)}}}, start, at(1))
 	core.LeaseRenewal(at(200))
 	core.HandleListFailure(at(1290))
-	expect.Expect(core.TakeoverComplete(at(1300))).To(BeFalse(), "only a listing shows that the unknown run has ended")
+	expect.Expect(core.TakeoverComplete()).To(BeFalse(), "only a listing shows that the unknown run has ended")
 }
 
 func TestSameWorkerAnnouncedAgainKeepsItsRuns(test *testing.T) {
@@ -145,7 +145,7 @@
 
 func TestQueryForListedRunIsNotAnsweredNeverStarted(test *testing.T) {
 	for name, number := range map[string]ptrun.Number{"best-effort": 1, "durable": ptjobstore.RunNumberBase(4) + 1} {
-		core := ptruncontrol.New(100, start)
+		core := ptruncontrol.New(100)
 		expect := NewWithT(test)
 		worker := sameWorker(1)
 		core.HandleAnnouncement(worker, 1000, start)
--- a/ptruncontrol/unaccounted.go
+++ b/ptruncontrol/unaccounted.go
@@ -51,7 +51,7 @@
 }
 
 // reportUnaccounted reports a change of the set of unaccounted runs.
-func (core *Core) reportUnaccounted(now ptid.Instant) {
+func (core *Core) reportUnaccounted() {
 	ids := slices.SortedFunc(maps.Keys(core.unaccounted), ptrun.Compare)
 	if slices.Equal(ids, core.reportedUnaccounted) {
 		return
@@ -63,7 +63,7 @@
 			ended++
 		}
 	}
-	core.emit(UnaccountedRunsChanged{Worker: core.worker.WorkerIdentity, Runs: ids, Ended: ended, TakeoverComplete: core.TakeoverComplete(now)})
+	core.emit(UnaccountedRunsChanged{Worker: core.worker.WorkerIdentity, Runs: ids, Ended: ended, TakeoverComplete: core.TakeoverComplete()})
 }
 
 // UnaccountedRuns returns the number of active runs on the worker that are not in the records of
--- a/ptrunner/ptrunner.go
+++ b/ptrunner/ptrunner.go
@@ -123,7 +123,7 @@
 	runner := &Runner{
 		setting: setting, deps: deps, incarnation: ptid.NewIncarnation(time.Now()), workerChanged: make(chan struct{}, 1),
 		startOrders: deps.Metrics.Counter(ptmetric.Starts),
-		core:        ptruncontrol.New(ptrun.FenceToken(time.Now().UnixMilli()), deps.Clock.Now()),
+		core:        ptruncontrol.New(ptrun.FenceToken(time.Now().UnixMilli())),
 		peers:       make(map[ptid.EntryName]*peer), dialing: make(map[string]bool),
 	}
 	gauge := func(name ptmetric.Name, read func() int) {
--- a/ptrunner/session.go
+++ b/ptrunner/session.go
@@ -138,7 +138,7 @@
 	for ctx.Err() == nil {
 		runner.mu.Lock()
 		now := runner.deps.Clock.Now()
-		takeoverComplete, unaccounted := runner.core.TakeoverComplete(now), runner.core.UnaccountedRuns()
+		takeoverComplete, unaccounted := runner.core.TakeoverComplete(), runner.core.UnaccountedRuns()
 		runner.mu.Unlock()
 		if takeoverComplete && !logged {
 			logged = true
--- a/ptsim/agent.go
+++ b/ptsim/agent.go
@@ -140,7 +140,7 @@
 func (agent *agent) startProcess() {
 	simulation, now := agent.simulation, agent.simulation.Now()
 	agent.incarnation++
-	agent.core, agent.startedAt, agent.running, agent.lastEnd = ptruncontrol.New(1, now), now, make(map[ptrun.ID]*activeRun), 0
+	agent.core, agent.startedAt, agent.running, agent.lastEnd = ptruncontrol.New(1), now, make(map[ptrun.ID]*activeRun), 0
 	agent.sentReports = make([]sentReport, len(simulation.entries))
 	agent.core.HandleAnnouncement(ptrun.Worker{WorkerIdentity: agent.identity(), Service: service, Capacity: agent.capacity, Sequence: 1}, agent.clock(), now)
 	agent.listRuns(nil)
