ptruncontrol: an older listing no longer ends a run that a newer one contains

What callers saw: LIMIT and TWICE at many workers in one moment, both runs of a task on one worker by one agent, none of them stopped, all ended as done; entries were told that runs were lost.

Cause: a start order without a response within 25 ms leaves the run unanswered, and a listing that contains it makes it active. The instant from which a listing without the run proves its end stayed that of the timed-out order. Listings run side by side (main loop, backup loop, one for each unanswered start) and overtake each other: one that the worker had answered before it carried the order out, but that was processed after the one that contains the run, ended it as lost (unknownRun). The entry placed the task again, its capacity was given away, and the run went on, passed over as an end already known.

That late answers of all workers at once make it a mass event fits the users' record; their logs were cut before the reason of the ends.

Why this works: a listing proves that a run is over only if it was requested after the run was known to be active, by the response to its order or by a listing; the worker made such a listing later than the run began. Ruled out: to compare the worker's clock of the listings, which has steps of a millisecond; to allow one listing at a time, since a lost one hides all ends.

--- a/ptruncontrol/ptruncontrol.go
+++ b/ptruncontrol/ptruncontrol.go
@@ -13,11 +13,12 @@
 //     order that arrives late has no effect. If a start order gets no response, a listing
 //     requested afterwards determines the outcome. If the listing contains the run, the
 //     run is active. If it does not and the deadline has passed, the run has not started.
-//     Otherwise the agent stops the run.
+//     Otherwise the agent stops the run. Listings overtake each other: one that lacks a
+//     run proves its end only if it was requested after the run was known to be active.
 //  4. The worker's lease is renewed to [LeaseDuration] after the earliest time that the
 //     worker's clock can show. A run has ended when the worker lists its end; when a
-//     listing that was requested after the response to the run's start or stop order does
-//     not contain the run; when another incarnation of the worker responds; or when the
+//     listing that was requested after the response to the run's start or stop order (rule
+//     3) does not contain the run; when another incarnation of the worker responds; or when the
 //     last lease that may have been granted has expired, even if the worker's clock is
 //     slow by one part in [ClockDriftDivisor].
 //  5. If an entry has had no session for [OrphanTimeout], its best-effort runs are stopped.
@@ -267,8 +268,10 @@
 	// the deadline of the run on the agent's clock.
 	workerStartBy ptrun.WorkerTime
 	startedAt     ptid.Instant
-	// respondedAt is when the latest order for the run got a response or timed out.
-	respondedAt ptid.Instant
+	// checkedAt is when the latest order for the run got a response or timed out, or when a
+	// listing contained the run for the first time. Only a listing that was requested later
+	// proves that the worker no longer executes the run.
+	checkedAt ptid.Instant
 	// confirmed is true once the worker has confirmed that it executes the run.
 	confirmed     bool
 	stopRequested bool
--- a/ptruncontrol/responses.go
+++ b/ptruncontrol/responses.go
@@ -14,7 +14,7 @@
 	if run == nil || run.state != starting {
 		return nil
 	}
-	run.respondedAt = now
+	run.checkedAt = now
 	switch {
 	case err == nil:
 		core.updateClock(clock, now)
@@ -56,7 +56,7 @@
 	if run == nil || run.state != stopping || err != nil {
 		return nil
 	}
-	run.stopAcked, run.respondedAt = true, now
+	run.stopAcked, run.checkedAt = true, now
 	core.emit(ListRuns{})
 	return core.takeEffects()
 }
@@ -110,7 +110,10 @@
 		}
 		return
 	}
-	run.confirmed, run.percent, run.tailLatency = true, listed.Percent, listed.TailLatency
+	if !run.confirmed {
+		run.confirmed, run.checkedAt = true, now
+	}
+	run.percent, run.tailLatency = listed.Percent, listed.TailLatency
 	core.estimator.Progressed(id, listed.Percent, now)
 	if listed.Checkpoint != "" {
 		run.Checkpoint = listed.Checkpoint
@@ -125,23 +128,23 @@
 
 // handleUnlistedRun processes a run that is missing from a listing.
 func (core *Core) handleUnlistedRun(run *run, clock ptrun.WorkerTime, requestedAt, now ptid.Instant) {
-	requestedAfterResponse := requestedAt > run.respondedAt
+	requestedAfterCheck := requestedAt > run.checkedAt
 	switch run.state {
 	case waiting, starting:
 	case running:
-		if requestedAfterResponse {
+		if requestedAfterCheck {
 			core.finish(run, ptrun.End{Run: run.Run, Result: ptrun.Lost, Reason: ptrun.ReasonUnknownRun}, now)
 		}
 	case unanswered:
 		switch {
-		case requestedAfterResponse && clock > run.workerStartBy:
+		case requestedAfterCheck && clock > run.workerStartBy:
 			core.finishUnstarted(run, ptrun.ReasonUnanswered, now)
-		case requestedAfterResponse:
+		case requestedAfterCheck:
 			run.stopReason = ptrun.ReasonUnanswered
 			core.orderStop(run, now)
 		}
 	case stopping:
-		if !requestedAfterResponse || !run.stopAcked && clock <= run.workerStartBy {
+		if !requestedAfterCheck || !run.stopAcked && clock <= run.workerStartBy {
 			return
 		}
 		result := ptrun.Stopped
