--- a/ptruncontrol/ptruncontrol.go
+++ b/ptruncontrol/ptruncontrol.go
@@ -18,7 +18,7 @@
 //  4. The worker's lease is renewed to [LeaseDuration] after the earliest time that the
 //     worker's clock can show. A run has ended when the worker lists its end; when a
 //     listing that was requested after the response to the run's start or stop order (rule
-//     3) does not contain the run; when another incarnation of the worker responds; or when the
+//  3. does not contain the run; when another incarnation of the worker responds; or when the
 //     last lease that may have been granted has expired, even if the worker's clock is
 //     slow by one part in [ClockDriftDivisor].
 //  5. If an entry has had no session for [OrphanTimeout], its best-effort runs are stopped.
