ptruncontrol: a worker that is announced again under its identity keeps its runs

What callers would see: runs reported lost that go on, and other runs beside them (LIMIT, TWICE).

Cause: after a mismatch response the core was without a worker, and the next announcement, of whatever incarnation, ended all runs as lost (workerRestarted). An announcement of the same incarnation is proof that they were not.

TestRunsOfGoneWorkerAreLostAfterLeaseExpiry is new with this change: nobody lists while no worker is known, so such runs end with the lease now, and no longer wait for an announcement that may not come.

Why this works: runs end with a later incarnation, or with a lease that nobody renews, and with nothing else. The sequence of announcements starts anew where a listing shows a later incarnation.

--- a/ptruncontrol/ptruncontrol.go
+++ b/ptruncontrol/ptruncontrol.go
@@ -392,19 +392,17 @@
 	core.tokenStep *= 2
 }
 
-// HandleAnnouncement processes an announcement of the worker.
+// HandleAnnouncement processes an announcement of the worker. An incarnation that is announced
+// again after [Core.HandleWorkerGone] keeps its runs.
 func (core *Core) HandleAnnouncement(worker ptrun.Worker, clock ptrun.WorkerTime, now ptid.Instant) (effects []Effect) {
-	if core.known && core.worker.WorkerIdentity == worker.WorkerIdentity {
-		if worker.Sequence <= core.worker.Sequence {
-			return nil
-		}
-	} else {
-		if worker.StartedAt.Before(core.worker.StartedAt) {
-			// The announcement was delayed, and a later incarnation of the worker is known.
-			return nil
-		}
+	switch {
+	case worker.StartedAt.Before(core.worker.StartedAt):
+		// The announcement was delayed, and a later incarnation of the worker is known.
+		return nil
+	case core.worker.WorkerIdentity != worker.WorkerIdentity:
 		core.replaceWorker(now)
-		core.clock, core.clockAt = clock, now
+	case worker.Sequence <= core.worker.Sequence:
+		return nil
 	}
 	core.worker, core.known, core.reachable = worker, true, true
 	core.updateClock(clock, now)
@@ -427,14 +425,14 @@
 	if core.worker.ID != "" {
 		core.emit(WorkerReplaced{Previous: core.worker.WorkerIdentity, Lost: lost})
 	}
-	core.highestEnd, core.leaseExpiresAt, core.clock = 0, 0, 0
+	core.highestEnd, core.leaseExpiresAt, core.clock, core.clockAt = 0, 0, 0, now
 	core.estimator, core.probeTurns = ptfitness.NewEstimator(), ptfitness.NewProbeTurns()
 	clear(core.unaccounted)
 	clear(core.unacked)
 }
 
-// HandleWorkerGone records that the worker has left, or that another incarnation responded at
-// its address.
+// HandleWorkerGone records that another incarnation responded at the address of the worker. The
+// runs end when the other incarnation is announced, or when the lease has expired.
 func (core *Core) HandleWorkerGone(worker ptrun.WorkerIdentity, now ptid.Instant) (effects []Effect) {
 	if core.known && core.worker.WorkerIdentity == worker {
 		core.known = false
--- a/ptruncontrol/responses.go
+++ b/ptruncontrol/responses.go
@@ -71,7 +71,7 @@
 			return nil
 		}
 		core.replaceWorker(now)
-		core.worker.StartedAt, core.known = listing.WorkerStartedAt, false
+		core.worker.StartedAt, core.worker.Sequence, core.known = listing.WorkerStartedAt, 0, false
 		core.refuseWaiting(ptrun.ReasonWorkerAbsent, now)
 		return core.takeEffects()
 	}
@@ -168,6 +168,12 @@
 	if now <= core.leasesExpireBy() {
 		return core.takeEffects()
 	}
+	core.loseRuns(now)
+	return core.takeEffects()
+}
+
+// loseRuns declares the active runs lost, except the runs whose start call is still in progress.
+func (core *Core) loseRuns(now ptid.Instant) {
 	lost := 0
 	for _, run := range core.sortedRuns() {
 		if run.holdsCapacity() && run.state != starting {
@@ -178,7 +184,6 @@
 	if lost > 0 {
 		core.emit(LeaseExpired{Worker: core.worker.WorkerIdentity, ListedAt: core.listedAt, ExpiredAt: core.leasesExpireBy(), Lost: lost})
 	}
-	return core.takeEffects()
 }
 
 // SessionOpened records that an incarnation of an entry has opened a session. The best-effort
@@ -264,6 +269,9 @@
 			delete(core.ends, id)
 		}
 	}
+	if !core.known && now > core.leasesExpireBy() {
+		core.loseRuns(now)
+	}
 	core.rebroadcastEnds(now)
 	core.reviewThrottle(now)
 	core.assignProbeTurn(now)
--- a/ptruncontrol/takeover_test.go
+++ b/ptruncontrol/takeover_test.go
@@ -169,3 +169,12 @@
 	}
 	fixture.expect.Expect(stopped).To(ContainElement(run(0, 1)))
 }
+
+func TestRunsOfGoneWorkerAreLostAfterLeaseExpiry(test *testing.T) {
+	fixture := newFixtureWithRun(test)
+	fixture.HandleWorkerGone(sameWorker(1).WorkerIdentity, at(20))
+	fixture.expect.Expect(sentEnds(fixture.Tick(at(900)))).To(BeEmpty())
+	ends := sentEnds(fixture.Tick(at(935)))
+	fixture.expect.Expect(ends).To(HaveLen(1))
+	fixture.expect.Expect(ends[0].Result).To(Equal(ptrun.Lost))
+}
