ptruncontrol: a lease counts as expired only after a call that was made later

Cause: one failed listing was enough to declare the runs lost, also where the call had been under way while the agent was paused. On waking, the agent's clock says that the lease has expired, before it has asked the worker anything.

TestRunsAreLostOnlyAfterLeaseExpiry asks for more than before: a call requested before the expiry must not end the runs. Calls name when they were requested, in the tests too.

Why this works: a call that an agent makes after the expiry is made by an agent that runs; if the worker answers, its listing decides.

--- a/ptruncontrol/responses.go
+++ b/ptruncontrol/responses.go
@@ -155,17 +155,19 @@
 	}
 }
 
-// HandleListFailure records that a listing call failed. A single failure has no effect, since
-// some calls time out while others succeed. Once no call has succeeded for [UnreachableTimeout],
-// the waiting runs are refused. Once every lease that may have been granted has expired, the
-// active runs are declared lost, except the runs whose start call is still in progress.
-func (core *Core) HandleListFailure(now ptid.Instant) (effects []Effect) {
+// HandleListFailure records that a listing call failed that was requested at requestedAt. A single
+// failure has no effect, since some calls time out while others succeed. Once no call has
+// succeeded for [UnreachableTimeout], the waiting runs are refused. Once a call that was requested
+// after the expiry of every lease that may have been granted has failed too, the active runs are
+// declared lost, except the runs whose start call is still in progress. An earlier call proves
+// nothing: the agent may have been paused while it waited for the response.
+func (core *Core) HandleListFailure(requestedAt, now ptid.Instant) (effects []Effect) {
 	if now.Sub(core.listedAt) <= UnreachableTimeout {
 		return nil
 	}
 	core.reachable = false
 	core.refuseWaiting(ptrun.ReasonWorkerAbsent, now)
-	if now <= core.leasesExpireBy() {
+	if requestedAt <= core.leasesExpireBy() {
 		return core.takeEffects()
 	}
 	core.loseRuns(now)
--- a/ptruncontrol/takeover_test.go
+++ b/ptruncontrol/takeover_test.go
@@ -75,7 +75,7 @@
 	core.HandleAnnouncement(worker, 1000, start)
 	core.HandleListing(ptrun.Listing{WorkerStartedAt: worker.StartedAt, Clock: 1001, Active: []ptrun.ListedRun{{Run: run(0, 1)}}}, start, at(1))
 	core.LeaseRenewal(at(200))
-	core.HandleListFailure(at(1290))
+	core.HandleListFailure(at(1150), at(1290))
 	expect.Expect(core.TakeoverComplete()).To(BeFalse(), "only a listing shows that the unknown run has ended")
 }
 
@@ -121,7 +121,7 @@
 	fixture := newFixtureWithRun(test)
 	for millis := 60; millis < 2000; millis += 60 {
 		fixture.LeaseRenewal(at(millis - 50))
-		fixture.HandleListFailure(at(millis))
+		fixture.HandleListFailure(at(millis-50), at(millis))
 		fixture.Tick(at(millis))
 	}
 	fixture.listedAfterLapse(1100, 2000)
@@ -131,7 +131,7 @@
 	fixture := newFixtureWithRun(test)
 	fixture.LeaseRenewal(at(11))
 	// The first call after the freeze is the listing call that was under way.
-	effects := fixture.HandleListFailure(at(5000))
+	effects := fixture.HandleListFailure(at(11), at(5000))
 	effects = append(effects, fixture.Tick(at(5000))...)
 	fixture.expect.Expect(sentEnds(effects)).To(BeEmpty(), "no listing call has failed while the agent was running")
 	fixture.listedAfterLapse(1020, 5001)
