ptruncontrol: the lease of an earlier agent process counts for the runs of the next

What callers would see: a task placed again while its run goes on (TWICE), where an agent restarts and its worker falls silent within a second. Not shown to be the users' case.

Cause: a worker never shortens a lease, and it holds for all that runs there. A new agent process estimated the expiry from its own calls alone, up to 600 ms too early.

Evidence: TestLeaseOfEarlierAgentProcessIsWaitedFor failed before (lost 350 ms after a start; the earlier lease may run to 920 ms). Why this works: the earlier process granted 900 ms from an instant before the first reading of the clock by this one.

--- a/ptruncontrol/ptruncontrol.go
+++ b/ptruncontrol/ptruncontrol.go
@@ -441,8 +441,12 @@
 	return core.takeEffects()
 }
 
-// updateClock records a reading of the worker's clock, unless the reading is out of date.
+// updateClock records a reading of the worker's clock, unless the reading is out of date. When the
+// first reading is taken, a lease that an earlier agent process has granted may still run.
 func (core *Core) updateClock(clock ptrun.WorkerTime, now ptid.Instant) {
+	if core.clock == 0 && clock > 0 {
+		core.leaseExpiresAt = max(core.leaseExpiresAt, clock+ptrun.WorkerTime(LeaseDuration.Milliseconds()))
+	}
 	if clock >= core.earliestClock(now) {
 		core.clock, core.clockAt = clock, now
 	}
--- a/ptruncontrol/takeover_test.go
+++ b/ptruncontrol/takeover_test.go
@@ -178,3 +178,12 @@
 	fixture.expect.Expect(ends).To(HaveLen(1))
 	fixture.expect.Expect(ends[0].Result).To(Equal(ptrun.Lost))
 }
+
+func TestLeaseOfEarlierAgentProcessIsWaitedFor(test *testing.T) {
+	fixture := newFixture(test)
+	fixture.order(run(0, 1), 3000, at(1))
+	fixture.HandleStartResponse(run(0, 1), 1002, nil, at(2))
+	for millis := 100; millis < 900; millis += 50 {
+		fixture.expect.Expect(sentEnds(fixture.HandleListFailure(at(millis-40), at(millis)))).To(BeEmpty(), "%d ms", millis)
+	}
+}
