ptruncontrol: orders that a worker restarted under its ID executes stay in the books

What callers would see: LIMIT and TWICE on one worker by one agent, without a stop, after a worker has started again under its ID.

Cause: orders name a worker by its ID alone, and a worker may start again under its ID. Orders under way were executed by the new incarnation, then its first listing or announcement ended all runs as lost (workerRestarted). A start without an answer is worse: its deadline lies minutes ahead on the new clock, so it may be executed seconds later. A late answer of the earlier incarnation also set the clock of the new one, and with it the deadlines of all later orders.

Why this works: with the same ID the runs stay, and the listings of the new incarnation decide, as for any order; a start without an answer ends by a stop that the new incarnation confirms, not by a deadline on a clock that is gone. Only listings and announcements, which name their incarnation, set the clock. With another ID all runs end at once, as before. TestOtherWorkerIncarnationAfterWorkerGoneEndsRuns asks for the end one listing later; TestWorkerWithOtherIDEndsRuns keeps what it said of other incarnations.

--- a/ptruncontrol/ptruncontrol.go
+++ b/ptruncontrol/ptruncontrol.go
@@ -63,6 +63,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -74,9 +75,10 @@
 )
 
 const (
-	// LeaseDuration is how far ahead the worker's lease is renewed. Workers cap a lease at one
-	// second.
+	// LeaseDuration is how far ahead the worker's lease is renewed. It is below maxLease, at which
+	// workers cap a lease.
 	LeaseDuration = 900 * time.Millisecond
+	maxLease      = time.Second
 	// StartOrderTTL is how long a start order stays valid. A local call takes about a
 	// millisecond, and up to some hundred milliseconds if the worker is paused.
 	StartOrderTTL = 300 * time.Millisecond
@@ -264,8 +266,9 @@
 type run struct {
 	Order
 	state state
-	// workerStartBy is the deadline of the start order on the worker's clock. Order.StartBy is
-	// the deadline of the run on the agent's clock.
+	// workerStartBy is the deadline of the start order on the worker's clock, or the maximum if
+	// the order was sent to an earlier incarnation with another clock. Order.StartBy is the
+	// deadline of the run on the agent's clock.
 	workerStartBy ptrun.WorkerTime
 	startedAt     ptid.Instant
 	// checkedAt is when the latest order for the run got a response or timed out, or when a
@@ -400,7 +403,7 @@
 		// The announcement was delayed, and a later incarnation of the worker is known.
 		return nil
 	case core.worker.WorkerIdentity != worker.WorkerIdentity:
-		core.replaceWorker(now)
+		core.replaceWorker(worker.WorkerIdentity, now)
 	case worker.Sequence <= core.worker.Sequence:
 		return nil
 	}
@@ -413,19 +416,27 @@
 	return core.takeEffects()
 }
 
-// replaceWorker ends all runs of the previous incarnation of the worker.
-func (core *Core) replaceWorker(now ptid.Instant) {
-	lost := 0
+// replaceWorker makes a later incarnation the current worker. An incarnation with another ID
+// executes no orders to the previous one, whose runs have therefore ended. Orders name the worker
+// only by its ID, so a later incarnation with the same ID may execute orders that were under way.
+// Its listings then show which runs it executes.
+func (core *Core) replaceWorker(next ptrun.WorkerIdentity, now ptid.Instant) {
+	previous, lost := core.worker.WorkerIdentity, 0
+	core.highestEnd, core.leaseExpiresAt, core.clock, core.clockAt = 0, 0, 0, now
 	for _, run := range core.sortedRuns() {
-		if run.holdsCapacity() {
+		switch {
+		case !run.holdsCapacity():
+		case next.ID == previous.ID:
+			core.leaseExpiresAt = ptrun.WorkerTime(maxLease.Milliseconds())
+			run.stopAcked, run.workerStartBy = false, math.MaxInt64
+		default:
 			lost++
 			core.finish(run, ptrun.End{Run: run.Run, Result: ptrun.Lost, Reason: ptrun.ReasonRestarted}, now)
 		}
 	}
-	if core.worker.ID != "" {
-		core.emit(WorkerReplaced{Previous: core.worker.WorkerIdentity, Lost: lost})
+	if previous.ID != "" {
+		core.emit(WorkerReplaced{Previous: previous, Lost: lost})
 	}
-	core.highestEnd, core.leaseExpiresAt, core.clock, core.clockAt = 0, 0, 0, now
 	core.estimator, core.probeTurns = ptfitness.NewEstimator(), ptfitness.NewProbeTurns()
 	clear(core.unaccounted)
 	clear(core.unacked)
--- a/ptruncontrol/responses.go
+++ b/ptruncontrol/responses.go
@@ -9,7 +9,7 @@
 )
 
 // HandleStartResponse processes the worker's response to a start order.
-func (core *Core) HandleStartResponse(id ptrun.ID, clock ptrun.WorkerTime, err error, now ptid.Instant) (effects []Effect) {
+func (core *Core) HandleStartResponse(id ptrun.ID, _ ptrun.WorkerTime, err error, now ptid.Instant) (effects []Effect) {
 	run := core.runs[id]
 	if run == nil || run.state != starting {
 		return nil
@@ -17,7 +17,6 @@
 	run.checkedAt = now
 	switch {
 	case err == nil:
-		core.updateClock(clock, now)
 		run.state, run.confirmed = running, true
 		if run.stopRequested {
 			core.orderStop(run, now)
@@ -48,10 +47,7 @@
 }
 
 // HandleStopResponse processes the worker's response to a stop order.
-func (core *Core) HandleStopResponse(id ptrun.ID, clock ptrun.WorkerTime, err error, now ptid.Instant) (effects []Effect) {
-	if err == nil {
-		core.updateClock(clock, now)
-	}
+func (core *Core) HandleStopResponse(id ptrun.ID, _ ptrun.WorkerTime, err error, now ptid.Instant) (effects []Effect) {
 	run := core.runs[id]
 	if run == nil || run.state != stopping || err != nil {
 		return nil
@@ -66,14 +62,17 @@
 	if !core.known {
 		return nil
 	}
-	if !listing.WorkerStartedAt.IsZero() && !listing.WorkerStartedAt.Equal(core.worker.StartedAt) {
-		if listing.WorkerStartedAt.Before(core.worker.StartedAt) {
-			return nil
-		}
-		core.replaceWorker(now)
-		core.worker.StartedAt, core.worker.Sequence, core.known = listing.WorkerStartedAt, 0, false
+	switch {
+	case listing.WorkerStartedAt.IsZero() || listing.WorkerStartedAt.Equal(core.worker.StartedAt):
+	case listing.WorkerStartedAt.Before(core.worker.StartedAt):
+		return nil
+	default:
+		// The worker has restarted. Its capacity may differ, so it is not used before it is
+		// announced.
+		next := ptrun.WorkerIdentity{ID: core.worker.ID, StartedAt: listing.WorkerStartedAt}
+		core.replaceWorker(next, now)
+		core.worker.WorkerIdentity, core.worker.Sequence, core.known = next, 0, false
 		core.refuseWaiting(ptrun.ReasonWorkerAbsent, now)
-		return core.takeEffects()
 	}
 	core.reachable, core.listedAt = true, now
 	core.updateClock(listing.Clock, now)
--- a/ptruncontrol/takeover_test.go
+++ b/ptruncontrol/takeover_test.go
@@ -99,7 +99,18 @@
 	fixture.HandleWorkerGone(sameWorker(1).WorkerIdentity, at(20))
 	later := sameWorker(2)
 	later.StartedAt = time.UnixMilli(9)
-	ends := sentEnds(fixture.HandleAnnouncement(later, 3, at(30)))
+	effects := fixture.HandleAnnouncement(later, 3, at(30))
+	effects = append(effects, fixture.HandleListing(ptrun.Listing{WorkerStartedAt: later.StartedAt, Clock: 5}, at(31), at(32))...)
+	ends := sentEnds(effects)
+	fixture.expect.Expect(ends).To(HaveLen(1))
+	fixture.expect.Expect(ends[0].Result).To(Equal(ptrun.Lost))
+}
+
+func TestWorkerWithOtherIDEndsRuns(test *testing.T) {
+	fixture := newFixtureWithRun(test)
+	other := sameWorker(2)
+	other.ID, other.StartedAt = "other", time.UnixMilli(9)
+	ends := sentEnds(fixture.HandleAnnouncement(other, 3, at(30)))
 	fixture.expect.Expect(ends).To(HaveLen(1))
 	fixture.expect.Expect(ends[0].Result).To(Equal(ptrun.Lost))
 }
