ptruncontrol: a run that the worker lists is never said not to have started

What callers would see: a task placed again beside its run (TWICE), or a refusal of a job that runs, after an agent was restarted.

Cause: a query for a run that the agent had not ordered was answered neverStarted, whether the worker listed the run or not; an order for it was answered with an end that had been declared too early.

TestEndOfListedRunIsSentToEntryThatAskedForIt is new with the answer that takes its place.

Why this works: while the worker lists the run nobody is told that it is over; who ordered it or asked for it is told when it is.

--- a/ptruncontrol/durable.go
+++ b/ptruncontrol/durable.go
@@ -31,7 +31,7 @@
 	id := listed.End.Run
 	isNew := listed.Sequence > core.highestEnd
 	core.highestEnd = max(core.highestEnd, listed.Sequence)
-	delete(core.unaccounted, id)
+	core.endUnaccounted(listed.End, now)
 	if isNew && ptjobstore.IsDurable(id.Number) {
 		core.unacked[id] = &unackedEnd{sequence: listed.Sequence, end: listed.End, listedAt: now, nextBroadcastAt: now.Add(rebroadcastInterval)}
 	}
--- a/ptruncontrol/ptruncontrol.go
+++ b/ptruncontrol/ptruncontrol.go
@@ -504,6 +504,9 @@
 		}
 		return nil
 	}
+	if core.askForEnd(order.Run, order.Owner) {
+		return nil
+	}
 	if known := core.ends[order.Run]; known != nil {
 		return []Effect{SendEnd{Owner: order.Owner, End: known.end}}
 	}
--- a/ptruncontrol/responses.go
+++ b/ptruncontrol/responses.go
@@ -84,7 +84,7 @@
 		active[listed.Run] = true
 		core.handleListedRun(listed, requestedAt, now)
 	}
-	core.pruneUnaccounted(active, requestedAt)
+	core.pruneUnaccounted(active, requestedAt, now)
 	if len(active) == 0 {
 		core.takeoverComplete = true
 	}
@@ -226,10 +226,10 @@
 
 // QueryRun responds to the query of an entry for the outcome of a run. Entries send such queries
 // after they have opened a new session. If the run has not ended, QueryRun sends no response,
-// because the end of the run will be sent as usual. An unknown run is recorded as never started,
-// so that a later order for the run is refused.
+// because the end of the run will be sent as usual. An unknown run that the worker does not list
+// is recorded as never started, so that a later order for the run is refused.
 func (core *Core) QueryRun(owner Owner, id ptrun.ID, now ptid.Instant) (effects []Effect) {
-	if core.runs[id] != nil {
+	if core.runs[id] != nil || core.askForEnd(id, owner) {
 		return nil
 	}
 	known := core.ends[id]
--- a/ptruncontrol/takeover_test.go
+++ b/ptruncontrol/takeover_test.go
@@ -198,3 +198,23 @@
 		fixture.expect.Expect(sentEnds(fixture.HandleListFailure(at(millis-40), at(millis)))).To(BeEmpty(), "%d ms", millis)
 	}
 }
+
+func TestEndOfListedRunIsSentToEntryThatAskedForIt(test *testing.T) {
+	for name, ask := range map[string]func(core *ptruncontrol.Core) []ptruncontrol.Effect{
+		"query": func(core *ptruncontrol.Core) []ptruncontrol.Effect { return core.QueryRun(owner, run(0, 1), at(52)) },
+		"order": func(core *ptruncontrol.Core) []ptruncontrol.Effect {
+			return core.Order(ptruncontrol.Order{Run: run(0, 1), Owner: owner, StartBy: at(500), WaitUntil: at(500)}, at(52))
+		},
+	} {
+		core := ptruncontrol.New(100)
+		expect := NewWithT(test)
+		worker := sameWorker(1)
+		core.HandleAnnouncement(worker, 1000, start)
+		core.HandleListing(ptrun.Listing{WorkerStartedAt: worker.StartedAt, Clock: 1050, Active: []ptrun.ListedRun{{Run: run(0, 1)}}}, at(49), at(50))
+		core.SessionOpened(owner, at(51))
+		expect.Expect(sentEnds(ask(core))).To(BeEmpty(), name)
+		ends := sentEnds(core.HandleListing(ptrun.Listing{WorkerStartedAt: worker.StartedAt, Clock: 1080}, at(79), at(80)))
+		expect.Expect(ends).To(HaveLen(1), name)
+		expect.Expect(ends[0].Result).To(Equal(ptrun.Stopped), name)
+	}
+}
--- a/ptruncontrol/unaccounted.go
+++ b/ptruncontrol/unaccounted.go
@@ -17,6 +17,39 @@
 	listedAt ptid.Instant
 	// stopRetryAt is when the stop order is repeated.
 	stopRetryAt ptid.Instant
+	// askers are the entries that have ordered the run or queried its end.
+	askers []Owner
+}
+
+// askForEnd makes the end of an unaccounted run known to an entry once the run has ended. It
+// reports whether the run is unaccounted.
+func (core *Core) askForEnd(id ptrun.ID, asker Owner) (unaccounted bool) {
+	run := core.unaccounted[id]
+	if run == nil {
+		return false
+	}
+	if !slices.Contains(run.askers, asker) {
+		run.askers = append(run.askers, asker)
+	}
+	return true
+}
+
+// endUnaccounted removes an unaccounted run that has ended and sends its end to the entries that
+// have asked for it. An end that was declared before is sent unchanged.
+func (core *Core) endUnaccounted(end ptrun.End, now ptid.Instant) {
+	run := core.unaccounted[end.Run]
+	if run == nil {
+		return
+	}
+	delete(core.unaccounted, end.Run)
+	for _, asker := range run.askers {
+		known := core.ends[end.Run]
+		if known == nil {
+			known = &endRecord{owner: asker, end: end, at: now, expiresAt: now.Add(EndRetention)}
+			core.ends[end.Run] = known
+		}
+		core.emit(SendEnd{Owner: asker, End: known.end})
+	}
 }
 
 // isOutdated reports whether a listing that was requested at requestedAt may be older than the
@@ -42,10 +75,10 @@
 
 // pruneUnaccounted removes the unaccounted runs that have ended: a listing that was requested
 // after the run was last listed does not contain it.
-func (core *Core) pruneUnaccounted(active map[ptrun.ID]bool, requestedAt ptid.Instant) {
-	for id, run := range core.unaccounted {
-		if !active[id] && requestedAt > run.listedAt {
-			delete(core.unaccounted, id)
+func (core *Core) pruneUnaccounted(active map[ptrun.ID]bool, requestedAt, now ptid.Instant) {
+	for _, id := range slices.SortedFunc(maps.Keys(core.unaccounted), ptrun.Compare) {
+		if !active[id] && requestedAt > core.unaccounted[id].listedAt {
+			core.endUnaccounted(ptrun.End{Run: id, Result: ptrun.Stopped, Reason: ptrun.ReasonUnknownRun}, now)
 		}
 	}
 }
