--- a/ptruncontrol/overdue_stop_test.go
+++ b/ptruncontrol/overdue_stop_test.go
@@ -77,7 +77,7 @@
 
 // The earlier agent process ended at the start, and the restarted one finds its run.
 func TestRunOfEarlierAgentProcessThatIgnoresStopsEndsBeforeItsTaskIsPlacedAgain(test *testing.T) {
-	fixture := &fixture{Core: ptruncontrol.New(100, start), expect: NewWithT(test)}
+	fixture := &fixture{Core: ptruncontrol.New(100), expect: NewWithT(test)}
 	fixture.HandleAnnouncement(ptrun.Worker{
 		WorkerIdentity: ptrun.WorkerIdentity{ID: "worker", StartedAt: time.UnixMilli(5)}, Capacity: ptrun.Demand{CPU: 4000, Memory: 1000}, Sequence: 1,
 	}, 1000, start)
