ptruncontrol: every owner that orders a run gets its end

What callers saw: no answer until the job's deadline (504), where a caller had submitted the job to two entries after a broken connection and both placed a task on the same worker.

Cause: the second order of a run that is there was dropped without a word, and its end went to the first owner alone.

Why this works: the second owner waits for the run that is there. Ruled out: to refuse its order, since it would start the task on another worker beside this run (TWICE).

--- a/ptruncontrol/ptruncontrol.go
+++ b/ptruncontrol/ptruncontrol.go
@@ -228,11 +228,12 @@
 	Lost      int
 }
 
-// OrderIgnored reports that an order had no effect, because the run belongs to another owner.
-type OrderIgnored struct {
-	Run     ptrun.ID
-	Owner   Owner
-	Current Owner
+// OrderJoined reports that an owner has ordered a run that another owner has ordered before. It
+// gets the end of that run.
+type OrderJoined struct {
+	Run   ptrun.ID
+	Owner Owner
+	First Owner
 }
 
 func (StartRun) isEffect()               {}
@@ -247,7 +248,7 @@
 func (UnaccountedRunsChanged) isEffect() {}
 func (WorkerReplaced) isEffect()         {}
 func (LeaseExpired) isEffect()           {}
-func (OrderIgnored) isEffect()           {}
+func (OrderJoined) isEffect()           {}
 
 // state is the state of a run at the agent.
 type state uint8
@@ -281,6 +282,9 @@
 	stopAcked     bool
 	stopRetryAt   ptid.Instant
 	stopReason    ptrun.Reason
+	// joined contains the further owners that have ordered the run: a caller may submit its job
+	// to two entries, which number its runs alike.
+	joined []Owner
 	// percent is the speed limit that the worker lists for the run, and orderedPercent the speed
 	// limit that was ordered last. Both are percentages of the full speed.
 	percent        int
@@ -499,10 +503,7 @@
 // Order processes an order of an entry.
 func (core *Core) Order(order Order, now ptid.Instant) (effects []Effect) {
 	if existing := core.runs[order.Run]; existing != nil {
-		if existing.Owner != order.Owner {
-			return []Effect{OrderIgnored{Run: order.Run, Owner: order.Owner, Current: existing.Owner}}
-		}
-		return nil
+		return core.join(existing, order.Owner)
 	}
 	if core.askForEnd(order.Run, order.Owner) {
 		return nil
@@ -640,7 +641,23 @@
 	core.emit(StopRun{Worker: core.worker.WorkerIdentity, Token: core.token, Run: run.Run, Reason: run.stopReason})
 }
 
-// finish removes a run, releases its capacity and sends its end to the owner.
+// join makes the end of a run known to a further owner that has ordered the run. A refusal would
+// allow the owner to start the task elsewhere beside the run.
+func (core *Core) join(run *run, owner Owner) (effects []Effect) {
+	if run.Owner == owner || slices.Contains(run.joined, owner) {
+		return nil
+	}
+	run.joined = append(run.joined, owner)
+	return []Effect{OrderJoined{Run: run.Run, Owner: owner, First: run.Owner}}
+}
+
+// isConnected reports whether an incarnation of an entry has a session.
+func (core *Core) isConnected(owner Owner) bool {
+	state := core.owners[owner.Entry]
+	return state != nil && state.connected && state.incarnation == owner.Incarnation
+}
+
+// finish removes a run, releases its capacity and sends its end to its owners.
 func (core *Core) finish(run *run, end ptrun.End, now ptid.Instant) {
 	if run.holdsCapacity() {
 		core.held = core.held.Minus(run.Demand)
@@ -652,10 +669,15 @@
 	}
 	delete(core.runs, run.Run)
 	core.ends[run.Run] = &endRecord{owner: run.Owner, end: end, at: now, expiresAt: ptid.Never}
-	if owner := core.owners[run.Owner.Entry]; owner != nil && owner.connected && owner.incarnation == run.Owner.Incarnation {
+	if core.isConnected(run.Owner) {
 		core.ends[run.Run].expiresAt = now.Add(EndRetention)
 		core.emit(SendEnd{Owner: run.Owner, End: end})
 	}
+	for _, owner := range run.joined {
+		if core.isConnected(owner) {
+			core.emit(SendEnd{Owner: owner, End: end})
+		}
+	}
 }
 
 // DemandOf returns the demand of a run, or the zero value if the run is not known.
--- a/ptrunner/ptrunner.go
+++ b/ptrunner/ptrunner.go
@@ -240,9 +240,9 @@
 	case ptruncontrol.LeaseExpired:
 		runner.deps.Log.Info("worker lease expired", "worker", effect.Worker.ID, "lostRuns", effect.Lost,
 			"listingAge", now.Sub(effect.ListedAt).String(), "expiredFor", now.Sub(effect.ExpiredAt).String())
-	case ptruncontrol.OrderIgnored:
-		runner.deps.Log.Info("order ignored, the run belongs to another owner", "job", effect.Run.Task.Job, "step", effect.Run.Task.Step,
-			"task", effect.Run.Task.Index, "run", effect.Run.Number, "entry", effect.Owner.Entry, "owner", effect.Current.Entry, "ownerIncarnation", effect.Current.Incarnation)
+	case ptruncontrol.OrderJoined:
+		runner.deps.Log.Info("order joined the run of another owner", "job", effect.Run.Task.Job, "step", effect.Run.Task.Step,
+			"task", effect.Run.Task.Index, "run", effect.Run.Number, "entry", effect.Owner.Entry, "owner", effect.First.Entry, "ownerIncarnation", effect.First.Incarnation)
 	}
 }
 
