ptruncontrol: a run that goes on in spite of its stops ends with the lease

What callers would see: a task that is placed again beside its run (TWICE), where a worker answers listings and not stops.

Cause: entries place a task again 2.5 s (4.5 s, durable) after they lost an agent, and callers submit again after 1.3 s. The sums behind these bounds end with a lease, but the agent renewed the lease on and on while its stop orders had no effect.

Why this works: a stop is tried every 50 ms (150 before; the call has 25 ms), and 350 ms after the first one the lease is no longer renewed: 0.35 + 0.92 = 1.27 s, and 0.575 + 0.3 + 0.35 + 0.92 = 2.15 s for an entry that is silent (4.35 s, durable). All runs of that worker end with it; with half of all orders unanswered 0.4 % of the stops come to that. Not covered: an entry that is killed while stops have no effect, 2.15 s against 1.3 s.

--- a/ptruncontrol/ptruncontrol.go
+++ b/ptruncontrol/ptruncontrol.go
@@ -21,6 +21,8 @@
 //  3. does not contain the run; when another incarnation of the worker responds; or when the
 //     last lease that may have been granted has expired, even if the worker's clock is
 //     slow by one part in [ClockDriftDivisor].
+//     A run that is active for [StopTimeout] after its first stop order is ended by the
+//     lease: the agent does not renew it, which ends all runs on the worker.
 //  5. If an entry has had no session for [OrphanTimeout], its best-effort runs are stopped.
 //     Its runs of durable jobs are stopped after [DurableOrphanTimeout]. When a new
 //     incarnation of an entry opens a session, the best-effort runs of the earlier
@@ -99,8 +101,13 @@
 	// rebroadcastInterval is the interval at which the agent broadcasts the end of a run again
 	// while no owner has stored this end.
 	rebroadcastInterval = 500 * time.Millisecond
-	// StopRetryInterval is the interval after which an unacknowledged stop order is repeated.
-	StopRetryInterval = 150 * time.Millisecond
+	// StopRetryInterval is the interval after which an unacknowledged stop order is repeated. A
+	// stop order times out after half of it.
+	StopRetryInterval = 50 * time.Millisecond
+	// StopTimeout is how long after its first stop order a run may be active before the agent lets
+	// the worker's lease expire. The sum of StopTimeout and a lease is less than the time after
+	// which callers resubmit; see docs/design/10-platform.md.
+	StopTimeout = 350 * time.Millisecond
 	// EndRetention is how long an end is retained after its delivery.
 	EndRetention = 5 * time.Second
 	// maxEndRetention limits the retention of an end, in particular if its owner opens no
@@ -248,7 +255,7 @@
 func (UnaccountedRunsChanged) isEffect() {}
 func (WorkerReplaced) isEffect()         {}
 func (LeaseExpired) isEffect()           {}
-func (OrderJoined) isEffect()           {}
+func (OrderJoined) isEffect()            {}
 
 // state is the state of a run at the agent.
 type state uint8
@@ -281,7 +288,9 @@
 	stopRequested bool
 	stopAcked     bool
 	stopRetryAt   ptid.Instant
-	stopReason    ptrun.Reason
+	// stopDeadline is when the run must have ended after its first stop order.
+	stopDeadline ptid.Instant
+	stopReason   ptrun.Reason
 	// joined contains the further owners that have ordered the run: a caller may submit its job
 	// to two entries, which number its runs alike.
 	joined []Owner
@@ -478,16 +487,32 @@
 // the lease of a worker that has not responded for [UnreachableTimeout]. The worker may still
 // carry out a call to which it has not responded. If such calls extended the lease, the latest
 // possible expiry would move on with each call, and the runs could never be declared lost.
-// Nor does it extend the lease of runs that only earlier agent processes have started.
+// Nor does it extend the lease before the takeover is complete, or while a run ignores its stop
+// orders: entries rely on the end of a run that is to be stopped.
 func (core *Core) LeaseRenewal(now ptid.Instant) (renewal ptrun.LeaseRenewal) {
 	renewal.Acknowledged = core.ackableSequence()
 	unreachable := now.Sub(core.listedAt) > UnreachableTimeout
-	if core.clock > 0 && !unreachable && core.takeoverComplete && !core.mustLetLeaseExpire(now) {
+	if core.clock > 0 && !unreachable && core.takeoverComplete && !core.mustLetLeaseExpire(now) && !core.isStopOverdue(now) {
 		renewal.ExpiresAt = core.extendLease(now)
 	}
 	return renewal
 }
 
+// isStopOverdue reports whether a run that is to be stopped is active after its stop deadline.
+func (core *Core) isStopOverdue(now ptid.Instant) bool {
+	for _, run := range core.runs {
+		if run.state == stopping && now > run.stopDeadline {
+			return true
+		}
+	}
+	for _, run := range core.unaccounted {
+		if now > run.stopDeadline {
+			return true
+		}
+	}
+	return false
+}
+
 func (core *Core) extendLease(now ptid.Instant) ptrun.WorkerTime {
 	expiresAt := core.earliestClock(now) + ptrun.WorkerTime(LeaseDuration.Milliseconds())
 	core.leaseExpiresAt = max(core.leaseExpiresAt, expiresAt)
@@ -636,7 +661,9 @@
 }
 
 func (core *Core) orderStop(run *run, now ptid.Instant) {
-	run.state = stopping
+	if run.state != stopping {
+		run.state, run.stopDeadline = stopping, now.Add(StopTimeout)
+	}
 	run.stopRetryAt = now.Add(StopRetryInterval)
 	core.emit(StopRun{Worker: core.worker.WorkerIdentity, Token: core.token, Run: run.Run, Reason: run.stopReason})
 }
--- a/ptruncontrol/unaccounted.go
+++ b/ptruncontrol/unaccounted.go
@@ -15,8 +15,9 @@
 type unaccountedRun struct {
 	// listedAt is when the latest listing that contains the run was processed.
 	listedAt ptid.Instant
-	// stopRetryAt is when the stop order is repeated.
-	stopRetryAt ptid.Instant
+	// stopRetryAt is when the stop order is repeated, and stopDeadline when the run must have
+	// ended.
+	stopRetryAt, stopDeadline ptid.Instant
 	// askers are the entries that have ordered the run or queried its end.
 	askers []Owner
 }
@@ -63,7 +64,7 @@
 func (core *Core) handleUnaccountedRun(id ptrun.ID, now ptid.Instant) {
 	run := core.unaccounted[id]
 	if run == nil {
-		run = &unaccountedRun{stopRetryAt: now}
+		run = &unaccountedRun{stopRetryAt: now, stopDeadline: now.Add(StopTimeout)}
 		core.unaccounted[id] = run
 	}
 	run.listedAt = now
