--- a/ptdrill/link.go
+++ b/ptdrill/link.go
@@ -222,7 +222,7 @@
 		case errors.Is(err, ptrun.ErrWorkerMismatch):
 			agent.applyEffects(agent.core.HandleWorkerGone(current.WorkerIdentity, simulation.Now()))
 		default:
-			agent.applyEffects(agent.core.HandleListFailure(requestedAt, simulation.Now()))
+			agent.applyEffects(agent.core.HandleListFailure(err, requestedAt, simulation.Now()))
 		}
 	})
 }
--- a/ptruncontrol/responses.go
+++ b/ptruncontrol/responses.go
@@ -159,14 +159,16 @@
 // succeeded for [UnreachableTimeout], the waiting runs are refused. Once a call that was requested
 // after the expiry of every lease that may have been granted has failed too, the active runs are
 // declared lost, except the runs whose start call is still in progress. An earlier call proves
-// nothing: the agent may have been paused while it waited for the response.
-func (core *Core) HandleListFailure(requestedAt, now ptid.Instant) (effects []Effect) {
-	if now.Sub(core.listedAt) <= UnreachableTimeout {
+// nothing: the agent may have been paused while it waited for the response. A worker that does
+// not respond may be overloaded and end its runs late, so it gets [SilentWorkerTimeout].
+func (core *Core) HandleListFailure(err error, requestedAt, now ptid.Instant) (effects []Effect) {
+	silence := now.Sub(core.listedAt)
+	if silence <= UnreachableTimeout {
 		return nil
 	}
 	core.reachable = false
 	core.refuseWaiting(ptrun.ReasonWorkerAbsent, now)
-	if requestedAt <= core.leasesExpireBy() {
+	if requestedAt <= core.leasesExpireBy() || errors.Is(err, ptrun.ErrUnanswered) && silence <= SilentWorkerTimeout {
 		return core.takeEffects()
 	}
 	core.loseRuns(now)
--- a/ptruncontrol/takeover_test.go
+++ b/ptruncontrol/takeover_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/primrosetiller/primrosetiller/ptassign"
 	"github.com/primrosetiller/primrosetiller/ptjobstore"
 	"github.com/primrosetiller/primrosetiller/ptrun"
 	"github.com/primrosetiller/primrosetiller/ptruncontrol"
@@ -75,7 +76,7 @@
 	core.HandleAnnouncement(worker, 1000, start)
 	core.HandleListing(ptrun.Listing{WorkerStartedAt: worker.StartedAt, Clock: 1001, Active: []ptrun.ListedRun{{Run: run(0, 1)}}}, start, at(1))
 	core.LeaseRenewal(at(200))
-	core.HandleListFailure(at(1150), at(1290))
+	core.HandleListFailure(ptrun.ErrUnhealthy, at(1150), at(1290))
 	expect.Expect(core.TakeoverComplete()).To(BeFalse(), "only a listing shows that the unknown run has ended")
 }
 
@@ -115,6 +116,18 @@
 	fixture.expect.Expect(ends[0].Result).To(Equal(ptrun.Lost))
 }
 
+func TestRunsOfSilentWorkerAreNotLostWithTheLease(test *testing.T) {
+	fixture := newFixtureWithRun(test)
+	var lostAt int
+	for millis := 60; millis < 4000 && lostAt == 0; millis += 60 {
+		fixture.LeaseRenewal(at(millis - 50))
+		if len(sentEnds(fixture.HandleListFailure(ptrun.ErrUnanswered, at(millis-50), at(millis)))) > 0 {
+			lostAt = millis
+		}
+	}
+	fixture.expect.Expect(lostAt).To(BeNumerically("~", milliseconds(ptassign.RunLossTimeout)+60, 60))
+}
+
 // listedAfterLapse processes a listing that contains a run whose lease the agent takes for
 // expired. The run must continue, or be stopped, and hold its capacity until the worker no longer
 // lists it.
@@ -132,7 +145,7 @@
 	fixture := newFixtureWithRun(test)
 	for millis := 60; millis < 2000; millis += 60 {
 		fixture.LeaseRenewal(at(millis - 50))
-		fixture.HandleListFailure(at(millis-50), at(millis))
+		fixture.HandleListFailure(ptrun.ErrUnhealthy, at(millis-50), at(millis))
 		fixture.Tick(at(millis))
 	}
 	fixture.listedAfterLapse(1100, 2000)
@@ -142,7 +155,7 @@
 	fixture := newFixtureWithRun(test)
 	fixture.LeaseRenewal(at(11))
 	// The first call after the freeze is the listing call that was under way.
-	effects := fixture.HandleListFailure(at(11), at(5000))
+	effects := fixture.HandleListFailure(ptrun.ErrUnhealthy, at(11), at(5000))
 	effects = append(effects, fixture.Tick(at(5000))...)
 	fixture.expect.Expect(sentEnds(effects)).To(BeEmpty(), "no listing call has failed while the agent was running")
 	fixture.listedAfterLapse(1020, 5001)
@@ -195,7 +208,7 @@
 	fixture.order(run(0, 1), 3000, at(1))
 	fixture.HandleStartResponse(run(0, 1), 1002, nil, at(2))
 	for millis := 100; millis < 900; millis += 50 {
-		fixture.expect.Expect(sentEnds(fixture.HandleListFailure(at(millis-40), at(millis)))).To(BeEmpty(), "%d ms", millis)
+		fixture.expect.Expect(sentEnds(fixture.HandleListFailure(ptrun.ErrUnhealthy, at(millis-40), at(millis)))).To(BeEmpty(), "%d ms", millis)
 	}
 }
 
--- a/ptrunner/ptrunner.go
+++ b/ptrunner/ptrunner.go
@@ -355,7 +355,7 @@
 		runner.execute(runner.core.HandleWorkerGone(worker.WorkerIdentity, now))
 	default:
 		runner.backupListUntil = now.Add(backupListDuration)
-		runner.execute(runner.core.HandleListFailure(requestedAt, now))
+		runner.execute(runner.core.HandleListFailure(err, requestedAt, now))
 	}
 	return err
 }
