--- /dev/null
+++ b/ptdrill/entry.go
@@ -0,0 +1,230 @@
+package ptdrill
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/primrosetiller/primrosetiller/ptassign"
+	"github.com/primrosetiller/primrosetiller/ptgraph"
+	"github.com/primrosetiller/primrosetiller/ptid"
+	"github.com/primrosetiller/primrosetiller/ptlink"
+	"github.com/primrosetiller/primrosetiller/ptqueue"
+	"github.com/primrosetiller/primrosetiller/ptrun"
+	"github.com/primrosetiller/primrosetiller/ptruncontrol"
+)
+
+// entry is one incarnation of a simulated entry process.
+type entry struct {
+	process
+
+	index int
+	core  *ptassign.Core
+	// callers contains the open jobs and how many callers wait for each of them.
+	callers  map[ptid.JobID]*openJob
+	sessions [agents]*session
+	request  ptrun.CapacityRequest
+}
+
+// openJob is a job whose end callers wait for.
+type openJob struct {
+	spec    ptgraph.Spec
+	waiters int
+}
+
+func (simulation *simulation) startEntry(index int) {
+	started := &entry{
+		index: index, core: ptassign.New(uint64(simulation.random.Int64())), callers: make(map[ptid.JobID]*openJob),
+		process: process{simulation: simulation, alive: true, incarnation: 1},
+	}
+	if previous := simulation.entries[index]; previous != nil {
+		started.incarnation = previous.incarnation + 1
+	}
+	simulation.entries[index] = started
+	started.after(simulation.between(0, tickInterval), func() { started.every(tickInterval, started.tick) })
+	simulation.trace("%s starts", started.name())
+}
+
+func (entry *entry) name() ptid.EntryName { return ptid.EntryName(fmt.Sprint("entry", entry.index)) }
+
+func (entry *entry) tick() {
+	now := entry.simulation.Now()
+	for _, session := range entry.sessions {
+		if session != nil {
+			session.tick(ptlink.EntrySide)
+		}
+	}
+	entry.applyEffects(entry.core.Tick(now))
+	requests, sendNow := entry.core.CapacityRequestsToSend(now)
+	entry.request = requests[service]
+	if sendNow && entry.request.Rate > 0 {
+		for index := range agents {
+			entry.post(index, func(*agent) {})
+		}
+	}
+}
+
+// post sends a message to an agent.
+func (entry *entry) post(index int, receive func(agent *agent)) {
+	session, request := entry.sessions[index], entry.request
+	if session == nil {
+		return
+	}
+	target := session.agent
+	session.post(ptlink.EntrySide, func() {
+		if target.sessions[entry.index] == session {
+			target.applyEffects(target.core.RequestCapacity(entry.name(), request, target.simulation.Now()))
+			receive(target)
+		}
+	})
+}
+
+func (entry *entry) owner() ptruncontrol.Owner {
+	return ptruncontrol.Owner{Entry: entry.name(), Incarnation: entry.incarnation}
+}
+
+// applyEffects executes the effects that the entry's core returned.
+func (entry *entry) applyEffects(effects []ptassign.Effect) {
+	for _, effect := range effects {
+		switch effect := effect.(type) {
+		case ptassign.SendOrder:
+			entry.simulation.trace("%s orders %v at %s", entry.name(), effect.Run, effect.Agent)
+			entry.post(agentIndex(effect.Agent), func(agent *agent) {
+				now := agent.simulation.Now()
+				agent.applyEffects(agent.core.Order(ptruncontrol.Order{
+					Run: effect.Run, Owner: entry.owner(), Demand: effect.Demand, StartBy: effect.StartBy, WaitUntil: now.Add(effect.MaxWait),
+					QueueKey: effect.QueueKey, ExpectedRunTime: effect.ExpectedRunTime,
+				}, now))
+			})
+		case ptassign.SendStop:
+			entry.simulation.trace("%s stops %v at %s: %s", entry.name(), effect.Run, effect.Agent, effect.Reason)
+			entry.post(agentIndex(effect.Agent), func(agent *agent) {
+				agent.applyEffects(agent.core.Stop(effect.Run, ptrun.ReasonStopRequested, agent.simulation.Now()))
+			})
+		case ptassign.SendQuery:
+			entry.simulation.trace("%s queries %v at %s", entry.name(), effect.Run, effect.Agent)
+			entry.post(agentIndex(effect.Agent), func(agent *agent) {
+				agent.applyEffects(agent.core.QueryRun(entry.owner(), effect.Run, agent.simulation.Now()))
+			})
+		case ptassign.JobEnded:
+			entry.jobEnded(effect)
+		case ptassign.SaveProgress, ptassign.RequestAdvice, ptassign.WorkerQuarantined:
+		}
+	}
+}
+
+func (entry *entry) jobEnded(effect ptassign.JobEnded) {
+	report := &entry.simulation.report
+	entry.simulation.trace("%s ends job %s: %v", entry.name(), effect.Job.ID, effect.Job.State())
+	delete(entry.callers, effect.Job.ID)
+	switch {
+	case effect.Refusal != nil:
+		report.Refused++
+	case effect.Job.State() == ptgraph.Completed:
+		report.Completed++
+	case effect.Job.State() == ptgraph.Failed:
+		report.Failed++
+	default:
+		report.GivenUp++
+	}
+}
+
+const (
+	minEstimate = 60 * time.Millisecond
+	// estimateDoublings is how often minEstimate is doubled at most; the longest run takes 4 s.
+	estimateDoublings = 6
+)
+
+// submitRandomJob submits a random job to a random entry.
+func (simulation *simulation) submitRandomJob() {
+	if simulation.quiescent {
+		return
+	}
+	simulation.jobs++
+	random := simulation.random
+	spec := ptgraph.Spec{ID: ptid.JobID(fmt.Sprintf("%016x", simulation.jobs)), MaxAttempts: 3}
+	for stepIndex := range 1 + random.IntN(2) {
+		step := ptgraph.Step{
+			Count: 1 + random.IntN(6), Estimate: minEstimate << random.IntN(estimateDoublings),
+			Demand: ptrun.Demand{CPU: ptrun.Millicores(300 + random.IntN(3200)), Memory: ptrun.Mebibytes(200 + random.IntN(4800))},
+		}
+		if stepIndex > 0 && random.IntN(2) == 0 {
+			step.After = []ptrun.StepIndex{0}
+		}
+		spec.Steps = append(spec.Steps, step)
+		for index := range step.Count {
+			simulation.tasks[ptrun.TaskID{Job: spec.ID, Step: ptrun.StepIndex(stepIndex), Index: ptid.TaskIndex(index)}] = taskProperties{
+				demand: step.Demand, runTime: simulation.between(step.Estimate, 2*step.Estimate),
+			}
+		}
+	}
+	simulation.submit(spec, random.IntN(entries))
+}
+
+// submit submits a job to an entry. The caller of an entry that is down submits the job again.
+func (simulation *simulation) submit(spec ptgraph.Spec, index int) {
+	target := simulation.entries[index]
+	if !target.alive {
+		simulation.resubmit(spec)
+		return
+	}
+	target.handle(func() { target.submit(spec) })
+}
+
+func (entry *entry) submit(spec ptgraph.Spec) {
+	simulation := entry.simulation
+	if open := entry.callers[spec.ID]; open != nil {
+		open.waiters++
+		return
+	}
+	_, refusal, effects, err := entry.core.Submit(ptassign.Spec{
+		Spec: spec, Deadline: simulation.Now().Add(callerTimeout),
+		Queue: ptqueue.Queue{Name: "queue", Service: service, Stretch: 2, TargetLatency: time.Second},
+	}, simulation.Now())
+	if err != nil || refusal != nil {
+		simulation.report.Refused++
+		return
+	}
+	simulation.trace("%s admits job %s", entry.name(), spec.ID)
+	entry.callers[spec.ID] = &openJob{spec: spec, waiters: 1}
+	entry.applyEffects(effects)
+	percent := 0
+	switch {
+	case simulation.quiescent:
+	case simulation.setting.Faults.CallerBreaks:
+		percent = 6
+	case simulation.setting.Faults.Single:
+		percent = 2
+	}
+	if simulation.happens(percent) {
+		simulation.After(simulation.between(0, time.Second), func() { entry.disconnectCaller(spec.ID) })
+	}
+}
+
+// disconnectCaller breaks the connection of a caller. The caller submits the job to a random entry
+// again. The entry cancels the job when it notices that no caller is left.
+func (entry *entry) disconnectCaller(id ptid.JobID) {
+	simulation, open := entry.simulation, entry.callers[id]
+	if open == nil || !entry.alive {
+		return
+	}
+	simulation.trace("%s loses the caller of job %s", entry.name(), id)
+	simulation.resubmit(open.spec)
+	notice := simulation.between(0, 5*time.Millisecond)
+	if simulation.setting.Faults.LateNotice && simulation.happens(30) {
+		notice = simulation.between(0, 4*time.Second)
+	}
+	entry.after(notice, func() {
+		open.waiters--
+		if open.waiters == 0 && entry.callers[id] == open {
+			entry.applyEffects(entry.core.Cancel(ptassign.Key{ID: id}, simulation.Now()))
+		}
+	})
+}
+
+func (simulation *simulation) resubmit(spec ptgraph.Spec) {
+	if simulation.quiescent {
+		return
+	}
+	simulation.report.Resubmitted++
+	simulation.After(resubmitDelay, func() { simulation.submit(spec, simulation.random.IntN(entries)) })
+}
--- a/ptdrill/monitor.go
+++ b/ptdrill/monitor.go
@@ -1,24 +1,32 @@
 package ptdrill
 
 import (
-	"maps"
-	"slices"
-
 	"github.com/pkg/errors"
 
-	"github.com/primrosetiller/primrosetiller/ptid"
 	"github.com/primrosetiller/primrosetiller/ptrun"
 )
 
+// Violations that the error of [Run] may wrap.
+var (
+	// ErrTwice means that a task had two active runs.
+	ErrTwice = errors.New("two active runs of a task")
+	// ErrCapacity means that the runs of a worker exceeded its capacity.
+	ErrCapacity = errors.New("capacity exceeded")
+)
+
+// activeRun is a run that is active on a worker.
+type activeRun struct {
+	run    ptrun.ID
+	worker *worker
+}
+
 // monitor tracks the active runs on all workers and keeps the first violation of an invariant.
 type monitor struct {
-	// active contains the active runs of each task with their workers.
-	active    map[ptrun.TaskID]map[ptrun.ID]*worker
-	starts    int
+	active    map[ptrun.TaskID][]activeRun
 	violation error
 }
 
-func newMonitor() *monitor { return &monitor{active: make(map[ptrun.TaskID]map[ptrun.ID]*worker)} }
+func newMonitor() *monitor { return &monitor{active: make(map[ptrun.TaskID][]activeRun)} }
 
 func (monitor *monitor) fail(err error) {
 	if monitor.violation == nil {
@@ -27,41 +35,38 @@
 }
 
 func (monitor *monitor) runStarted(id ptrun.ID, host *worker) {
-	monitor.starts++
 	host.simulation.report.Starts++
-	runs := monitor.active[id.Task]
-	if runs == nil {
-		runs = make(map[ptrun.ID]*worker)
-		monitor.active[id.Task] = runs
+	for _, other := range append([]activeRun(nil), monitor.active[id.Task]...) {
+		other.worker.advance()
 	}
-	for other, otherWorker := range runs {
-		otherWorker.advance()
-		if monitor.active[id.Task][other] != nil {
-			monitor.fail(errors.Errorf("run %v started on %s while run %v of the same task was active on %s", id, host.identity.ID, other, otherWorker.identity.ID))
-		}
+	for _, other := range monitor.active[id.Task] {
+		monitor.fail(errors.Wrapf(ErrTwice, "run %v started on %s while run %d was active on %s", id, workerName(host.identity), other.run.Number, workerName(other.worker.identity)))
 	}
-	runs[id] = host
+	monitor.active[id.Task] = append(monitor.active[id.Task], activeRun{run: id, worker: host})
+	host.advance()
 	if !host.capacity.Covers(host.held()) {
-		monitor.fail(errors.Errorf("worker %s exceeded its capacity when run %v started", host.identity.ID, id))
+		monitor.fail(errors.Wrapf(ErrCapacity, "the runs on %s hold %v when run %v starts", workerName(host.identity), host.held(), id))
 	}
 }
 
-func (monitor *monitor) runEnded(id ptrun.ID) {
-	delete(monitor.active[id.Task], id)
-	if len(monitor.active[id.Task]) == 0 {
+func (monitor *monitor) runEnded(id ptrun.ID, host *worker) {
+	var remaining []activeRun
+	for _, active := range monitor.active[id.Task] {
+		if active.run != id || active.worker != host {
+			remaining = append(remaining, active)
+		}
+	}
+	monitor.active[id.Task] = remaining
+	if len(remaining) == 0 {
 		delete(monitor.active, id.Task)
 	}
 }
 
 // checkCapacity checks that no worker exceeds its capacity.
 func (monitor *monitor) checkCapacity(simulation *simulation) {
-	for _, agent := range simulation.agents {
-		if held := agent.worker.held(); agent.worker.alive && !agent.worker.capacity.Covers(held) {
-			monitor.fail(errors.Errorf("the runs on worker %s exceed its capacity: they hold %v", agent.worker.identity.ID, held))
+	for _, worker := range simulation.workers {
+		if held := worker.held(); worker.alive && !worker.capacity.Covers(held) {
+			monitor.fail(errors.Wrapf(ErrCapacity, "the runs on %s hold %v", workerName(worker.identity), held))
 		}
 	}
 }
-
-func sortedKeys[Value any](values map[ptid.JobID]Value) []ptid.JobID {
-	return slices.Sorted(maps.Keys(values))
-}
--- a/ptdrill/ptdrill_test.go
+++ b/ptdrill/ptdrill_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"regexp"
 	"strconv"
 	"testing"
 
@@ -11,22 +12,77 @@
 	"github.com/primrosetiller/primrosetiller/ptdrill"
 )
 
-// TestSeeds runs a fixed number of seeds and steps in CI. The environment variables
-// DRILL_SEEDS and DRILL_STEPS set other numbers for manual runs.
-func TestSeeds(test *testing.T) {
+// play runs a fixed number of seeds and steps in CI. The environment variables DRILL_SEEDS,
+// DRILL_STEPS and DRILL_FIRST_SEED set other numbers for manual runs. DRILL_TRACE prints the
+// events that match a regular expression.
+func play(test *testing.T, faults ptdrill.Faults) {
 	ptassert.PanicOnFailure()
-	expect := NewWithT(test)
-	seeds, steps := setting("DRILL_SEEDS", 12), setting("DRILL_STEPS", 120_000)
+	first, seeds, steps := setting("DRILL_FIRST_SEED", 1), setting("DRILL_SEEDS", 12), setting("DRILL_STEPS", 120_000)
+	setting := ptdrill.Setting{Steps: steps, Faults: faults}
+	if pattern := os.Getenv("DRILL_TRACE"); pattern != "" {
+		filter := regexp.MustCompile(pattern)
+		setting.Trace = func(line string) {
+			if filter.MatchString(line) {
+				test.Log(line)
+			}
+		}
+	}
 	for seed := range seeds {
-		report, err := ptdrill.Run(uint64(1+seed), steps)
-		expect.Expect(err).NotTo(HaveOccurred())
-		expect.Expect(report.Completed).To(BeNumerically(">", 0))
+		setting.Seed = uint64(first + seed)
+		report, err := ptdrill.Run(setting)
 		if testing.Verbose() {
-			test.Logf("seed %d: %+v", 1+seed, report)
+			test.Logf("seed %d: %+v", setting.Seed, report)
+		}
+		if err != nil {
+			test.Error(err)
+			continue
 		}
+		NewWithT(test).Expect(report.Completed).To(BeNumerically(">", 0))
 	}
 }
 
+func TestSeeds(test *testing.T) { play(test, ptdrill.Faults{Single: true}) }
+
+func TestSeedsWithMassFaults(test *testing.T) {
+	play(test, ptdrill.Faults{Single: true, Mass: true})
+}
+
+func TestSeedsWithUnansweredOrders(test *testing.T) {
+	play(test, ptdrill.Faults{Single: true, Mass: true, UnansweredOrders: true})
+}
+
+func TestSeedsWithStalledWorkers(test *testing.T) {
+	play(test, ptdrill.Faults{Single: true, Mass: true, Stalls: true})
+}
+
+func TestSeedsWithMismatches(test *testing.T) {
+	play(test, ptdrill.Faults{Single: true, Mass: true, Mismatches: true})
+}
+
+func TestSeedsWithRepeatedAnnouncements(test *testing.T) {
+	play(test, ptdrill.Faults{Single: true, Mass: true, RepeatedAnnouncements: true})
+}
+
+func TestSeedsWithCallerBreaks(test *testing.T) {
+	play(test, ptdrill.Faults{Single: true, Mass: true, CallerBreaks: true})
+}
+
+func TestSeedsWithLateNotice(test *testing.T) {
+	play(test, ptdrill.Faults{Single: true, Mass: true, CallerBreaks: true, LateNotice: true})
+}
+
+func TestSeedsWithFrozenMachines(test *testing.T) {
+	play(test, ptdrill.Faults{Single: true, Mass: true, FrozenMachines: true})
+}
+
+func TestSeedsWithLateLeases(test *testing.T) {
+	play(test, ptdrill.Faults{Single: true, Mass: true, LateLeases: true})
+}
+
+func TestSeedsWithLateOrdersToNextWorker(test *testing.T) {
+	play(test, ptdrill.Faults{Single: true, Mass: true, Mismatches: true, LateOrdersToNextWorker: true})
+}
+
 func setting(name string, defaultValue int) int {
 	if value, err := strconv.Atoi(os.Getenv(name)); err == nil {
 		return value
--- /dev/null
+++ b/ptdrill/session.go
@@ -0,0 +1,215 @@
+package ptdrill
+
+import (
+	"time"
+
+	"github.com/primrosetiller/primrosetiller/ptid"
+	"github.com/primrosetiller/primrosetiller/ptlink"
+)
+
+const (
+	minHeartbeatInterval        = 300 * time.Millisecond
+	heartbeatIntervalPerSession = 8 * time.Millisecond
+	busyHeartbeat               = 250 * time.Millisecond
+	dialTimeout                 = 300 * time.Millisecond
+	greetingTimeout             = 500 * time.Millisecond
+	minRedialDelay              = 20 * time.Millisecond
+	maxRedialDelay              = 500 * time.Millisecond
+	discoverInterval            = 250 * time.Millisecond
+)
+
+// frame is a frame of a session. The last frame of a session tells the peer that it was closed.
+type frame struct {
+	sequence, ack ptid.Sequence
+	receive       func()
+	last          bool
+}
+
+// side is one side of a session.
+type side struct {
+	process *process
+	link    *ptlink.Link
+	open    bool
+	// wire contains the frames that this side has sent and that have not arrived. inbox contains
+	// the frames that have arrived and that the process of this side has not handled.
+	wire, inbox []frame
+	closed      func()
+}
+
+// session is a connection between an entry and an agent.
+type session struct {
+	simulation *simulation
+	entry      *entry
+	agent      *agent
+	sides      [2]*side
+}
+
+func (session *session) cutUntil() ptid.Instant {
+	return session.simulation.cutUntil[session.entry.index][session.agent.index]
+}
+
+// post sends a frame. The peer performs receive if the session is still open then.
+func (session *session) post(from ptlink.Role, receive func()) {
+	side := session.sides[from]
+	if !side.open {
+		return
+	}
+	sequence, ack := side.link.OnSend(session.simulation.Now(), ptlink.AckEliciting)
+	session.transmit(from, frame{sequence: sequence, ack: ack, receive: receive})
+}
+
+func (session *session) transmit(from ptlink.Role, sent frame) {
+	side := session.sides[from]
+	side.wire = append(side.wire, sent)
+	session.simulation.After(session.simulation.delay(), func() { session.arrive(from) })
+}
+
+// arrive delivers the oldest frame that a side has sent.
+func (session *session) arrive(from ptlink.Role) {
+	simulation := session.simulation
+	if until := session.cutUntil(); until > simulation.Now() {
+		simulation.After(until.Sub(simulation.Now())+simulation.delay(), func() { session.arrive(from) })
+		return
+	}
+	sender, receiver := session.sides[from], session.sides[1-from]
+	receiver.inbox = append(receiver.inbox, sender.wire[0])
+	sender.wire = sender.wire[1:]
+	receiver.process.handle(func() { session.receive(1 - from) })
+}
+
+// receive handles the oldest frame that has arrived.
+func (session *session) receive(to ptlink.Role) {
+	side := session.sides[to]
+	received := side.inbox[0]
+	side.inbox = side.inbox[1:]
+	switch {
+	case !side.open:
+	case received.last:
+		session.close(to)
+	default:
+		if side.link.OnReceive(session.simulation.Now(), received.sequence, received.ack) && received.receive != nil {
+			received.receive()
+		}
+	}
+}
+
+// close closes one side and tells the peer.
+func (session *session) close(role ptlink.Role) {
+	side := session.sides[role]
+	if !side.open {
+		return
+	}
+	side.open = false
+	side.closed()
+	session.transmit(role, frame{last: true})
+}
+
+// abandon closes one side of which the process has been killed. The peer is not told if the
+// machine is gone as well.
+func (session *session) abandon(role ptlink.Role, machineGone bool) {
+	session.sides[role].open = false
+	if !machineGone {
+		session.transmit(role, frame{last: true})
+	}
+}
+
+func (session *session) tick(role ptlink.Role) {
+	side := session.sides[role]
+	if !side.open {
+		return
+	}
+	now := session.simulation.Now()
+	switch side.link.Tick(now) {
+	case ptlink.SendAck:
+		sequence, ack := side.link.OnSend(now, ptlink.AckOnly)
+		session.transmit(role, frame{sequence: sequence, ack: ack})
+	case ptlink.SendHeartbeat:
+		if role == ptlink.AgentSide {
+			session.agent.post(session.entry.index, nil)
+		}
+	case ptlink.AckTimedOut, ptlink.ReceiveTimedOut:
+		session.close(role)
+	case ptlink.NoAction:
+	}
+}
+
+// dialWhenTakenOver dials the entries once the takeover is complete.
+func (agent *agent) dialWhenTakenOver() {
+	if !agent.core.TakeoverComplete(agent.simulation.Now()) {
+		agent.after(tickInterval, agent.dialWhenTakenOver)
+		return
+	}
+	for index := range entries {
+		agent.dial(index, minRedialDelay)
+	}
+}
+
+// redial dials an entry again after half to all of a delay.
+func (agent *agent) redial(index int, delay time.Duration) {
+	agent.after(agent.simulation.between(delay/2, delay), func() { agent.dial(index, delay) })
+}
+
+// dial opens a session with an entry.
+func (agent *agent) dial(index int, delay time.Duration) {
+	simulation := agent.simulation
+	target, next := simulation.entries[index], min(2*delay, maxRedialDelay)
+	switch {
+	case simulation.cutUntil[index][agent.index] > simulation.Now():
+		agent.after(dialTimeout, func() { agent.redial(index, next) })
+		return
+	case !target.alive:
+		agent.redial(index, next)
+		return
+	}
+	opened, abandoned := false, false
+	agent.after(greetingTimeout, func() {
+		if !opened {
+			abandoned = true
+			agent.redial(index, next)
+		}
+	})
+	simulation.After(simulation.delay(), func() {
+		target.handle(func() {
+			target.welcome(agent, func(session *session) {
+				if abandoned {
+					session.close(ptlink.AgentSide)
+					return
+				}
+				opened = true
+				agent.open(session)
+			})
+		})
+	})
+}
+
+// welcome makes a new session the current one of an agent. The agent performs receive when the
+// welcome arrives.
+func (entry *entry) welcome(agent *agent, receive func(session *session)) {
+	simulation, now := entry.simulation, entry.simulation.Now()
+	opened := &session{simulation: simulation, entry: entry, agent: agent}
+	interval := max(minHeartbeatInterval, agents*heartbeatIntervalPerSession)
+	opened.sides[ptlink.EntrySide] = &side{process: &entry.process, link: ptlink.New(ptlink.EntrySide, now, interval), open: true, closed: func() {
+		if entry.sessions[agent.index] == opened {
+			entry.sessions[agent.index] = nil
+			simulation.trace("%s loses %s", entry.name(), agent.name())
+			entry.core.AgentDisconnected(agent.name(), simulation.Now())
+		}
+	}}
+	opened.sides[ptlink.AgentSide] = &side{process: &agent.process, link: ptlink.New(ptlink.AgentSide, now, interval), open: true}
+	opened.sides[ptlink.AgentSide].closed = func() {
+		if agent.sessions[entry.index] == opened {
+			agent.sessions[entry.index] = nil
+			simulation.trace("%s loses %s", agent.name(), entry.name())
+			agent.core.SessionClosed(entry.name(), simulation.Now())
+			agent.redial(entry.index, minRedialDelay)
+		}
+	}
+	previous := entry.sessions[agent.index]
+	entry.sessions[agent.index] = opened
+	if previous != nil {
+		previous.close(ptlink.EntrySide)
+	}
+	simulation.trace("%s welcomes %s incarnation %d", entry.name(), agent.name(), agent.incarnation)
+	opened.transmit(ptlink.EntrySide, frame{receive: func() { receive(opened) }})
+	entry.applyEffects(entry.core.AgentConnected(agent.name(), agent.incarnation, service, true, now))
+}
--- a/ptdrill/worker.go
+++ b/ptdrill/worker.go
@@ -1,6 +1,7 @@
 package ptdrill
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -10,46 +11,115 @@
 	"github.com/primrosetiller/primrosetiller/ptrun"
 )
 
-// clockDriftDivisor sets the drift of the worker's clock: it runs slow by 1/clockDriftDivisor,
-// which is 2 %.
-const clockDriftDivisor = 50
+const (
+	// clockDriftDivisor sets the drift of the worker's clock: it runs slow by
+	// 1/clockDriftDivisor, which is 2 %.
+	clockDriftDivisor = 50
+	// maxLease is the longest lease that a worker grants.
+	maxLease = time.Second
+	// stopGrace is the longest time that a stop takes.
+	stopGrace = 40 * time.Millisecond
+	// maxListedEnds is how many ends a listing contains at most.
+	maxListedEnds = 500
+	// slowFactor is how much longer runs take on a slow worker.
+	slowFactor = 4
+	// maxLeaseDelay is how late a worker may enforce its lease with [Faults.LateLeases].
+	maxLeaseDelay = 2 * time.Second
+)
 
-// maxLease is the longest lease that a worker grants.
-const maxLease = time.Second
+// announceInterval is the interval of the announcements of a worker.
+const announceInterval = 300 * time.Millisecond
 
 type workerRun struct {
 	endsAt ptid.Instant
-	fails  bool
+	result ptrun.Result
 	demand ptrun.Demand
 }
 
-// worker is a simulated worker. It follows the rules of the worker protocol and reports the
-// start and end of its runs to the monitor.
+// worker is one incarnation of a simulated worker. It follows the rules of the worker protocol
+// and reports the start and end of its runs to the monitor.
 type worker struct {
-	simulation   *simulation
-	identity     ptrun.WorkerIdentity
-	startedAt    ptid.Instant
-	capacity     ptrun.Demand
-	token        ptrun.FenceToken
+	simulation *simulation
+	index      int
+	identity   ptrun.WorkerIdentity
+	startedAt  ptid.Instant
+	capacity   ptrun.Demand
+	token      ptrun.FenceToken
+	// leaseExpiry is on the worker's clock. expiryDelay is how late the worker enforces it.
 	leaseExpiry  ptrun.WorkerTime
+	expiryDelay  time.Duration
 	runs         map[ptrun.ID]*workerRun
 	highestEnded map[ptrun.TaskID]ptrun.Number
 	ends         []ptrun.ListedEnd
 	sequence     ptrun.EndSequence
+	announcement uint64
 	alive        bool
+	slow         bool
+	// The worker responds to nothing until stalledUntil, and stands still until frozenUntil.
+	// stoodStill is how long it has stood still since frozenAt.
+	stalledUntil, frozenUntil, frozenAt ptid.Instant
+	stoodStill                          time.Duration
+	// polls contains the listing calls that wait for a run to end.
+	polls []func()
 }
 
-func (simulation *simulation) newWorker(index int) *worker {
-	return &worker{
-		simulation: simulation, startedAt: simulation.Now(), capacity: ptrun.Demand{CPU: 10_000, Memory: 10_000}, alive: true,
-		identity: ptrun.WorkerIdentity{ID: ptrun.WorkerID(fmt.Sprint("worker", index)), StartedAt: time.UnixMilli(1 + int64(simulation.Now())/int64(time.Millisecond))},
+// newWorker returns a worker with the given ID, or with a new ID if none is given.
+func (simulation *simulation) newWorker(index int, id ptrun.WorkerID) *worker {
+	if id == "" {
+		id = ptrun.WorkerID(fmt.Sprintf("worker%d-%d", index, simulation.random.IntN(1000000)))
+	}
+	started := &worker{
+		simulation: simulation, index: index, startedAt: simulation.Now(), capacity: ptrun.Demand{CPU: 10_000, Memory: 14_000}, alive: true,
+		identity: ptrun.WorkerIdentity{ID: id, StartedAt: time.UnixMilli(1 + int64(simulation.Now())/int64(time.Millisecond))},
 		runs:     make(map[ptrun.ID]*workerRun), highestEnded: make(map[ptrun.TaskID]ptrun.Number),
 	}
+	if simulation.setting.Faults.LateLeases && !simulation.quiescent {
+		started.expiryDelay = simulation.between(0, maxLeaseDelay)
+	}
+	simulation.After(simulation.between(0, announceInterval), started.announce)
+	simulation.trace("%s starts", workerName(started.identity))
+	return started
+}
+
+func workerName(identity ptrun.WorkerIdentity) string {
+	return fmt.Sprintf("%s/%d", identity.ID, identity.StartedAt.UnixMilli())
+}
+
+// announce announces the worker to the agent at its address, and repeats this at an interval.
+func (worker *worker) announce() {
+	simulation := worker.simulation
+	if !worker.alive {
+		return
+	}
+	simulation.After(announceInterval, worker.announce)
+	if max(worker.stalledUntil, worker.frozenUntil) > simulation.Now() {
+		return
+	}
+	worker.announcement++
+	announced := ptrun.Worker{WorkerIdentity: worker.identity, Service: service, Capacity: worker.capacity, Sequence: worker.announcement}
+	clock, delay := worker.clock(), simulation.delay()
+	if simulation.setting.Faults.Mismatches && !simulation.quiescent && simulation.happens(10) {
+		delay = simulation.between(100*time.Millisecond, 6*time.Second)
+	}
+	simulation.After(delay, func() {
+		target := simulation.agents[worker.index]
+		target.handle(func() {
+			target.applyEffects(target.core.HandleAnnouncement(announced, clock, simulation.Now()))
+			if !simulation.setting.Faults.Mismatches || simulation.happens(30) {
+				simulation.records[worker.index] = &announced
+			}
+		})
+	})
 }
 
 // clock returns the time on the worker's clock, which runs slow.
-func (worker *worker) clock() ptrun.WorkerTime {
-	elapsed := worker.simulation.Now().Sub(worker.startedAt)
+func (worker *worker) clock() ptrun.WorkerTime { return worker.clockAt(worker.simulation.Now()) }
+
+func (worker *worker) clockAt(instant ptid.Instant) ptrun.WorkerTime {
+	if worker.frozenUntil > instant {
+		instant = worker.frozenAt
+	}
+	elapsed := instant.Sub(worker.startedAt) - worker.stoodStill
 	return ptrun.WorkerTime((elapsed - elapsed/clockDriftDivisor).Milliseconds() + 1)
 }
 
@@ -60,31 +130,49 @@
 	return held
 }
 
-// advance ends all runs if the lease has expired, and otherwise the runs whose run time has
-// elapsed.
+// leaseExpiresAt returns when the worker ends its runs unless the lease is renewed.
+func (worker *worker) leaseExpiresAt() ptid.Instant {
+	remaining := time.Duration(worker.leaseExpiry-worker.clock()+1) * time.Millisecond
+	return worker.simulation.Now().Add(remaining + remaining/(clockDriftDivisor-1) + worker.expiryDelay)
+}
+
+// advance ends the runs whose run time has elapsed, and all runs if the lease has expired.
 func (worker *worker) advance() {
-	if len(worker.runs) > 0 && worker.clock() > worker.leaseExpiry {
-		for _, id := range slices.SortedFunc(maps.Keys(worker.runs), ptrun.Compare) {
-			worker.end(id, ptrun.Lost)
-		}
+	now := worker.simulation.Now()
+	if len(worker.runs) == 0 || worker.frozenUntil > now {
+		return
 	}
-	for _, id := range slices.SortedFunc(maps.Keys(worker.runs), ptrun.Compare) {
-		if run := worker.runs[id]; worker.simulation.Now() >= run.endsAt {
-			result := ptrun.Done
-			if run.fails {
-				result = ptrun.Failed
-			}
-			worker.end(id, result)
+	expiresAt := worker.leaseExpiresAt()
+	ids := slices.SortedFunc(maps.Keys(worker.runs), func(left, right ptrun.ID) int {
+		return cmp.Or(cmp.Compare(worker.runs[left].endsAt, worker.runs[right].endsAt), ptrun.Compare(left, right))
+	})
+	for _, id := range ids {
+		switch run := worker.runs[id]; {
+		case run.endsAt <= min(now, expiresAt):
+			worker.end(id, run.result)
+		case expiresAt < now:
+			worker.simulation.report.Lapsed++
+			worker.end(id, ptrun.Lost)
 		}
 	}
 }
 
 func (worker *worker) end(id ptrun.ID, result ptrun.Result) {
+	simulation := worker.simulation
+	simulation.trace("%s ended %v: %s", workerName(worker.identity), id, result)
+	if result == ptrun.Done {
+		simulation.report.Done++
+	}
 	delete(worker.runs, id)
 	worker.recordEnded(id)
 	worker.sequence++
 	worker.ends = append(worker.ends, ptrun.ListedEnd{Sequence: worker.sequence, End: ptrun.End{Run: id, Result: result}})
-	worker.simulation.monitor.runEnded(id)
+	simulation.monitor.runEnded(id, worker)
+	polls := worker.polls
+	worker.polls = nil
+	for _, respond := range polls {
+		simulation.After(0, func() { worker.receive(respond) })
+	}
 }
 
 // recordEnded prevents this run and all earlier runs of the task from starting.
@@ -92,12 +180,24 @@
 	worker.highestEnded[id.Task] = max(worker.highestEnded[id.Task], id.Number)
 }
 
-// authorize returns an error if an order is for another incarnation of the worker or has a lower
-// fence token than an earlier order.
+// receive executes a call as soon as the worker responds. A worker that has ended executes none.
+func (worker *worker) receive(execute func()) {
+	simulation := worker.simulation
+	switch until := max(worker.stalledUntil, worker.frozenUntil); {
+	case !worker.alive:
+	case until > simulation.Now():
+		simulation.After(until.Sub(simulation.Now())+simulation.between(0, resumeJitter), func() { worker.receive(execute) })
+	default:
+		worker.advance()
+		execute()
+	}
+}
+
+// authorize returns an error if an order is for another worker or has a lower fence token than
+// an earlier order. Orders name only the ID of the worker.
 func (worker *worker) authorize(identity ptrun.WorkerIdentity, token ptrun.FenceToken) error {
-	worker.advance()
 	switch {
-	case identity != worker.identity:
+	case identity.ID != worker.identity.ID:
 		return ptrun.ErrWorkerMismatch
 	case token < worker.token:
 		return ptrun.ErrFenced
@@ -107,36 +207,73 @@
 }
 
 // start executes a start order.
-func (worker *worker) start(identity ptrun.WorkerIdentity, token ptrun.FenceToken, start ptrun.Start, demand ptrun.Demand) error {
+func (worker *worker) start(identity ptrun.WorkerIdentity, token ptrun.FenceToken, start ptrun.Start) error {
 	if err := worker.authorize(identity, token); err != nil {
 		return err
 	}
-	switch {
-	case worker.runs[start.Run] != nil:
+	if worker.runs[start.Run] != nil {
 		return nil
-	case start.Run.Number <= worker.highestEnded[start.Run.Task]:
-		return ptrun.ErrHigherRunEnded
-	case worker.clock() > start.StartBy:
+	}
+	if worker.clock() > start.StartBy {
 		return ptrun.ErrStartDeadlineExceeded
 	}
 	worker.extendLease(start.StartBy)
-	random := worker.simulation.random
-	worker.runs[start.Run] = &workerRun{
-		endsAt: worker.simulation.Now().Add(time.Duration(20+random.IntN(400)) * time.Millisecond), fails: random.IntN(50) == 0, demand: demand,
+	if start.Run.Number <= worker.highestEnded[start.Run.Task] {
+		return ptrun.ErrHigherRunEnded
+	}
+	simulation, task := worker.simulation, worker.simulation.tasks[start.Run.Task]
+	started := &workerRun{endsAt: simulation.Now().Add(task.runTime), result: ptrun.Done, demand: task.demand}
+	if worker.slow {
+		started.endsAt = simulation.Now().Add(slowFactor * task.runTime)
 	}
-	worker.simulation.monitor.runStarted(start.Run, worker)
+	if simulation.happens(2) {
+		started.result = ptrun.Failed
+	}
+	worker.runs[start.Run] = started
+	simulation.trace("%s started %v", workerName(worker.identity), start.Run)
+	simulation.monitor.runStarted(start.Run, worker)
+	worker.watch(started)
 	return nil
 }
 
-// stop ends a run, and prevents it from starting if it has not started.
+// watch advances the worker when a run ends.
+func (worker *worker) watch(run *workerRun) {
+	simulation := worker.simulation
+	simulation.After(max(0, run.endsAt.Sub(simulation.Now())), func() {
+		worker.receiveSilently(func() {
+			if simulation.Now() < run.endsAt {
+				worker.watch(run)
+				return
+			}
+			worker.advance()
+		})
+	})
+}
+
+// receiveSilently performs an action of the worker itself, also while it does not respond.
+func (worker *worker) receiveSilently(action func()) {
+	simulation := worker.simulation
+	switch {
+	case !worker.alive:
+	case worker.frozenUntil > simulation.Now():
+		simulation.After(worker.frozenUntil.Sub(simulation.Now()), func() { worker.receiveSilently(action) })
+	default:
+		action()
+	}
+}
+
+// stop ends a run within stopGrace, and prevents it from starting if it has not started.
 func (worker *worker) stop(identity ptrun.WorkerIdentity, token ptrun.FenceToken, id ptrun.ID) error {
 	if err := worker.authorize(identity, token); err != nil {
 		return err
 	}
-	if worker.runs[id] != nil {
-		worker.end(id, ptrun.Stopped)
-	}
 	worker.recordEnded(id)
+	if run := worker.runs[id]; run != nil {
+		if endsAt := worker.simulation.Now().Add(worker.simulation.between(0, stopGrace)); endsAt < run.endsAt {
+			run.endsAt, run.result = endsAt, ptrun.Stopped
+			worker.watch(run)
+		}
+	}
 	return nil
 }
 
@@ -146,25 +283,79 @@
 	worker.leaseExpiry = max(worker.leaseExpiry, min(requested, limit))
 }
 
-// renewLease renews the lease, deletes the acknowledged run ends and returns the listing of the
-// active runs and the remaining run ends.
-func (worker *worker) renewLease(identity ptrun.WorkerIdentity, token ptrun.FenceToken, renewal ptrun.LeaseRenewal) (listing ptrun.Listing, err error) {
+// renewLease renews the lease, deletes the acknowledged ends, waits for a run to end, and responds
+// with the listing of the active runs and the remaining ends.
+func (worker *worker) renewLease(identity ptrun.WorkerIdentity, token ptrun.FenceToken, renewal ptrun.LeaseRenewal, respond func(listing ptrun.Listing, err error)) {
 	if err := worker.authorize(identity, token); err != nil {
-		return listing, err
+		respond(ptrun.Listing{}, err)
+		return
 	}
 	worker.extendLease(renewal.ExpiresAt)
 	worker.ends = slices.DeleteFunc(worker.ends, func(listed ptrun.ListedEnd) bool { return listed.Sequence <= renewal.Acknowledged })
-	listing = ptrun.Listing{WorkerStartedAt: worker.identity.StartedAt, Clock: worker.clock(), Ends: slices.Clone(worker.ends)}
+	if len(worker.ends) > 0 || renewal.PollTimeout == 0 {
+		respond(worker.list(), nil)
+		return
+	}
+	responded := false
+	finish := func() {
+		if !responded {
+			responded = true
+			respond(worker.list(), nil)
+		}
+	}
+	worker.polls = append(worker.polls, finish)
+	worker.simulation.After(renewal.PollTimeout, func() { worker.receive(finish) })
+}
+
+func (worker *worker) list() (listing ptrun.Listing) {
+	listing = ptrun.Listing{
+		WorkerStartedAt: worker.identity.StartedAt, Clock: worker.clock(), Ends: slices.Clone(worker.ends[:min(len(worker.ends), maxListedEnds)]),
+	}
 	for _, id := range slices.SortedFunc(maps.Keys(worker.runs), ptrun.Compare) {
 		listing.Active = append(listing.Active, ptrun.ListedRun{Run: id, Percent: 100})
 	}
-	return listing, nil
+	return listing
+}
+
+// setSlow changes the speed of the worker and thereby the remaining time of its runs.
+func (worker *worker) setSlow(slow bool) {
+	if !worker.alive || worker.slow == slow {
+		return
+	}
+	worker.advance()
+	worker.slow = slow
+	now := worker.simulation.Now()
+	for _, id := range slices.SortedFunc(maps.Keys(worker.runs), ptrun.Compare) {
+		run := worker.runs[id]
+		remaining := run.endsAt.Sub(now) * slowFactor
+		if !slow {
+			remaining = run.endsAt.Sub(now) / slowFactor
+		}
+		run.endsAt = now.Add(remaining)
+		worker.watch(run)
+	}
+}
+
+// freeze makes the worker stand still with its clock and its runs.
+func (worker *worker) freeze(duration time.Duration) {
+	simulation := worker.simulation
+	now := simulation.Now()
+	if !worker.alive || worker.frozenUntil > now {
+		return
+	}
+	worker.advance()
+	worker.frozenAt, worker.frozenUntil = now, now.Add(duration)
+	for _, run := range worker.runs {
+		run.endsAt = run.endsAt.Add(duration)
+	}
+	simulation.After(duration, func() { worker.stoodStill += duration })
 }
 
 // crash ends the worker and its runs without reporting their ends to the agent.
 func (worker *worker) crash() {
+	worker.simulation.trace("%s crashes", workerName(worker.identity))
 	for _, id := range slices.SortedFunc(maps.Keys(worker.runs), ptrun.Compare) {
-		worker.simulation.monitor.runEnded(id)
+		worker.simulation.monitor.runEnded(id, worker)
 	}
 	worker.runs, worker.alive = nil, false
 }
