--- a/ptdrill/agent.go
+++ b/ptdrill/agent.go
@@ -30,11 +30,15 @@
 type agent struct {
 	process
 
-	index      int
-	core       *ptruncontrol.Core
-	sessions   [entries]*session
-	reported   [entries]ptruncontrol.CapacityReport
-	reportedAt [entries]ptid.Instant
+	index    int
+	core     *ptruncontrol.Core
+	sessions [entries]*session
+	// connections contains all sessions that the agent has not closed, including those without a
+	// welcome.
+	connections []*session
+	lastSession int
+	reported    [entries]ptruncontrol.CapacityReport
+	reportedAt  [entries]ptid.Instant
 	// backupListUntil is the time until which the backup loop requests listings.
 	backupListUntil ptid.Instant
 }
--- a/ptdrill/entry.go
+++ b/ptdrill/entry.go
@@ -25,10 +25,11 @@
 	request  ptrun.CapacityRequest
 }
 
-// openJob is a job whose end callers wait for.
+// openJob is a job whose end callers wait for. waiters counts the callers whose disconnection the
+// entry has not noticed, and connected those that are connected.
 type openJob struct {
-	spec    ptgraph.Spec
-	waiters int
+	spec               ptgraph.Spec
+	waiters, connected int
 }
 
 func (simulation *simulation) startEntry(index int) {
@@ -174,6 +175,7 @@
 	simulation := entry.simulation
 	if open := entry.callers[spec.ID]; open != nil {
 		open.waiters++
+		open.connected++
 		return
 	}
 	_, refusal, effects, err := entry.core.Submit(ptassign.Spec{
@@ -185,7 +187,7 @@
 		return
 	}
 	simulation.trace("%s admits job %s", entry.name(), spec.ID)
-	entry.callers[spec.ID] = &openJob{spec: spec, waiters: 1}
+	entry.callers[spec.ID] = &openJob{spec: spec, waiters: 1, connected: 1}
 	entry.applyEffects(effects)
 	percent := 0
 	switch {
@@ -204,9 +206,10 @@
 // again. The entry cancels the job when it notices that no caller is left.
 func (entry *entry) disconnectCaller(id ptid.JobID) {
 	simulation, open := entry.simulation, entry.callers[id]
-	if open == nil || !entry.alive {
+	if open == nil || open.connected == 0 || !entry.alive {
 		return
 	}
+	open.connected--
 	simulation.trace("%s loses the caller of job %s", entry.name(), id)
 	simulation.resubmit(open.spec)
 	notice := simulation.between(0, 5*time.Millisecond)
--- a/ptdrill/faults.go
+++ b/ptdrill/faults.go
@@ -187,10 +187,8 @@
 	}
 	simulation.trace("%s is killed", killed.name())
 	killed.alive = false
-	for _, session := range killed.sessions {
-		if session != nil {
-			session.abandon(ptlink.AgentSide, false)
-		}
+	for _, session := range killed.connections {
+		session.closeUnopened()
 	}
 	simulation.After(duration, func() { simulation.startAgent(index) })
 }
--- a/ptdrill/session.go
+++ b/ptdrill/session.go
@@ -1,6 +1,7 @@
 package ptdrill
 
 import (
+	"slices"
 	"time"
 
 	"github.com/primrosetiller/primrosetiller/ptid"
@@ -41,7 +42,25 @@
 	simulation *simulation
 	entry      *entry
 	agent      *agent
-	sides      [2]*side
+	// number increases with each session of the agent.
+	number int
+	// sides are nil until the entry has handled the greeting. unopened means that the agent has
+	// closed the connection before it received the welcome.
+	sides    [2]*side
+	unopened bool
+}
+
+// closeUnopened closes a session of which the agent has not received the welcome.
+func (session *session) closeUnopened() {
+	session.unopened = true
+	if side := session.sides[ptlink.AgentSide]; side != nil && side.open {
+		session.abandon(ptlink.AgentSide, false)
+	}
+}
+
+// isClosed reports whether the agent has closed the session.
+func (session *session) isClosed() bool {
+	return session.unopened || session.sides[ptlink.AgentSide] != nil && !session.sides[ptlink.AgentSide].open
 }
 
 func (session *session) cutUntil() ptid.Instant {
@@ -161,32 +180,43 @@
 		agent.redial(index, next)
 		return
 	}
-	opened, abandoned := false, false
+	agent.lastSession++
+	connection := &session{simulation: simulation, entry: target, agent: agent, number: agent.lastSession}
+	answered, abandoned := false, false
 	agent.after(greetingTimeout, func() {
-		if !opened {
+		if !answered {
 			abandoned = true
+			connection.closeUnopened()
 			agent.redial(index, next)
 		}
 	})
+	agent.connections = append(slices.DeleteFunc(agent.connections, (*session).isClosed), connection)
 	simulation.After(simulation.delay(), func() {
 		target.handle(func() {
-			target.welcome(agent, func(session *session) {
-				if abandoned {
-					session.close(ptlink.AgentSide)
-					return
+			target.welcome(connection, func(accepted bool) {
+				switch {
+				case abandoned:
+				case accepted:
+					answered = true
+					agent.open(connection)
+				default:
+					answered = true
+					agent.redial(index, next)
 				}
-				opened = true
-				agent.open(session)
 			})
 		})
 	})
 }
 
-// welcome makes a new session the current one of an agent. The agent performs receive when the
-// welcome arrives.
-func (entry *entry) welcome(agent *agent, receive func(session *session)) {
-	simulation, now := entry.simulation, entry.simulation.Now()
-	opened := &session{simulation: simulation, entry: entry, agent: agent}
+// welcome responds to the greeting of an agent and makes the session the current one of the
+// agent, unless the agent has a newer one. The agent performs receive when the response arrives.
+func (entry *entry) welcome(opened *session, receive func(accepted bool)) {
+	simulation, now, agent := entry.simulation, entry.simulation.Now(), opened.agent
+	previous := entry.sessions[agent.index]
+	if previous != nil && (previous.agent.incarnation > agent.incarnation || previous.agent == agent && previous.number >= opened.number) {
+		simulation.After(simulation.delay(), func() { agent.handle(func() { receive(false) }) })
+		return
+	}
 	interval := max(minHeartbeatInterval, agents*heartbeatIntervalPerSession)
 	opened.sides[ptlink.EntrySide] = &side{process: &entry.process, link: ptlink.New(ptlink.EntrySide, now, interval), open: true, closed: func() {
 		if entry.sessions[agent.index] == opened {
@@ -204,12 +234,14 @@
 			agent.redial(entry.index, minRedialDelay)
 		}
 	}
-	previous := entry.sessions[agent.index]
 	entry.sessions[agent.index] = opened
 	if previous != nil {
 		previous.close(ptlink.EntrySide)
 	}
 	simulation.trace("%s welcomes %s incarnation %d", entry.name(), agent.name(), agent.incarnation)
-	opened.transmit(ptlink.EntrySide, frame{receive: func() { receive(opened) }})
+	opened.transmit(ptlink.EntrySide, frame{receive: func() { receive(true) }})
 	entry.applyEffects(entry.core.AgentConnected(agent.name(), agent.incarnation, service, true, now))
+	if opened.unopened {
+		opened.abandon(ptlink.AgentSide, false)
+	}
 }
