--- a/ptdrill/entry.go
+++ b/ptdrill/entry.go
@@ -91,6 +91,7 @@
 			entry.simulation.trace("%s orders %v at %s", entry.name(), effect.Run, effect.Agent)
 			entry.post(agentIndex(effect.Agent), func(agent *agent) {
 				now := agent.simulation.Now()
+				agent.simulation.owners[agent.index][effect.Run] = entry.owner()
 				agent.applyEffects(agent.core.Order(ptruncontrol.Order{
 					Run: effect.Run, Owner: entry.owner(), Demand: effect.Demand, StartBy: effect.StartBy, WaitUntil: now.Add(effect.MaxWait),
 					QueueKey: effect.QueueKey, ExpectedRunTime: effect.ExpectedRunTime,
--- a/ptdrill/ptdrill.go
+++ b/ptdrill/ptdrill.go
@@ -35,6 +35,7 @@
 
 	"github.com/primrosetiller/primrosetiller/ptid"
 	"github.com/primrosetiller/primrosetiller/ptrun"
+	"github.com/primrosetiller/primrosetiller/ptruncontrol"
 	"github.com/primrosetiller/primrosetiller/pttimeline"
 )
 
@@ -128,9 +129,11 @@
 	// cutUntil is when the link of an entry and an agent is restored.
 	cutUntil [entries][agents]ptid.Instant
 	tasks    map[ptrun.TaskID]taskProperties
-	report   Report
-	jobs     int
-	samples  int
+	// owners contains the entry process that ordered a run last, by the index of the agent.
+	owners  [agents]map[ptrun.ID]ptruncontrol.Owner
+	report  Report
+	jobs    int
+	samples int
 	// quiescent means that load and faults have ended.
 	quiescent bool
 }
@@ -152,6 +155,7 @@
 		simulation.startEntry(index)
 	}
 	for index := range agents {
+		simulation.owners[index] = make(map[ptrun.ID]ptruncontrol.Owner)
 		simulation.workers[index] = simulation.newWorker(index, "")
 		simulation.startAgent(index)
 	}
--- a/ptdrill/worker.go
+++ b/ptdrill/worker.go
@@ -9,6 +9,7 @@
 
 	"github.com/primrosetiller/primrosetiller/ptid"
 	"github.com/primrosetiller/primrosetiller/ptrun"
+	"github.com/primrosetiller/primrosetiller/ptruncontrol"
 )
 
 const (
@@ -123,6 +124,11 @@
 	return ptrun.WorkerTime((elapsed - elapsed/clockDriftDivisor).Milliseconds() + 1)
 }
 
+// owner returns the entry process that ordered a run on this worker.
+func (worker *worker) owner(id ptrun.ID) ptruncontrol.Owner {
+	return worker.simulation.owners[worker.index][id]
+}
+
 func (worker *worker) held() (held ptrun.Demand) {
 	for _, run := range worker.runs {
 		held = held.Plus(run.demand)
