--- a/ptdrill/agent.go
+++ b/ptdrill/agent.go
@@ -53,7 +53,7 @@
 		token = token.Add(simulation.between(-maxClockSkew, maxClockSkew))
 	}
 	started := &agent{
-		index: index, core: ptruncontrol.New(ptrun.FenceToken(int64(token)/int64(time.Millisecond)), simulation.Now()),
+		index: index, core: ptruncontrol.New(ptrun.FenceToken(int64(token) / int64(time.Millisecond))),
 		process: process{simulation: simulation, alive: true, incarnation: 1},
 	}
 	if previous := simulation.agents[index]; previous != nil {
@@ -195,6 +195,8 @@
 			agent.postTo(effect.Owner, func(entry *entry) {
 				entry.applyEffects(entry.core.RunEnded(agent.name(), effect.End, simulation.Now()))
 			})
+		case ptruncontrol.UnaccountedRunsChanged, ptruncontrol.WorkerReplaced, ptruncontrol.LeaseExpired, ptruncontrol.OrderIgnored:
+			simulation.trace("%s: %T%+v", agent.name(), effect, effect)
 		case ptruncontrol.BroadcastEnd, ptruncontrol.SendAdopted, ptruncontrol.ThrottleRun:
 		}
 	}
--- a/ptdrill/session.go
+++ b/ptdrill/session.go
@@ -154,7 +154,7 @@
 
 // dialWhenTakenOver dials the entries once the takeover is complete.
 func (agent *agent) dialWhenTakenOver() {
-	if !agent.core.TakeoverComplete(agent.simulation.Now()) {
+	if !agent.core.TakeoverComplete() {
 		agent.after(tickInterval, agent.dialWhenTakenOver)
 		return
 	}
--- a/ptruncontrol/ptruncontrol.go
+++ b/ptruncontrol/ptruncontrol.go
@@ -13,20 +13,23 @@
 //     order that arrives late has no effect. If a start order gets no response, a listing
 //     requested afterwards determines the outcome. If the listing contains the run, the
 //     run is active. If it does not and the deadline has passed, the run has not started.
-//     Otherwise the agent stops the run.
+//     Otherwise the agent stops the run. Listings overtake each other: one that lacks a
+//     run proves its end only if it was requested after the run was known to be active.
 //  4. The worker's lease is renewed to [LeaseDuration] after the earliest time that the
 //     worker's clock can show. A run has ended when the worker lists its end; when a
-//     listing that was requested after the response to the run's start or stop order does
-//     not contain the run; when another incarnation of the worker responds; or when the
+//     listing that was requested after the response to the run's start or stop order (rule
+//  3. does not contain the run; when another incarnation of the worker responds; or when the
 //     last lease that may have been granted has expired, even if the worker's clock is
 //     slow by one part in [ClockDriftDivisor].
 //  5. If an entry has had no session for [OrphanTimeout], its best-effort runs are stopped.
 //     Its runs of durable jobs are stopped after [DurableOrphanTimeout]. When a new
 //     incarnation of an entry opens a session, the best-effort runs of the earlier
 //     incarnations are stopped immediately.
-//  6. Runs that the worker lists and that this agent has not ordered are stopped. The agent
-//     takes no orders until the worker has listed no active runs, or every lease granted by
-//     an earlier agent process has expired ([Core.TakeoverComplete]).
+//  6. Runs that the worker lists and that hold no capacity in the agent's records are stopped:
+//     runs that this agent has not ordered, and runs whose end it has declared. While the
+//     worker lists such a run, no run starts, because its demand is unknown. The agent
+//     opens no sessions until the worker has listed no active runs
+//     ([Core.TakeoverComplete]), and does not renew the lease before that.
 //  7. The end of a run of a durable job (a durable end) is acknowledged to the worker only
 //     when its owner has stored it ([Core.AcknowledgeEnd]). Until then it is sent to every
 //     entry repeatedly, also if this agent has not ordered the run. An entry that takes
@@ -48,7 +51,7 @@
 //
 // # Usage
 //
-//	core := ptruncontrol.New(token, now)
+//	core := ptruncontrol.New(token)
 //	effects := core.HandleAnnouncement(worker, clock, now)
 //	effects = core.Order(order, now)
 //	effects = core.HandleListing(listing, requestedAt, now)
@@ -198,15 +201,51 @@
 // whose turn it is to probe the worker.
 type SendReport struct{ Owner Owner }
 
-func (StartRun) isEffect()          {}
-func (SendReport) isEffect()        {}
-func (AssessmentChanged) isEffect() {}
-func (StopRun) isEffect()           {}
-func (ListRuns) isEffect()          {}
-func (SendEnd) isEffect()           {}
-func (BroadcastEnd) isEffect()      {}
-func (SendAdopted) isEffect()       {}
-func (ThrottleRun) isEffect()       {}
+// UnaccountedRunsChanged reports that the worker lists other active runs without an entry in the
+// agent's records than before. Ended counts those whose end the agent has already reported.
+type UnaccountedRunsChanged struct {
+	Worker           ptrun.WorkerIdentity
+	Runs             []ptrun.ID
+	Ended            int
+	TakeoverComplete bool
+}
+
+// WorkerReplaced reports that another incarnation of the worker has replaced the previous one,
+// and how many runs were lost with the previous one.
+type WorkerReplaced struct {
+	Previous ptrun.WorkerIdentity
+	Lost     int
+}
+
+// LeaseExpired reports that the runs were declared lost, because no listing has arrived since
+// ListedAt and the last lease that may have been granted expired at ExpiredAt.
+type LeaseExpired struct {
+	Worker    ptrun.WorkerIdentity
+	ListedAt  ptid.Instant
+	ExpiredAt ptid.Instant
+	Lost      int
+}
+
+// OrderIgnored reports that an order had no effect, because the run belongs to another owner.
+type OrderIgnored struct {
+	Run     ptrun.ID
+	Owner   Owner
+	Current Owner
+}
+
+func (StartRun) isEffect()               {}
+func (SendReport) isEffect()             {}
+func (AssessmentChanged) isEffect()      {}
+func (StopRun) isEffect()                {}
+func (ListRuns) isEffect()               {}
+func (SendEnd) isEffect()                {}
+func (BroadcastEnd) isEffect()           {}
+func (SendAdopted) isEffect()            {}
+func (ThrottleRun) isEffect()            {}
+func (UnaccountedRunsChanged) isEffect() {}
+func (WorkerReplaced) isEffect()         {}
+func (LeaseExpired) isEffect()           {}
+func (OrderIgnored) isEffect()           {}
 
 // state is the state of a run at the agent.
 type state uint8
@@ -229,8 +268,10 @@
 	// the deadline of the run on the agent's clock.
 	workerStartBy ptrun.WorkerTime
 	startedAt     ptid.Instant
-	// respondedAt is when the latest order for the run got a response or timed out.
-	respondedAt ptid.Instant
+	// checkedAt is when the latest order for the run got a response or timed out, or when a
+	// listing contained the run for the first time. Only a listing that was requested later
+	// proves that the worker no longer executes the run.
+	checkedAt ptid.Instant
 	// confirmed is true once the worker has confirmed that it executes the run.
 	confirmed     bool
 	stopRequested bool
@@ -274,7 +315,6 @@
 type Core struct {
 	token            ptrun.FenceToken
 	tokenStep        ptrun.FenceToken
-	createdAt        ptid.Instant
 	takeoverComplete bool
 
 	worker    ptrun.Worker
@@ -288,10 +328,12 @@
 	leaseExpiresAt ptrun.WorkerTime
 	highestEnd     ptrun.EndSequence
 	// unacked holds the listed ends of runs of durable jobs that the worker must not discard
-	// yet. unknownRuns holds listed runs that this agent has not ordered, with the time at
-	// which the next stop order is due.
-	unacked     map[ptrun.ID]*unackedEnd
-	unknownRuns map[ptrun.ID]ptid.Instant
+	// yet.
+	unacked map[ptrun.ID]*unackedEnd
+	// unaccounted holds the listed active runs that hold no capacity in runs, and
+	// reportedUnaccounted the identities that were reported last.
+	unaccounted         map[ptrun.ID]*unaccountedRun
+	reportedUnaccounted []ptrun.ID
 
 	runs   map[ptrun.ID]*run
 	ends   map[ptrun.ID]*endRecord
@@ -314,9 +356,9 @@
 
 // New returns a core without a worker. token is the first fence token to try. It should be
 // higher than the tokens of earlier agent processes, and is raised if the worker refuses it.
-func New(token ptrun.FenceToken, now ptid.Instant) *Core {
+func New(token ptrun.FenceToken) *Core {
 	return &Core{
-		token: token, tokenStep: firstTokenStep, createdAt: now, unknownRuns: make(map[ptrun.ID]ptid.Instant),
+		token: token, tokenStep: firstTokenStep, unaccounted: make(map[ptrun.ID]*unaccountedRun),
 		runs: make(map[ptrun.ID]*run), ends: make(map[ptrun.ID]*endRecord), owners: make(map[ptid.EntryName]*ownerState),
 		unacked: make(map[ptrun.ID]*unackedEnd), epochs: make(map[ptjobstore.Partition]ptjobstore.Epoch),
 		estimator: ptfitness.NewEstimator(), probeTurns: ptfitness.NewProbeTurns(),
@@ -337,10 +379,9 @@
 func (core *Core) FenceToken() ptrun.FenceToken { return core.token }
 
 // TakeoverComplete reports whether all runs that earlier agent processes started on the worker
-// have certainly ended.
-func (core *Core) TakeoverComplete(now ptid.Instant) bool {
-	return core.takeoverComplete || now.Sub(core.createdAt) > LeaseDuration+LeaseDuration/ClockDriftDivisor+StartOrderTTL
-}
+// have certainly ended: the worker has listed no active runs. The listing call carries this
+// process's fence token, so no order of an earlier process is executed after it.
+func (core *Core) TakeoverComplete() bool { return core.takeoverComplete }
 
 // RaiseToken raises the fence token after the worker has refused the given one.
 func (core *Core) RaiseToken(refused ptrun.FenceToken) {
@@ -351,19 +392,17 @@
 	core.tokenStep *= 2
 }
 
-// HandleAnnouncement processes an announcement of the worker.
+// HandleAnnouncement processes an announcement of the worker. An incarnation that is announced
+// again after [Core.HandleWorkerGone] keeps its runs.
 func (core *Core) HandleAnnouncement(worker ptrun.Worker, clock ptrun.WorkerTime, now ptid.Instant) (effects []Effect) {
-	if core.known && core.worker.WorkerIdentity == worker.WorkerIdentity {
-		if worker.Sequence <= core.worker.Sequence {
-			return nil
-		}
-	} else {
-		if worker.StartedAt.Before(core.worker.StartedAt) {
-			// The announcement was delayed, and a later incarnation of the worker is known.
-			return nil
-		}
+	switch {
+	case worker.StartedAt.Before(core.worker.StartedAt):
+		// The announcement was delayed, and a later incarnation of the worker is known.
+		return nil
+	case core.worker.WorkerIdentity != worker.WorkerIdentity:
 		core.replaceWorker(now)
-		core.clock, core.clockAt = clock, now
+	case worker.Sequence <= core.worker.Sequence:
+		return nil
 	}
 	core.worker, core.known, core.reachable = worker, true, true
 	core.updateClock(clock, now)
@@ -376,19 +415,24 @@
 
 // replaceWorker ends all runs of the previous incarnation of the worker.
 func (core *Core) replaceWorker(now ptid.Instant) {
+	lost := 0
 	for _, run := range core.sortedRuns() {
 		if run.holdsCapacity() {
+			lost++
 			core.finish(run, ptrun.End{Run: run.Run, Result: ptrun.Lost, Reason: ptrun.ReasonRestarted}, now)
 		}
 	}
-	core.highestEnd, core.leaseExpiresAt, core.clock = 0, 0, 0
+	if core.worker.ID != "" {
+		core.emit(WorkerReplaced{Previous: core.worker.WorkerIdentity, Lost: lost})
+	}
+	core.highestEnd, core.leaseExpiresAt, core.clock, core.clockAt = 0, 0, 0, now
 	core.estimator, core.probeTurns = ptfitness.NewEstimator(), ptfitness.NewProbeTurns()
-	clear(core.unknownRuns)
+	clear(core.unaccounted)
 	clear(core.unacked)
 }
 
-// HandleWorkerGone records that the worker has left, or that another incarnation responded at
-// its address.
+// HandleWorkerGone records that another incarnation responded at the address of the worker. The
+// runs end when the other incarnation is announced, or when the lease has expired.
 func (core *Core) HandleWorkerGone(worker ptrun.WorkerIdentity, now ptid.Instant) (effects []Effect) {
 	if core.known && core.worker.WorkerIdentity == worker {
 		core.known = false
@@ -415,10 +459,11 @@
 // the lease of a worker that has not responded for [UnreachableTimeout]. The worker may still
 // carry out a call to which it has not responded. If such calls extended the lease, the latest
 // possible expiry would move on with each call, and the runs could never be declared lost.
+// Nor does it extend the lease of runs that only earlier agent processes have started.
 func (core *Core) LeaseRenewal(now ptid.Instant) (renewal ptrun.LeaseRenewal) {
 	renewal.Acknowledged = core.ackableSequence()
 	unreachable := now.Sub(core.listedAt) > UnreachableTimeout
-	if core.clock > 0 && !unreachable && !core.mustLetLeaseExpire(now) {
+	if core.clock > 0 && !unreachable && core.takeoverComplete && !core.mustLetLeaseExpire(now) {
 		renewal.ExpiresAt = core.extendLease(now)
 	}
 	return renewal
@@ -438,7 +483,10 @@
 
 // Order processes an order of an entry.
 func (core *Core) Order(order Order, now ptid.Instant) (effects []Effect) {
-	if core.runs[order.Run] != nil {
+	if existing := core.runs[order.Run]; existing != nil {
+		if existing.Owner != order.Owner {
+			return []Effect{OrderIgnored{Run: order.Run, Owner: order.Owner, Current: existing.Owner}}
+		}
 		return nil
 	}
 	if known := core.ends[order.Run]; known != nil {
@@ -510,7 +558,7 @@
 
 // canStart reports whether there is capacity for a waiting run.
 func (core *Core) canStart(run *run) bool {
-	if run.state != waiting || core.clock == 0 || core.taskActive(run) {
+	if run.state != waiting || core.clock == 0 || len(core.unaccounted) > 0 || core.taskActive(run) {
 		return false
 	}
 	return core.worker.Capacity.Minus(core.held).Minus(core.offeredToOthers(run.Owner.Entry)).Covers(run.Demand)
