--- a/ptdrill/agent.go
+++ b/ptdrill/agent.go
@@ -193,11 +193,18 @@
 		case ptruncontrol.SendEnd:
 			simulation.trace("%s ends %v: %s %s", agent.name(), effect.End.Run, effect.End.Result, effect.End.Reason)
 			agent.postTo(effect.Owner, func(entry *entry) {
-				entry.applyEffects(entry.core.RunEnded(agent.name(), effect.End, simulation.Now()))
+				entry.receiveEnd(agent, effect.End)
 			})
 		case ptruncontrol.UnaccountedRunsChanged, ptruncontrol.WorkerReplaced, ptruncontrol.LeaseExpired, ptruncontrol.OrderIgnored:
 			simulation.trace("%s: %T%+v", agent.name(), effect, effect)
-		case ptruncontrol.BroadcastEnd, ptruncontrol.SendAdopted, ptruncontrol.ThrottleRun:
+		case ptruncontrol.BroadcastEnd:
+			agent.postBroadcast(effect.End)
+		case ptruncontrol.SendAdopted:
+			simulation.trace("%s gives %s partition %d: %v", agent.name(), effect.Owner.Entry, effect.Partition, effect.Runs)
+			agent.postTo(effect.Owner, func(entry *entry) {
+				entry.ownership.handleAdopted(agent, effect.Partition, effect.Epoch, effect.Runs)
+			})
+		case ptruncontrol.ThrottleRun:
 		}
 	}
 }
--- a/ptdrill/entry.go
+++ b/ptdrill/entry.go
@@ -7,6 +7,7 @@
 	"github.com/primrosetiller/primrosetiller/ptassign"
 	"github.com/primrosetiller/primrosetiller/ptgraph"
 	"github.com/primrosetiller/primrosetiller/ptid"
+	"github.com/primrosetiller/primrosetiller/ptjobstore"
 	"github.com/primrosetiller/primrosetiller/ptlink"
 	"github.com/primrosetiller/primrosetiller/ptqueue"
 	"github.com/primrosetiller/primrosetiller/ptrun"
@@ -20,9 +21,10 @@
 	index int
 	core  *ptassign.Core
 	// callers contains the open jobs and how many callers wait for each of them.
-	callers  map[ptid.JobID]*openJob
-	sessions [agents]*session
-	request  ptrun.CapacityRequest
+	callers   map[ptid.JobID]*openJob
+	sessions  [agents]*session
+	request   ptrun.CapacityRequest
+	ownership *ownership
 }
 
 // openJob is a job whose end callers wait for. waiters counts the callers whose disconnection the
@@ -41,6 +43,10 @@
 		started.incarnation = previous.incarnation + 1
 	}
 	simulation.entries[index] = started
+	started.ownership = newOwnership(started)
+	if simulation.setting.Durable {
+		started.ownership.join()
+	}
 	started.after(simulation.between(0, tickInterval), func() { started.every(tickInterval, started.tick) })
 	simulation.trace("%s starts", started.name())
 }
@@ -55,6 +61,7 @@
 		}
 	}
 	entry.applyEffects(entry.core.Tick(now))
+	entry.ownership.tick()
 	requests, sendNow := entry.core.CapacityRequestsToSend(now)
 	entry.request = requests[service]
 	if sendNow && entry.request.Rate > 0 {
@@ -88,13 +95,22 @@
 	for _, effect := range effects {
 		switch effect := effect.(type) {
 		case ptassign.SendOrder:
+			var number ptjobstore.Partition
+			var epoch ptjobstore.Epoch
+			if effect.Job.Durable {
+				partition, _ := entry.ownership.find(effect.Job.ID)
+				if partition == nil {
+					continue
+				}
+				number, epoch = partition.number, partition.epoch
+			}
 			entry.simulation.trace("%s orders %v at %s", entry.name(), effect.Run, effect.Agent)
 			entry.post(agentIndex(effect.Agent), func(agent *agent) {
 				now := agent.simulation.Now()
 				agent.simulation.owners[agent.index][effect.Run] = entry.owner()
 				agent.applyEffects(agent.core.Order(ptruncontrol.Order{
 					Run: effect.Run, Owner: entry.owner(), Demand: effect.Demand, StartBy: effect.StartBy, WaitUntil: now.Add(effect.MaxWait),
-					QueueKey: effect.QueueKey, ExpectedRunTime: effect.ExpectedRunTime,
+					QueueKey: effect.QueueKey, ExpectedRunTime: effect.ExpectedRunTime, Partition: number, Epoch: epoch,
 				}, now))
 			})
 		case ptassign.SendStop:
@@ -109,7 +125,9 @@
 			})
 		case ptassign.JobEnded:
 			entry.jobEnded(effect)
-		case ptassign.SaveProgress, ptassign.RequestAdvice, ptassign.WorkerQuarantined:
+		case ptassign.SaveProgress:
+			entry.ownership.progressMade(effect)
+		case ptassign.RequestAdvice, ptassign.WorkerQuarantined:
 		}
 	}
 }
@@ -159,6 +177,10 @@
 			}
 		}
 	}
+	if simulation.setting.Durable && simulation.happens(12) {
+		simulation.submitDurable(spec)
+		return
+	}
 	simulation.submit(spec, random.IntN(entries))
 }
 
--- a/ptdrill/faults.go
+++ b/ptdrill/faults.go
@@ -35,6 +35,7 @@
 		simulation.After(simulation.between(interval/2, 3*interval/2), next)
 	}
 	schedule(faults.Single, 300*time.Millisecond, simulation.injectSingleFault)
+	schedule(faults.Mass && simulation.setting.Durable, 10*time.Second, simulation.rebalance)
 	schedule(faults.Mass, 7*time.Second, simulation.injectMassFault)
 	schedule(faults.UnansweredOrders, 1500*time.Millisecond, simulation.loseOrders)
 	schedule(faults.Stalls, time.Second, func() {
--- a/ptdrill/monitor.go
+++ b/ptdrill/monitor.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/pkg/errors"
 
+	"github.com/primrosetiller/primrosetiller/ptjobstore"
 	"github.com/primrosetiller/primrosetiller/ptrun"
 )
 
@@ -13,6 +14,9 @@
 	// ErrTwoOwners means that a task had two active runs, which two entry processes ordered. Its
 	// caller submitted the job to the second of them after its connection to the first broke.
 	ErrTwoOwners = errors.New("two active runs of a task with two owners")
+	// ErrDoneAgain means that a task of a durable job started after one of its runs had ended as
+	// done, and this end was acknowledged.
+	ErrDoneAgain = errors.New("a done task started again")
 	// ErrCapacity means that the runs of a worker exceeded its capacity.
 	ErrCapacity = errors.New("capacity exceeded")
 )
@@ -25,11 +29,47 @@
 
 // monitor tracks the active runs on all workers and keeps the first violation of an invariant.
 type monitor struct {
-	active    map[ptrun.TaskID][]activeRun
+	active map[ptrun.TaskID][]activeRun
+	// done contains the runs of durable jobs that have ended as done.
+	done      map[ptrun.TaskID][]*doneRun
 	violation error
 }
 
-func newMonitor() *monitor { return &monitor{active: make(map[ptrun.TaskID][]activeRun)} }
+// doneRun is a run of a durable job that has ended as done.
+type doneRun struct {
+	activeRun
+
+	acknowledged bool
+	// startedAgain is the first run of the task that started afterwards; its number is zero if
+	// there is none.
+	startedAgain ptrun.ID
+}
+
+func newMonitor() *monitor {
+	return &monitor{active: make(map[ptrun.TaskID][]activeRun), done: make(map[ptrun.TaskID][]*doneRun)}
+}
+
+func (monitor *monitor) runDone(id ptrun.ID, host *worker) {
+	if ptjobstore.IsDurable(id.Number) {
+		monitor.done[id.Task] = append(monitor.done[id.Task], &doneRun{activeRun: activeRun{run: id, worker: host}})
+	}
+}
+
+// doneAcknowledged records that the agent of a worker has acknowledged the end of a run as done.
+func (monitor *monitor) doneAcknowledged(id ptrun.ID, host *worker) {
+	for _, done := range monitor.done[id.Task] {
+		if done.run == id && done.worker == host {
+			done.acknowledged = true
+			monitor.checkDone(done)
+		}
+	}
+}
+
+func (monitor *monitor) checkDone(done *doneRun) {
+	if done.acknowledged && done.startedAgain.Number > 0 {
+		monitor.fail(errors.Wrapf(ErrDoneAgain, "run %v was done on %s, and run %v started", done.run, workerName(done.worker.identity), done.startedAgain))
+	}
+}
 
 func (monitor *monitor) fail(err error) {
 	if monitor.violation == nil {
@@ -49,6 +89,12 @@
 		}
 		monitor.fail(errors.Wrapf(violation, "run %v started on %s while run %d was active on %s", id, workerName(host.identity), other.run.Number, workerName(other.worker.identity)))
 	}
+	for _, done := range monitor.done[id.Task] {
+		if done.startedAgain.Number == 0 {
+			done.startedAgain = id
+			monitor.checkDone(done)
+		}
+	}
 	monitor.active[id.Task] = append(monitor.active[id.Task], activeRun{run: id, worker: host})
 	host.advance()
 	if !host.capacity.Covers(host.held()) {
--- a/ptdrill/ptdrill.go
+++ b/ptdrill/ptdrill.go
@@ -18,8 +18,13 @@
 //  6. Faults occur at any time and overlap. [Faults] selects their kinds.
 //  7. A caller whose connection broke submits its job to a random entry again, after the same
 //     delay as the callers of the platform.
-//  8. The monitor checks that no task has two active runs at the same time, that no worker
-//     exceeds its capacity, and that all jobs and runs end once faults and load have ended.
+//  8. Durable jobs are written to a log. Its partitions are assigned to the entries and
+//     reassigned at times. Their owners adopt the runs of their predecessors, store the progress
+//     and acknowledge the ends, as in package ptbroker.
+//  9. The monitor checks that no task has two active runs at the same time, that no task of a
+//     durable job starts after the end of a run as done that is acknowledged then or later, that
+//     no worker exceeds its capacity, and that all jobs and runs end once faults and load have
+//     ended.
 //
 // # Usage
 //
@@ -98,6 +103,8 @@
 	Seed   uint64
 	Steps  int
 	Faults Faults
+	// Durable makes 12 % of the jobs durable.
+	Durable bool
 	// Trace receives a line for each event of a run, a process and a fault; nil means none.
 	Trace func(line string)
 }
@@ -128,6 +135,7 @@
 	network [agents]network
 	// cutUntil is when the link of an entry and an agent is restored.
 	cutUntil [entries][agents]ptid.Instant
+	log      *log
 	tasks    map[ptrun.TaskID]taskProperties
 	// owners contains the entry process that ordered a run last, by the index of the agent.
 	owners  [agents]map[ptrun.ID]ptruncontrol.Owner
@@ -151,6 +159,7 @@
 		setting: setting, random: rand.New(rand.NewPCG(setting.Seed, 7)), Timeline: pttimeline.New(startTime),
 		monitor: newMonitor(), tasks: make(map[ptrun.TaskID]taskProperties),
 	}
+	simulation.log = newLog(simulation)
 	for index := range entries {
 		simulation.startEntry(index)
 	}
@@ -179,6 +188,9 @@
 	simulation.cutUntil = [entries][agents]ptid.Instant{}
 	simulation.network = [agents]network{}
 	simulation.RunUntil(simulation.Now().Add(settleTime))
+	if open := simulation.log.openJobs(); len(open) > 0 {
+		simulation.monitor.fail(errors.Errorf("durable jobs are open %s after the end of load and faults: %v", settleTime, open))
+	}
 	for _, entry := range simulation.entries {
 		if open := entry.core.OpenJobs(); open > 0 {
 			simulation.monitor.fail(errors.Errorf("entry %d has %d open jobs %s after the end of load and faults", entry.index, open, settleTime))
--- a/ptdrill/ptdrill_test.go
+++ b/ptdrill/ptdrill_test.go
@@ -15,10 +15,10 @@
 // play runs a fixed number of seeds and steps in CI. The environment variables DRILL_SEEDS,
 // DRILL_STEPS and DRILL_FIRST_SEED set other numbers for manual runs. DRILL_TRACE prints the
 // events that match a regular expression.
-func play(test *testing.T, faults ptdrill.Faults) {
+func play(test *testing.T, setting ptdrill.Setting) {
 	ptassert.PanicOnFailure()
-	first, seeds, steps := setting("DRILL_FIRST_SEED", 1), setting("DRILL_SEEDS", 12), setting("DRILL_STEPS", 120_000)
-	setting := ptdrill.Setting{Steps: steps, Faults: faults}
+	first, seeds := environment("DRILL_FIRST_SEED", 1), environment("DRILL_SEEDS", 12)
+	setting.Steps = environment("DRILL_STEPS", 120_000)
 	if pattern := os.Getenv("DRILL_TRACE"); pattern != "" {
 		filter := regexp.MustCompile(pattern)
 		setting.Trace = func(line string) {
@@ -41,49 +41,57 @@
 	}
 }
 
-func TestSeeds(test *testing.T) { play(test, ptdrill.Faults{Single: true}) }
+func TestSeeds(test *testing.T) { play(test, ptdrill.Setting{Faults: ptdrill.Faults{Single: true}}) }
 
 func TestSeedsWithMassFaults(test *testing.T) {
-	play(test, ptdrill.Faults{Single: true, Mass: true})
+	play(test, ptdrill.Setting{Faults: ptdrill.Faults{Single: true, Mass: true}})
 }
 
 func TestSeedsWithUnansweredOrders(test *testing.T) {
-	play(test, ptdrill.Faults{Single: true, Mass: true, UnansweredOrders: true})
+	play(test, ptdrill.Setting{Faults: ptdrill.Faults{Single: true, Mass: true, UnansweredOrders: true}})
 }
 
 func TestSeedsWithStalledWorkers(test *testing.T) {
-	play(test, ptdrill.Faults{Single: true, Mass: true, Stalls: true})
+	play(test, ptdrill.Setting{Faults: ptdrill.Faults{Single: true, Mass: true, Stalls: true}})
 }
 
 func TestSeedsWithMismatches(test *testing.T) {
-	play(test, ptdrill.Faults{Single: true, Mass: true, Mismatches: true})
+	play(test, ptdrill.Setting{Faults: ptdrill.Faults{Single: true, Mass: true, Mismatches: true}})
 }
 
 func TestSeedsWithRepeatedAnnouncements(test *testing.T) {
-	play(test, ptdrill.Faults{Single: true, Mass: true, RepeatedAnnouncements: true})
+	play(test, ptdrill.Setting{Faults: ptdrill.Faults{Single: true, Mass: true, RepeatedAnnouncements: true}})
 }
 
 func TestSeedsWithCallerBreaks(test *testing.T) {
-	play(test, ptdrill.Faults{Single: true, Mass: true, CallerBreaks: true})
+	play(test, ptdrill.Setting{Faults: ptdrill.Faults{Single: true, Mass: true, CallerBreaks: true}})
 }
 
 func TestSeedsWithLateNotice(test *testing.T) {
-	play(test, ptdrill.Faults{Single: true, Mass: true, CallerBreaks: true, LateNotice: true})
+	play(test, ptdrill.Setting{Faults: ptdrill.Faults{Single: true, Mass: true, CallerBreaks: true, LateNotice: true}})
 }
 
 func TestSeedsWithFrozenMachines(test *testing.T) {
-	play(test, ptdrill.Faults{Single: true, Mass: true, FrozenMachines: true})
+	play(test, ptdrill.Setting{Faults: ptdrill.Faults{Single: true, Mass: true, FrozenMachines: true}})
 }
 
 func TestSeedsWithLateLeases(test *testing.T) {
-	play(test, ptdrill.Faults{Single: true, Mass: true, LateLeases: true})
+	play(test, ptdrill.Setting{Faults: ptdrill.Faults{Single: true, Mass: true, LateLeases: true}})
 }
 
 func TestSeedsWithLateOrdersToNextWorker(test *testing.T) {
-	play(test, ptdrill.Faults{Single: true, Mass: true, Mismatches: true, LateOrdersToNextWorker: true})
+	play(test, ptdrill.Setting{Faults: ptdrill.Faults{Single: true, Mass: true, Mismatches: true, LateOrdersToNextWorker: true}})
 }
 
-func setting(name string, defaultValue int) int {
+func TestSeedsWithDurableJobs(test *testing.T) {
+	play(test, ptdrill.Setting{Durable: true, Faults: ptdrill.Faults{Single: true, Mass: true}})
+}
+
+func TestSeedsWithDurableJobsAndUnansweredOrders(test *testing.T) {
+	play(test, ptdrill.Setting{Durable: true, Faults: ptdrill.Faults{Single: true, Mass: true, UnansweredOrders: true}})
+}
+
+func environment(name string, defaultValue int) int {
 	if value, err := strconv.Atoi(os.Getenv(name)); err == nil {
 		return value
 	}
--- a/ptdrill/session.go
+++ b/ptdrill/session.go
@@ -241,6 +241,7 @@
 	simulation.trace("%s welcomes %s incarnation %d", entry.name(), agent.name(), agent.incarnation)
 	opened.transmit(ptlink.EntrySide, frame{receive: func() { receive(true) }})
 	entry.applyEffects(entry.core.AgentConnected(agent.name(), agent.incarnation, service, true, now))
+	entry.ownership.connected(agent.index)
 	if opened.unopened {
 		opened.abandon(ptlink.AgentSide, false)
 	}
--- a/ptdrill/worker.go
+++ b/ptdrill/worker.go
@@ -52,6 +52,8 @@
 	runs         map[ptrun.ID]*workerRun
 	highestEnded map[ptrun.TaskID]ptrun.Number
 	ends         []ptrun.ListedEnd
+	// lapsedEnds is the sequence number of the last end before the latest expiry of the lease.
+	lapsedEnds   ptrun.EndSequence
 	sequence     ptrun.EndSequence
 	announcement uint64
 	alive        bool
@@ -168,6 +170,7 @@
 	simulation.trace("%s ended %v: %s", workerName(worker.identity), id, result)
 	if result == ptrun.Done {
 		simulation.report.Done++
+		simulation.monitor.runDone(id, worker)
 	}
 	delete(worker.runs, id)
 	worker.recordEnded(id)
@@ -296,7 +299,15 @@
 		respond(ptrun.Listing{}, err)
 		return
 	}
+	if worker.clock() > worker.leaseExpiry {
+		worker.lapsedEnds = worker.sequence
+	}
 	worker.extendLease(renewal.ExpiresAt)
+	for _, listed := range worker.ends {
+		if listed.Sequence <= renewal.Acknowledged && listed.Sequence > worker.lapsedEnds && listed.End.Result == ptrun.Done {
+			worker.simulation.monitor.doneAcknowledged(listed.End.Run, worker)
+		}
+	}
 	worker.ends = slices.DeleteFunc(worker.ends, func(listed ptrun.ListedEnd) bool { return listed.Sequence <= renewal.Acknowledged })
 	if len(worker.ends) > 0 || renewal.PollTimeout == 0 {
 		respond(worker.list(), nil)
