ptassign: a late greeting of an earlier agent incarnation ends no runs

What callers would see: a task placed again beside its run (TWICE), at an entry that was paused.

Cause: an entry that wakes reads old connections' greetings. Any other incarnation than the last was taken for a later one, so the greeting of a process that is gone ended the runs of its successor, and the successor's next session ended them again.

Why this works: only a later incarnation proves that the earlier ones have ended. Where a VM's time of day was set back, the runs are asked for, and the agent answers one by one.

--- a/ptassign/ptassign.go
+++ b/ptassign/ptassign.go
@@ -273,7 +273,8 @@
 
 // agentRecord is what the core knows about one agent and its worker.
 type agentRecord struct {
-	name           ptid.AgentName
+	name ptid.AgentName
+	// incarnation is the latest incarnation that has opened a session.
 	incarnation    ptid.Incarnation
 	service        ptid.ServiceName
 	sameZone       bool
@@ -688,7 +689,8 @@
 
 // AgentConnected records that an incarnation of an agent has opened a session. Runs of
 // best-effort jobs that were sent to an earlier incarnation end with the result lost. The agent
-// is asked for the state of all other runs.
+// is asked for the state of all other runs. A greeting of an earlier incarnation proves nothing:
+// a paused entry may read it late, and the wall clock of the agent's VM may have been set back.
 func (core *Core) AgentConnected(name ptid.AgentName, incarnation ptid.Incarnation, service ptid.ServiceName, sameZone bool, now ptid.Instant) (effects []Effect) {
 	agent := core.agents[name]
 	if agent == nil {
@@ -696,11 +698,12 @@
 		core.agents[name] = agent
 		core.sortedAgents = slices.SortedFunc(maps.Values(core.agents), func(left, right *agentRecord) int { return cmp.Compare(left.name, right.name) })
 	}
-	if agent.incarnation != incarnation {
+	if agent.incarnation < incarnation {
 		core.loseRuns(agent, ptrun.ReasonRestarted, bestEffortRuns, now)
 		agent.observed, agent.quarantined = newObservations(), false
+		agent.incarnation = incarnation
 	}
-	agent.incarnation, agent.service, agent.sameZone, agent.connected = incarnation, service, sameZone, true
+	agent.service, agent.sameZone, agent.connected = service, sameZone, true
 	for _, run := range sortedRuns(agent.runs) {
 		core.emit(SendQuery{Agent: name, Run: run})
 		if agent.runs[run].stopped {
