--- a/ptassign/ptassign.go
+++ b/ptassign/ptassign.go
@@ -227,11 +227,21 @@
 	Refusal *Refusal
 }
 
+// RunsLost reports that the entry has declared runs lost without a report from their agent.
+// DisconnectedAt is when the session with the agent ended.
+type RunsLost struct {
+	Agent          ptid.AgentName
+	Reason         ptrun.Reason
+	Runs           int
+	DisconnectedAt ptid.Instant
+}
+
 func (SendOrder) isEffect()    {}
 func (SendStop) isEffect()     {}
 func (SendQuery) isEffect()    {}
 func (SaveProgress) isEffect() {}
 func (JobEnded) isEffect()     {}
+func (RunsLost) isEffect()     {}
 
 // placedRun is a run that was sent to an agent and has not ended.
 type placedRun struct {
@@ -263,7 +273,8 @@
 
 // agentRecord is what the core knows about one agent and its worker.
 type agentRecord struct {
-	name           ptid.AgentName
+	name ptid.AgentName
+	// incarnation is the latest incarnation that has opened a session.
 	incarnation    ptid.Incarnation
 	service        ptid.ServiceName
 	sameZone       bool
@@ -678,7 +689,8 @@
 
 // AgentConnected records that an incarnation of an agent has opened a session. Runs of
 // best-effort jobs that were sent to an earlier incarnation end with the result lost. The agent
-// is asked for the state of all other runs.
+// is asked for the state of all other runs. A greeting of an earlier incarnation proves nothing:
+// a paused entry may read it late, and the wall clock of the agent's VM may have been set back.
 func (core *Core) AgentConnected(name ptid.AgentName, incarnation ptid.Incarnation, service ptid.ServiceName, sameZone bool, now ptid.Instant) (effects []Effect) {
 	agent := core.agents[name]
 	if agent == nil {
@@ -686,11 +698,12 @@
 		core.agents[name] = agent
 		core.sortedAgents = slices.SortedFunc(maps.Values(core.agents), func(left, right *agentRecord) int { return cmp.Compare(left.name, right.name) })
 	}
-	if agent.incarnation != incarnation {
+	if agent.incarnation < incarnation {
 		core.loseRuns(agent, ptrun.ReasonRestarted, bestEffortRuns, now)
 		agent.observed, agent.quarantined = newObservations(), false
+		agent.incarnation = incarnation
 	}
-	agent.incarnation, agent.service, agent.sameZone, agent.connected = incarnation, service, sameZone, true
+	agent.service, agent.sameZone, agent.connected = service, sameZone, true
 	for _, run := range sortedRuns(agent.runs) {
 		core.emit(SendQuery{Agent: name, Run: run})
 		if agent.runs[run].stopped {
@@ -721,11 +734,16 @@
 
 // loseRuns ends runs of an agent with the result lost.
 func (core *Core) loseRuns(agent *agentRecord, reason ptrun.Reason, scope runScope, now ptid.Instant) {
+	lost := 0
 	for _, run := range sortedRuns(agent.runs) {
 		if scope == allRuns || !agent.runs[run].job.Durable {
+			lost++
 			core.runEnded(agent, ptrun.End{Run: run, Result: ptrun.Lost, Reason: reason}, now)
 		}
 	}
+	if lost > 0 {
+		core.emit(RunsLost{Agent: agent.name, Reason: reason, Runs: lost, DisconnectedAt: agent.disconnectedAt})
+	}
 }
 
 // AgentDisconnected records that the session with an agent has ended.
--- a/ptdrill/monitor.go
+++ b/ptdrill/monitor.go
@@ -1,24 +1,75 @@
 package ptdrill
 
 import (
-	"maps"
-	"slices"
-
 	"github.com/pkg/errors"
 
-	"github.com/primrosetiller/primrosetiller/ptid"
+	"github.com/primrosetiller/primrosetiller/ptjobstore"
 	"github.com/primrosetiller/primrosetiller/ptrun"
 )
 
+// Violations that the error of [Run] may wrap.
+var (
+	// ErrTwice means that a task had two active runs, which one entry process ordered.
+	ErrTwice = errors.New("two active runs of a task")
+	// ErrTwoOwners means that a task had two active runs, which two entry processes ordered. Its
+	// caller submitted the job to the second of them after its connection to the first broke.
+	ErrTwoOwners = errors.New("two active runs of a task with two owners")
+	// ErrDoneAgain means that a task of a durable job started after one of its runs had ended as
+	// done, and this end was acknowledged.
+	ErrDoneAgain = errors.New("a done task started again")
+	// ErrCapacity means that the runs of a worker exceeded its capacity.
+	ErrCapacity = errors.New("capacity exceeded")
+)
+
+// activeRun is a run that is active on a worker.
+type activeRun struct {
+	run    ptrun.ID
+	worker *worker
+}
+
 // monitor tracks the active runs on all workers and keeps the first violation of an invariant.
 type monitor struct {
-	// active contains the active runs of each task with their workers.
-	active    map[ptrun.TaskID]map[ptrun.ID]*worker
-	starts    int
+	active map[ptrun.TaskID][]activeRun
+	// done contains the runs of durable jobs that have ended as done.
+	done      map[ptrun.TaskID][]*doneRun
 	violation error
 }
 
-func newMonitor() *monitor { return &monitor{active: make(map[ptrun.TaskID]map[ptrun.ID]*worker)} }
+// doneRun is a run of a durable job that has ended as done.
+type doneRun struct {
+	activeRun
+
+	acknowledged bool
+	// startedAgain is the first run of the task that started afterwards; its number is zero if
+	// there is none.
+	startedAgain ptrun.ID
+}
+
+func newMonitor() *monitor {
+	return &monitor{active: make(map[ptrun.TaskID][]activeRun), done: make(map[ptrun.TaskID][]*doneRun)}
+}
+
+func (monitor *monitor) runDone(id ptrun.ID, host *worker) {
+	if ptjobstore.IsDurable(id.Number) {
+		monitor.done[id.Task] = append(monitor.done[id.Task], &doneRun{activeRun: activeRun{run: id, worker: host}})
+	}
+}
+
+// doneAcknowledged records that the agent of a worker has acknowledged the end of a run as done.
+func (monitor *monitor) doneAcknowledged(id ptrun.ID, host *worker) {
+	for _, done := range monitor.done[id.Task] {
+		if done.run == id && done.worker == host {
+			done.acknowledged = true
+			monitor.checkDone(done)
+		}
+	}
+}
+
+func (monitor *monitor) checkDone(done *doneRun) {
+	if done.acknowledged && done.startedAgain.Number > 0 {
+		monitor.fail(errors.Wrapf(ErrDoneAgain, "run %v was done on %s, and run %v started", done.run, workerName(done.worker.identity), done.startedAgain))
+	}
+}
 
 func (monitor *monitor) fail(err error) {
 	if monitor.violation == nil {
@@ -27,41 +78,48 @@
 }
 
 func (monitor *monitor) runStarted(id ptrun.ID, host *worker) {
-	monitor.starts++
 	host.simulation.report.Starts++
-	runs := monitor.active[id.Task]
-	if runs == nil {
-		runs = make(map[ptrun.ID]*worker)
-		monitor.active[id.Task] = runs
+	for _, other := range append([]activeRun(nil), monitor.active[id.Task]...) {
+		other.worker.advance()
 	}
-	for other, otherWorker := range runs {
-		otherWorker.advance()
-		if monitor.active[id.Task][other] != nil {
-			monitor.fail(errors.Errorf("run %v started on %s while run %v of the same task was active on %s", id, host.identity.ID, other, otherWorker.identity.ID))
+	for _, other := range monitor.active[id.Task] {
+		violation := ErrTwice
+		if host.owner(id) != other.worker.owner(other.run) {
+			violation = ErrTwoOwners
 		}
+		monitor.fail(errors.Wrapf(violation, "run %v started on %s while run %d was active on %s", id, workerName(host.identity), other.run.Number, workerName(other.worker.identity)))
 	}
-	runs[id] = host
+	for _, done := range monitor.done[id.Task] {
+		if done.startedAgain.Number == 0 {
+			done.startedAgain = id
+			monitor.checkDone(done)
+		}
+	}
+	monitor.active[id.Task] = append(monitor.active[id.Task], activeRun{run: id, worker: host})
+	host.advance()
 	if !host.capacity.Covers(host.held()) {
-		monitor.fail(errors.Errorf("worker %s exceeded its capacity when run %v started", host.identity.ID, id))
+		monitor.fail(errors.Wrapf(ErrCapacity, "the runs on %s hold %v when run %v starts", workerName(host.identity), host.held(), id))
 	}
 }
 
-func (monitor *monitor) runEnded(id ptrun.ID) {
-	delete(monitor.active[id.Task], id)
-	if len(monitor.active[id.Task]) == 0 {
+func (monitor *monitor) runEnded(id ptrun.ID, host *worker) {
+	var remaining []activeRun
+	for _, active := range monitor.active[id.Task] {
+		if active.run != id || active.worker != host {
+			remaining = append(remaining, active)
+		}
+	}
+	monitor.active[id.Task] = remaining
+	if len(remaining) == 0 {
 		delete(monitor.active, id.Task)
 	}
 }
 
 // checkCapacity checks that no worker exceeds its capacity.
 func (monitor *monitor) checkCapacity(simulation *simulation) {
-	for _, agent := range simulation.agents {
-		if held := agent.worker.held(); agent.worker.alive && !agent.worker.capacity.Covers(held) {
-			monitor.fail(errors.Errorf("the runs on worker %s exceed its capacity: they hold %v", agent.worker.identity.ID, held))
+	for _, worker := range simulation.workers {
+		if held := worker.held(); worker.alive && !worker.capacity.Covers(held) {
+			monitor.fail(errors.Wrapf(ErrCapacity, "the runs on %s hold %v", workerName(worker.identity), held))
 		}
 	}
 }
-
-func sortedKeys[Value any](values map[ptid.JobID]Value) []ptid.JobID {
-	return slices.Sorted(maps.Keys(values))
-}
--- a/ptruncontrol/ptruncontrol.go
+++ b/ptruncontrol/ptruncontrol.go
@@ -13,20 +13,25 @@
 //     order that arrives late has no effect. If a start order gets no response, a listing
 //     requested afterwards determines the outcome. If the listing contains the run, the
 //     run is active. If it does not and the deadline has passed, the run has not started.
-//     Otherwise the agent stops the run.
+//     Otherwise the agent stops the run. Listings overtake each other: one that lacks a
+//     run proves its end only if it was requested after the run was known to be active.
 //  4. The worker's lease is renewed to [LeaseDuration] after the earliest time that the
 //     worker's clock can show. A run has ended when the worker lists its end; when a
-//     listing that was requested after the response to the run's start or stop order does
-//     not contain the run; when another incarnation of the worker responds; or when the
+//     listing that was requested after the response to the run's start or stop order (rule
+//  3. does not contain the run; when another incarnation of the worker responds; or when the
 //     last lease that may have been granted has expired, even if the worker's clock is
 //     slow by one part in [ClockDriftDivisor].
+//     A run that is active for [StopTimeout] after its first stop order is ended by the
+//     lease: the agent does not renew it, which ends all runs on the worker.
 //  5. If an entry has had no session for [OrphanTimeout], its best-effort runs are stopped.
 //     Its runs of durable jobs are stopped after [DurableOrphanTimeout]. When a new
 //     incarnation of an entry opens a session, the best-effort runs of the earlier
 //     incarnations are stopped immediately.
-//  6. Runs that the worker lists and that this agent has not ordered are stopped. The agent
-//     takes no orders until the worker has listed no active runs, or every lease granted by
-//     an earlier agent process has expired ([Core.TakeoverComplete]).
+//  6. Runs that the worker lists and that hold no capacity in the agent's records are stopped:
+//     runs that this agent has not ordered, and runs whose end it has declared. While the
+//     worker lists such a run, no run starts, because its demand is unknown. The agent
+//     opens no sessions until the worker has listed no active runs
+//     ([Core.TakeoverComplete]), and does not renew the lease before that.
 //  7. The end of a run of a durable job (a durable end) is acknowledged to the worker only
 //     when its owner has stored it ([Core.AcknowledgeEnd]). Until then it is sent to every
 //     entry repeatedly, also if this agent has not ordered the run. An entry that takes
@@ -48,7 +53,7 @@
 //
 // # Usage
 //
-//	core := ptruncontrol.New(token, now)
+//	core := ptruncontrol.New(token)
 //	effects := core.HandleAnnouncement(worker, clock, now)
 //	effects = core.Order(order, now)
 //	effects = core.HandleListing(listing, requestedAt, now)
@@ -60,6 +65,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -71,9 +77,10 @@
 )
 
 const (
-	// LeaseDuration is how far ahead the worker's lease is renewed. Workers cap a lease at one
-	// second.
+	// LeaseDuration is how far ahead the worker's lease is renewed. It is below maxLease, at which
+	// workers cap a lease.
 	LeaseDuration = 900 * time.Millisecond
+	maxLease      = time.Second
 	// StartOrderTTL is how long a start order stays valid. A local call takes about a
 	// millisecond, and up to some hundred milliseconds if the worker is paused.
 	StartOrderTTL = 300 * time.Millisecond
@@ -91,11 +98,20 @@
 	// UnreachableTimeout is how long listings may fail before the agent takes no more orders.
 	// It covers a few calls without a response.
 	UnreachableTimeout = 300 * time.Millisecond
+	// SilentWorkerTimeout is how long a worker may leave listings without a response before its
+	// runs are declared lost. Entries wait as long for the runs of a silent agent
+	// (ptassign.RunLossTimeout).
+	SilentWorkerTimeout = 2500 * time.Millisecond
 	// rebroadcastInterval is the interval at which the agent broadcasts the end of a run again
 	// while no owner has stored this end.
 	rebroadcastInterval = 500 * time.Millisecond
-	// StopRetryInterval is the interval after which an unacknowledged stop order is repeated.
-	StopRetryInterval = 150 * time.Millisecond
+	// StopRetryInterval is the interval after which an unacknowledged stop order is repeated. A
+	// stop order times out after half of it.
+	StopRetryInterval = 50 * time.Millisecond
+	// StopTimeout is how long after its first stop order a run may be active before the agent lets
+	// the worker's lease expire. The sum of StopTimeout and a lease is less than the time after
+	// which callers resubmit; see docs/design/10-platform.md.
+	StopTimeout = 350 * time.Millisecond
 	// EndRetention is how long an end is retained after its delivery.
 	EndRetention = 5 * time.Second
 	// maxEndRetention limits the retention of an end, in particular if its owner opens no
@@ -198,15 +214,52 @@
 // whose turn it is to probe the worker.
 type SendReport struct{ Owner Owner }
 
-func (StartRun) isEffect()          {}
-func (SendReport) isEffect()        {}
-func (AssessmentChanged) isEffect() {}
-func (StopRun) isEffect()           {}
-func (ListRuns) isEffect()          {}
-func (SendEnd) isEffect()           {}
-func (BroadcastEnd) isEffect()      {}
-func (SendAdopted) isEffect()       {}
-func (ThrottleRun) isEffect()       {}
+// UnaccountedRunsChanged reports that the worker lists other active runs without an entry in the
+// agent's records than before. Ended counts those whose end the agent has already reported.
+type UnaccountedRunsChanged struct {
+	Worker           ptrun.WorkerIdentity
+	Runs             []ptrun.ID
+	Ended            int
+	TakeoverComplete bool
+}
+
+// WorkerReplaced reports that another incarnation of the worker has replaced the previous one,
+// and how many runs were lost with the previous one.
+type WorkerReplaced struct {
+	Previous ptrun.WorkerIdentity
+	Lost     int
+}
+
+// LeaseExpired reports that the runs were declared lost, because no listing has arrived since
+// ListedAt and the last lease that may have been granted expired at ExpiredAt.
+type LeaseExpired struct {
+	Worker    ptrun.WorkerIdentity
+	ListedAt  ptid.Instant
+	ExpiredAt ptid.Instant
+	Lost      int
+}
+
+// OrderJoined reports that an owner has ordered a run that another owner has ordered before. It
+// gets the end of that run.
+type OrderJoined struct {
+	Run   ptrun.ID
+	Owner Owner
+	First Owner
+}
+
+func (StartRun) isEffect()               {}
+func (SendReport) isEffect()             {}
+func (AssessmentChanged) isEffect()      {}
+func (StopRun) isEffect()                {}
+func (ListRuns) isEffect()               {}
+func (SendEnd) isEffect()                {}
+func (BroadcastEnd) isEffect()           {}
+func (SendAdopted) isEffect()            {}
+func (ThrottleRun) isEffect()            {}
+func (UnaccountedRunsChanged) isEffect() {}
+func (WorkerReplaced) isEffect()         {}
+func (LeaseExpired) isEffect()           {}
+func (OrderJoined) isEffect()            {}
 
 // state is the state of a run at the agent.
 type state uint8
@@ -225,18 +278,26 @@
 type run struct {
 	Order
 	state state
-	// workerStartBy is the deadline of the start order on the worker's clock. Order.StartBy is
-	// the deadline of the run on the agent's clock.
+	// workerStartBy is the deadline of the start order on the worker's clock, or the maximum if
+	// the order was sent to an earlier incarnation with another clock. Order.StartBy is the
+	// deadline of the run on the agent's clock.
 	workerStartBy ptrun.WorkerTime
 	startedAt     ptid.Instant
-	// respondedAt is when the latest order for the run got a response or timed out.
-	respondedAt ptid.Instant
+	// checkedAt is when the latest order for the run got a response or timed out, or when a
+	// listing contained the run for the first time. Only a listing that was requested later
+	// proves that the worker no longer executes the run.
+	checkedAt ptid.Instant
 	// confirmed is true once the worker has confirmed that it executes the run.
 	confirmed     bool
 	stopRequested bool
 	stopAcked     bool
 	stopRetryAt   ptid.Instant
-	stopReason    ptrun.Reason
+	// stopDeadline is when the run must have ended after its first stop order.
+	stopDeadline ptid.Instant
+	stopReason   ptrun.Reason
+	// joined contains the further owners that have ordered the run: a caller may submit its job
+	// to two entries, which number its runs alike.
+	joined []Owner
 	// percent is the speed limit that the worker lists for the run, and orderedPercent the speed
 	// limit that was ordered last. Both are percentages of the full speed.
 	percent        int
@@ -274,7 +335,6 @@
 type Core struct {
 	token            ptrun.FenceToken
 	tokenStep        ptrun.FenceToken
-	createdAt        ptid.Instant
 	takeoverComplete bool
 
 	worker    ptrun.Worker
@@ -288,10 +348,12 @@
 	leaseExpiresAt ptrun.WorkerTime
 	highestEnd     ptrun.EndSequence
 	// unacked holds the listed ends of runs of durable jobs that the worker must not discard
-	// yet. unknownRuns holds listed runs that this agent has not ordered, with the time at
-	// which the next stop order is due.
-	unacked     map[ptrun.ID]*unackedEnd
-	unknownRuns map[ptrun.ID]ptid.Instant
+	// yet.
+	unacked map[ptrun.ID]*unackedEnd
+	// unaccounted holds the listed active runs that hold no capacity in runs, and
+	// reportedUnaccounted the identities that were reported last.
+	unaccounted         map[ptrun.ID]*unaccountedRun
+	reportedUnaccounted []ptrun.ID
 
 	runs   map[ptrun.ID]*run
 	ends   map[ptrun.ID]*endRecord
@@ -314,9 +376,9 @@
 
 // New returns a core without a worker. token is the first fence token to try. It should be
 // higher than the tokens of earlier agent processes, and is raised if the worker refuses it.
-func New(token ptrun.FenceToken, now ptid.Instant) *Core {
+func New(token ptrun.FenceToken) *Core {
 	return &Core{
-		token: token, tokenStep: firstTokenStep, createdAt: now, unknownRuns: make(map[ptrun.ID]ptid.Instant),
+		token: token, tokenStep: firstTokenStep, unaccounted: make(map[ptrun.ID]*unaccountedRun),
 		runs: make(map[ptrun.ID]*run), ends: make(map[ptrun.ID]*endRecord), owners: make(map[ptid.EntryName]*ownerState),
 		unacked: make(map[ptrun.ID]*unackedEnd), epochs: make(map[ptjobstore.Partition]ptjobstore.Epoch),
 		estimator: ptfitness.NewEstimator(), probeTurns: ptfitness.NewProbeTurns(),
@@ -337,10 +399,9 @@
 func (core *Core) FenceToken() ptrun.FenceToken { return core.token }
 
 // TakeoverComplete reports whether all runs that earlier agent processes started on the worker
-// have certainly ended.
-func (core *Core) TakeoverComplete(now ptid.Instant) bool {
-	return core.takeoverComplete || now.Sub(core.createdAt) > LeaseDuration+LeaseDuration/ClockDriftDivisor+StartOrderTTL
-}
+// have certainly ended: the worker has listed no active runs. The listing call carries this
+// process's fence token, so no order of an earlier process is executed after it.
+func (core *Core) TakeoverComplete() bool { return core.takeoverComplete }
 
 // RaiseToken raises the fence token after the worker has refused the given one.
 func (core *Core) RaiseToken(refused ptrun.FenceToken) {
@@ -351,19 +412,17 @@
 	core.tokenStep *= 2
 }
 
-// HandleAnnouncement processes an announcement of the worker.
+// HandleAnnouncement processes an announcement of the worker. An incarnation that is announced
+// again after [Core.HandleWorkerGone] keeps its runs.
 func (core *Core) HandleAnnouncement(worker ptrun.Worker, clock ptrun.WorkerTime, now ptid.Instant) (effects []Effect) {
-	if core.known && core.worker.WorkerIdentity == worker.WorkerIdentity {
-		if worker.Sequence <= core.worker.Sequence {
-			return nil
-		}
-	} else {
-		if worker.StartedAt.Before(core.worker.StartedAt) {
-			// The announcement was delayed, and a later incarnation of the worker is known.
-			return nil
-		}
-		core.replaceWorker(now)
-		core.clock, core.clockAt = clock, now
+	switch {
+	case worker.StartedAt.Before(core.worker.StartedAt):
+		// The announcement was delayed, and a later incarnation of the worker is known.
+		return nil
+	case core.worker.WorkerIdentity != worker.WorkerIdentity:
+		core.replaceWorker(worker.WorkerIdentity, now)
+	case worker.Sequence <= core.worker.Sequence:
+		return nil
 	}
 	core.worker, core.known, core.reachable = worker, true, true
 	core.updateClock(clock, now)
@@ -374,21 +433,34 @@
 	return core.takeEffects()
 }
 
-// replaceWorker ends all runs of the previous incarnation of the worker.
-func (core *Core) replaceWorker(now ptid.Instant) {
+// replaceWorker makes a later incarnation the current worker. An incarnation with another ID
+// executes no orders to the previous one, whose runs have therefore ended. Orders name the worker
+// only by its ID, so a later incarnation with the same ID may execute orders that were under way.
+// Its listings then show which runs it executes.
+func (core *Core) replaceWorker(next ptrun.WorkerIdentity, now ptid.Instant) {
+	previous, lost := core.worker.WorkerIdentity, 0
+	core.highestEnd, core.leaseExpiresAt, core.clock, core.clockAt = 0, 0, 0, now
 	for _, run := range core.sortedRuns() {
-		if run.holdsCapacity() {
+		switch {
+		case !run.holdsCapacity():
+		case next.ID == previous.ID:
+			core.leaseExpiresAt = ptrun.WorkerTime(maxLease.Milliseconds())
+			run.stopAcked, run.workerStartBy = false, math.MaxInt64
+		default:
+			lost++
 			core.finish(run, ptrun.End{Run: run.Run, Result: ptrun.Lost, Reason: ptrun.ReasonRestarted}, now)
 		}
 	}
-	core.highestEnd, core.leaseExpiresAt, core.clock = 0, 0, 0
+	if previous.ID != "" {
+		core.emit(WorkerReplaced{Previous: previous, Lost: lost})
+	}
 	core.estimator, core.probeTurns = ptfitness.NewEstimator(), ptfitness.NewProbeTurns()
-	clear(core.unknownRuns)
+	clear(core.unaccounted)
 	clear(core.unacked)
 }
 
-// HandleWorkerGone records that the worker has left, or that another incarnation responded at
-// its address.
+// HandleWorkerGone records that another incarnation responded at the address of the worker. The
+// runs end when the other incarnation is announced, or when the lease has expired.
 func (core *Core) HandleWorkerGone(worker ptrun.WorkerIdentity, now ptid.Instant) (effects []Effect) {
 	if core.known && core.worker.WorkerIdentity == worker {
 		core.known = false
@@ -397,8 +469,12 @@
 	return core.takeEffects()
 }
 
-// updateClock records a reading of the worker's clock, unless the reading is out of date.
+// updateClock records a reading of the worker's clock, unless the reading is out of date. When the
+// first reading is taken, a lease that an earlier agent process has granted may still run.
 func (core *Core) updateClock(clock ptrun.WorkerTime, now ptid.Instant) {
+	if core.clock == 0 && clock > 0 {
+		core.leaseExpiresAt = max(core.leaseExpiresAt, clock+ptrun.WorkerTime(LeaseDuration.Milliseconds()))
+	}
 	if clock >= core.earliestClock(now) {
 		core.clock, core.clockAt = clock, now
 	}
@@ -415,15 +491,32 @@
 // the lease of a worker that has not responded for [UnreachableTimeout]. The worker may still
 // carry out a call to which it has not responded. If such calls extended the lease, the latest
 // possible expiry would move on with each call, and the runs could never be declared lost.
+// Nor does it extend the lease before the takeover is complete, or while a run ignores its stop
+// orders: entries rely on the end of a run that is to be stopped.
 func (core *Core) LeaseRenewal(now ptid.Instant) (renewal ptrun.LeaseRenewal) {
 	renewal.Acknowledged = core.ackableSequence()
 	unreachable := now.Sub(core.listedAt) > UnreachableTimeout
-	if core.clock > 0 && !unreachable && !core.mustLetLeaseExpire(now) {
+	if core.clock > 0 && !unreachable && core.takeoverComplete && !core.mustLetLeaseExpire(now) && !core.isStopOverdue(now) {
 		renewal.ExpiresAt = core.extendLease(now)
 	}
 	return renewal
 }
 
+// isStopOverdue reports whether a run that is to be stopped is active after its stop deadline.
+func (core *Core) isStopOverdue(now ptid.Instant) bool {
+	for _, run := range core.runs {
+		if run.state == stopping && now > run.stopDeadline {
+			return true
+		}
+	}
+	for _, run := range core.unaccounted {
+		if now > run.stopDeadline {
+			return true
+		}
+	}
+	return false
+}
+
 func (core *Core) extendLease(now ptid.Instant) ptrun.WorkerTime {
 	expiresAt := core.earliestClock(now) + ptrun.WorkerTime(LeaseDuration.Milliseconds())
 	core.leaseExpiresAt = max(core.leaseExpiresAt, expiresAt)
@@ -438,7 +531,10 @@
 
 // Order processes an order of an entry.
 func (core *Core) Order(order Order, now ptid.Instant) (effects []Effect) {
-	if core.runs[order.Run] != nil {
+	if existing := core.runs[order.Run]; existing != nil {
+		return core.join(existing, order.Owner)
+	}
+	if core.askForEnd(order.Run, order.Owner) {
 		return nil
 	}
 	if known := core.ends[order.Run]; known != nil {
@@ -510,7 +606,7 @@
 
 // canStart reports whether there is capacity for a waiting run.
 func (core *Core) canStart(run *run) bool {
-	if run.state != waiting || core.clock == 0 || core.taskActive(run) {
+	if run.state != waiting || core.clock == 0 || len(core.unaccounted) > 0 || core.taskActive(run) {
 		return false
 	}
 	return core.worker.Capacity.Minus(core.held).Minus(core.offeredToOthers(run.Owner.Entry)).Covers(run.Demand)
@@ -569,12 +665,30 @@
 }
 
 func (core *Core) orderStop(run *run, now ptid.Instant) {
-	run.state = stopping
+	if run.state != stopping {
+		run.state, run.stopDeadline = stopping, now.Add(StopTimeout)
+	}
 	run.stopRetryAt = now.Add(StopRetryInterval)
 	core.emit(StopRun{Worker: core.worker.WorkerIdentity, Token: core.token, Run: run.Run, Reason: run.stopReason})
 }
 
-// finish removes a run, releases its capacity and sends its end to the owner.
+// join makes the end of a run known to a further owner that has ordered the run. A refusal would
+// allow the owner to start the task elsewhere beside the run.
+func (core *Core) join(run *run, owner Owner) (effects []Effect) {
+	if run.Owner == owner || slices.Contains(run.joined, owner) {
+		return nil
+	}
+	run.joined = append(run.joined, owner)
+	return []Effect{OrderJoined{Run: run.Run, Owner: owner, First: run.Owner}}
+}
+
+// isConnected reports whether an incarnation of an entry has a session.
+func (core *Core) isConnected(owner Owner) bool {
+	state := core.owners[owner.Entry]
+	return state != nil && state.connected && state.incarnation == owner.Incarnation
+}
+
+// finish removes a run, releases its capacity and sends its end to its owners.
 func (core *Core) finish(run *run, end ptrun.End, now ptid.Instant) {
 	if run.holdsCapacity() {
 		core.held = core.held.Minus(run.Demand)
@@ -586,10 +700,15 @@
 	}
 	delete(core.runs, run.Run)
 	core.ends[run.Run] = &endRecord{owner: run.Owner, end: end, at: now, expiresAt: ptid.Never}
-	if owner := core.owners[run.Owner.Entry]; owner != nil && owner.connected && owner.incarnation == run.Owner.Incarnation {
+	if core.isConnected(run.Owner) {
 		core.ends[run.Run].expiresAt = now.Add(EndRetention)
 		core.emit(SendEnd{Owner: run.Owner, End: end})
 	}
+	for _, owner := range run.joined {
+		if core.isConnected(owner) {
+			core.emit(SendEnd{Owner: owner, End: end})
+		}
+	}
 }
 
 // DemandOf returns the demand of a run, or the zero value if the run is not known.
--- a/ptruncontrol/ptruncontrol_test.go
+++ b/ptruncontrol/ptruncontrol_test.go
@@ -32,7 +32,7 @@
 
 func newFixture(test *testing.T) *fixture {
 	ptassert.PanicOnFailure()
-	fixture := &fixture{Core: ptruncontrol.New(100, start), expect: NewWithT(test)}
+	fixture := &fixture{Core: ptruncontrol.New(100), expect: NewWithT(test)}
 	fixture.HandleAnnouncement(ptrun.Worker{
 		WorkerIdentity: ptrun.WorkerIdentity{ID: "worker", StartedAt: time.UnixMilli(5)}, Capacity: ptrun.Demand{CPU: 4000, Memory: 1000}, Sequence: 1,
 	}, 1000, start)
@@ -159,11 +159,13 @@
 	fixture.HandleStartResponse(run(0, 1), 1001, nil, at(2))
 	until := fixture.LeaseRenewal(at(10)).ExpiresAt
 	fixture.expect.Expect(until).To(BeNumerically("<=", 1910))
-	fixture.expect.Expect(sentEnds(fixture.HandleListFailure(at(900)))).To(BeEmpty())
+	fixture.expect.Expect(sentEnds(fixture.HandleListFailure(ptrun.ErrUnhealthy, at(899), at(900)))).To(BeEmpty())
 	// The worker's clock may be slow by two percent: while it advances by 910 ms, the agent's
 	// clock may advance by 929 ms.
-	fixture.expect.Expect(sentEnds(fixture.HandleListFailure(at(925)))).To(BeEmpty())
-	ends := sentEnds(fixture.HandleListFailure(at(935)))
+	fixture.expect.Expect(sentEnds(fixture.HandleListFailure(ptrun.ErrUnhealthy, at(924), at(925)))).To(BeEmpty())
+	// A call that was requested before the expiry proves nothing.
+	fixture.expect.Expect(sentEnds(fixture.HandleListFailure(ptrun.ErrUnhealthy, at(920), at(935)))).To(BeEmpty())
+	ends := sentEnds(fixture.HandleListFailure(ptrun.ErrUnhealthy, at(934), at(935)))
 	fixture.expect.Expect(ends).To(HaveLen(1))
 	fixture.expect.Expect(ends[0].Result).To(Equal(ptrun.Lost))
 }
@@ -172,10 +174,10 @@
 	fixture := newFixture(test)
 	fixture.order(run(0, 1), 4000, at(1))
 	fixture.order(run(1, 1), 1000, at(1))
-	fixture.expect.Expect(sentEnds(fixture.HandleListFailure(at(30)))).To(BeEmpty())
+	fixture.expect.Expect(sentEnds(fixture.HandleListFailure(ptrun.ErrUnhealthy, at(29), at(30)))).To(BeEmpty())
 	fixture.expect.Expect(fixture.CapacityReport(owner.Entry).Unusable).To(BeFalse())
 	// The waiting run is refused once the worker has been unreachable for the timeout.
-	fixture.expect.Expect(sentEnds(fixture.HandleListFailure(at(350)))).To(HaveLen(1))
+	fixture.expect.Expect(sentEnds(fixture.HandleListFailure(ptrun.ErrUnhealthy, at(349), at(350)))).To(HaveLen(1))
 	fixture.expect.Expect(fixture.CapacityReport(owner.Entry).Unusable).To(BeTrue())
 }
 
@@ -192,29 +194,29 @@
 }
 
 func TestUnknownRunsAreStoppedAndDelayTakeover(test *testing.T) {
-	core := ptruncontrol.New(100, start)
+	core := ptruncontrol.New(100)
 	expect := NewWithT(test)
 	core.HandleAnnouncement(ptrun.Worker{WorkerIdentity: ptrun.WorkerIdentity{ID: "worker"}, Capacity: ptrun.Demand{CPU: 10}, Sequence: 1}, 1000, start)
 	effects := core.HandleListing(ptrun.Listing{Clock: 1001, Active: []ptrun.ListedRun{{Run: run(0, 3)}}}, start, at(1))
 	expect.Expect(stops(effects)).To(ConsistOf(run(0, 3)))
-	expect.Expect(core.TakeoverComplete(at(1))).To(BeFalse())
+	expect.Expect(core.TakeoverComplete()).To(BeFalse())
 	core.HandleListing(ptrun.Listing{Clock: 1005}, at(4), at(5))
-	expect.Expect(core.TakeoverComplete(at(5))).To(BeTrue())
+	expect.Expect(core.TakeoverComplete()).To(BeTrue())
 }
 
 func TestRestoredWorkerIsUsedAfterFirstListing(test *testing.T) {
-	core := ptruncontrol.New(100, start)
+	core := ptruncontrol.New(100)
 	expect := NewWithT(test)
 	identity := ptrun.WorkerIdentity{ID: "worker", StartedAt: time.UnixMilli(5)}
 	core.HandleAnnouncement(ptrun.Worker{WorkerIdentity: identity, Capacity: ptrun.Demand{CPU: 10}}, 0, start)
-	expect.Expect(core.TakeoverComplete(at(1))).To(BeFalse())
+	expect.Expect(core.TakeoverComplete()).To(BeFalse())
 	expect.Expect(core.LeaseRenewal(at(1)).ExpiresAt).To(BeZero(), "the clock of the worker is not known")
 	core.HandleListing(ptrun.Listing{WorkerStartedAt: time.UnixMilli(5), Clock: 90_000}, at(1), at(2))
-	expect.Expect(core.TakeoverComplete(at(2))).To(BeTrue())
+	expect.Expect(core.TakeoverComplete()).To(BeTrue())
 	core.SessionOpened(owner, at(2))
 	expect.Expect(starts(core.Order(ptruncontrol.Order{Run: run(0, 1), Owner: owner, Demand: ptrun.Demand{CPU: 5}, StartBy: at(40), WaitUntil: at(40)}, at(3)))).To(HaveLen(1))
 	// The restored worker is not used if another incarnation responds at its address.
-	other := ptruncontrol.New(100, start)
+	other := ptruncontrol.New(100)
 	other.HandleAnnouncement(ptrun.Worker{WorkerIdentity: identity, Capacity: ptrun.Demand{CPU: 10}}, 0, start)
 	other.HandleListing(ptrun.Listing{WorkerStartedAt: time.UnixMilli(9), Clock: 10}, at(1), at(2))
 	_, known := other.Worker()
@@ -222,7 +224,7 @@
 }
 
 func TestTokenIsRaisedAboveRefusedToken(test *testing.T) {
-	core := ptruncontrol.New(100, start)
+	core := ptruncontrol.New(100)
 	core.RaiseToken(100)
 	raisedToken := core.FenceToken()
 	core.RaiseToken(100)
@@ -351,7 +353,7 @@
 	var ends []ptrun.End
 	for millis := 10; millis < 1400 && len(ends) == 0; millis += 20 {
 		fixture.LeaseRenewal(at(millis))
-		ends = sentEnds(fixture.HandleListFailure(at(millis + 10)))
+		ends = sentEnds(fixture.HandleListFailure(ptrun.ErrUnhealthy, at(millis), at(millis+10)))
 	}
 	fixture.expect.Expect(ends).To(HaveLen(1))
 	fixture.expect.Expect(ends[0].Result).To(Equal(ptrun.Lost))
--- a/ptruncontrol/responses.go
+++ b/ptruncontrol/responses.go
@@ -9,15 +9,14 @@
 )
 
 // HandleStartResponse processes the worker's response to a start order.
-func (core *Core) HandleStartResponse(id ptrun.ID, clock ptrun.WorkerTime, err error, now ptid.Instant) (effects []Effect) {
+func (core *Core) HandleStartResponse(id ptrun.ID, _ ptrun.WorkerTime, err error, now ptid.Instant) (effects []Effect) {
 	run := core.runs[id]
 	if run == nil || run.state != starting {
 		return nil
 	}
-	run.respondedAt = now
+	run.checkedAt = now
 	switch {
 	case err == nil:
-		core.updateClock(clock, now)
 		run.state, run.confirmed = running, true
 		if run.stopRequested {
 			core.orderStop(run, now)
@@ -48,15 +47,12 @@
 }
 
 // HandleStopResponse processes the worker's response to a stop order.
-func (core *Core) HandleStopResponse(id ptrun.ID, clock ptrun.WorkerTime, err error, now ptid.Instant) (effects []Effect) {
-	if err == nil {
-		core.updateClock(clock, now)
-	}
+func (core *Core) HandleStopResponse(id ptrun.ID, _ ptrun.WorkerTime, err error, now ptid.Instant) (effects []Effect) {
 	run := core.runs[id]
 	if run == nil || run.state != stopping || err != nil {
 		return nil
 	}
-	run.stopAcked, run.respondedAt = true, now
+	run.stopAcked, run.checkedAt = true, now
 	core.emit(ListRuns{})
 	return core.takeEffects()
 }
@@ -66,14 +62,17 @@
 	if !core.known {
 		return nil
 	}
-	if !listing.WorkerStartedAt.IsZero() && !listing.WorkerStartedAt.Equal(core.worker.StartedAt) {
-		if listing.WorkerStartedAt.Before(core.worker.StartedAt) {
-			return nil
-		}
-		core.replaceWorker(now)
-		core.worker.StartedAt, core.known = listing.WorkerStartedAt, false
+	switch {
+	case listing.WorkerStartedAt.IsZero() || listing.WorkerStartedAt.Equal(core.worker.StartedAt):
+	case listing.WorkerStartedAt.Before(core.worker.StartedAt):
+		return nil
+	default:
+		// The worker has restarted. Its capacity may differ, so it is not used before it is
+		// announced.
+		next := ptrun.WorkerIdentity{ID: core.worker.ID, StartedAt: listing.WorkerStartedAt}
+		core.replaceWorker(next, now)
+		core.worker.WorkerIdentity, core.worker.Sequence, core.known = next, 0, false
 		core.refuseWaiting(ptrun.ReasonWorkerAbsent, now)
-		return core.takeEffects()
 	}
 	core.reachable, core.listedAt = true, now
 	core.updateClock(listing.Clock, now)
@@ -83,11 +82,13 @@
 	active := make(map[ptrun.ID]bool, len(listing.Active))
 	for _, listed := range listing.Active {
 		active[listed.Run] = true
-		core.handleListedRun(listed, now)
+		core.handleListedRun(listed, requestedAt, now)
 	}
+	core.pruneUnaccounted(active, requestedAt, now)
 	if len(active) == 0 {
 		core.takeoverComplete = true
 	}
+	core.reportUnaccounted()
 	for _, run := range core.sortedRuns() {
 		if !active[run.Run] {
 			core.handleUnlistedRun(run, listing.Clock, requestedAt, now)
@@ -97,22 +98,21 @@
 	return core.takeEffects()
 }
 
-// handleListedRun processes a run that the worker lists as active.
-func (core *Core) handleListedRun(listed ptrun.ListedRun, now ptid.Instant) {
+// handleListedRun processes a run that the worker lists as active. Listings overtake each other,
+// so a listing that was requested before the end of the run was recorded is out of date.
+func (core *Core) handleListedRun(listed ptrun.ListedRun, requestedAt, now ptid.Instant) {
 	id := listed.Run
 	run := core.runs[id]
-	if run == nil {
-		if _, ended := core.ends[id]; ended {
-			// The end of this run is already known, so this listing is out of date.
-			return
-		}
-		if retryAt, stopSent := core.unknownRuns[id]; !stopSent || now >= retryAt {
-			core.unknownRuns[id] = now.Add(StopRetryInterval)
-			core.emit(StopRun{Worker: core.worker.WorkerIdentity, Token: core.token, Run: id, Reason: ptrun.ReasonUnknownRun})
+	if run == nil || run.state == waiting {
+		if !core.isOutdated(id, requestedAt) {
+			core.handleUnaccountedRun(id, now)
 		}
 		return
 	}
-	run.confirmed, run.percent, run.tailLatency = true, listed.Percent, listed.TailLatency
+	if !run.confirmed {
+		run.confirmed, run.checkedAt = true, now
+	}
+	run.percent, run.tailLatency = listed.Percent, listed.TailLatency
 	core.estimator.Progressed(id, listed.Percent, now)
 	if listed.Checkpoint != "" {
 		run.Checkpoint = listed.Checkpoint
@@ -127,23 +127,23 @@
 
 // handleUnlistedRun processes a run that is missing from a listing.
 func (core *Core) handleUnlistedRun(run *run, clock ptrun.WorkerTime, requestedAt, now ptid.Instant) {
-	requestedAfterResponse := requestedAt > run.respondedAt
+	requestedAfterCheck := requestedAt > run.checkedAt
 	switch run.state {
 	case waiting, starting:
 	case running:
-		if requestedAfterResponse {
+		if requestedAfterCheck {
 			core.finish(run, ptrun.End{Run: run.Run, Result: ptrun.Lost, Reason: ptrun.ReasonUnknownRun}, now)
 		}
 	case unanswered:
 		switch {
-		case requestedAfterResponse && clock > run.workerStartBy:
+		case requestedAfterCheck && clock > run.workerStartBy:
 			core.finishUnstarted(run, ptrun.ReasonUnanswered, now)
-		case requestedAfterResponse:
+		case requestedAfterCheck:
 			run.stopReason = ptrun.ReasonUnanswered
 			core.orderStop(run, now)
 		}
 	case stopping:
-		if !requestedAfterResponse || !run.stopAcked && clock <= run.workerStartBy {
+		if !requestedAfterCheck || !run.stopAcked && clock <= run.workerStartBy {
 			return
 		}
 		result := ptrun.Stopped
@@ -154,25 +154,39 @@
 	}
 }
 
-// HandleListFailure records that a listing call failed. A single failure has no effect, since
-// some calls time out while others succeed. Once no call has succeeded for [UnreachableTimeout],
-// the waiting runs are refused. Once every lease that may have been granted has expired, the
-// active runs are declared lost, except the runs whose start call is still in progress.
-func (core *Core) HandleListFailure(now ptid.Instant) (effects []Effect) {
-	if now.Sub(core.listedAt) <= UnreachableTimeout {
+// HandleListFailure records that a listing call failed that was requested at requestedAt. A single
+// failure has no effect, since some calls time out while others succeed. Once no call has
+// succeeded for [UnreachableTimeout], the waiting runs are refused. Once a call that was requested
+// after the expiry of every lease that may have been granted has failed too, the active runs are
+// declared lost, except the runs whose start call is still in progress. An earlier call proves
+// nothing: the agent may have been paused while it waited for the response. A worker that does
+// not respond may be overloaded and end its runs late, so it gets [SilentWorkerTimeout].
+func (core *Core) HandleListFailure(err error, requestedAt, now ptid.Instant) (effects []Effect) {
+	silence := now.Sub(core.listedAt)
+	if silence <= UnreachableTimeout {
 		return nil
 	}
 	core.reachable = false
 	core.refuseWaiting(ptrun.ReasonWorkerAbsent, now)
-	if now <= core.leasesExpireBy() {
+	if requestedAt <= core.leasesExpireBy() || errors.Is(err, ptrun.ErrUnanswered) && silence <= SilentWorkerTimeout {
 		return core.takeEffects()
 	}
+	core.loseRuns(now)
+	return core.takeEffects()
+}
+
+// loseRuns declares the active runs lost, except the runs whose start call is still in progress.
+func (core *Core) loseRuns(now ptid.Instant) {
+	lost := 0
 	for _, run := range core.sortedRuns() {
 		if run.holdsCapacity() && run.state != starting {
+			lost++
 			core.finish(run, ptrun.End{Run: run.Run, Result: ptrun.Lost, Reason: ptrun.ReasonLeaseExpired}, now)
 		}
 	}
-	return core.takeEffects()
+	if lost > 0 {
+		core.emit(LeaseExpired{Worker: core.worker.WorkerIdentity, ListedAt: core.listedAt, ExpiredAt: core.leasesExpireBy(), Lost: lost})
+	}
 }
 
 // SessionOpened records that an incarnation of an entry has opened a session. The best-effort
@@ -214,10 +228,10 @@
 
 // QueryRun responds to the query of an entry for the outcome of a run. Entries send such queries
 // after they have opened a new session. If the run has not ended, QueryRun sends no response,
-// because the end of the run will be sent as usual. An unknown run is recorded as never started,
-// so that a later order for the run is refused.
+// because the end of the run will be sent as usual. An unknown run that the worker does not list
+// is recorded as never started, so that a later order for the run is refused.
 func (core *Core) QueryRun(owner Owner, id ptrun.ID, now ptid.Instant) (effects []Effect) {
-	if core.runs[id] != nil {
+	if core.runs[id] != nil || core.askForEnd(id, owner) {
 		return nil
 	}
 	known := core.ends[id]
@@ -258,6 +272,9 @@
 			delete(core.ends, id)
 		}
 	}
+	if !core.known && now > core.leasesExpireBy() {
+		core.loseRuns(now)
+	}
 	core.rebroadcastEnds(now)
 	core.reviewThrottle(now)
 	core.assignProbeTurn(now)
@@ -284,7 +301,7 @@
 }
 
 // CapacityReport returns the current report for an entry. The demands of waiting runs and the
-// capacity offered to other entries count as held.
+// capacity offered to other entries count as held. Unaccounted runs count as the whole capacity.
 func (core *Core) CapacityReport(entry ptid.EntryName) (report CapacityReport) {
 	report = CapacityReport{
 		Worker: core.worker.ID, Capacity: core.worker.Capacity, Labels: core.worker.Labels,
@@ -299,6 +316,9 @@
 		}
 	}
 	report.Held = report.Held.Plus(core.offeredToOthers(entry))
+	if len(core.unaccounted) > 0 {
+		report.Held = report.Held.Max(report.Capacity)
+	}
 	return report
 }
 
--- a/ptrunner/ptrunner.go
+++ b/ptrunner/ptrunner.go
@@ -123,7 +123,7 @@
 	runner := &Runner{
 		setting: setting, deps: deps, incarnation: ptid.NewIncarnation(time.Now()), workerChanged: make(chan struct{}, 1),
 		startOrders: deps.Metrics.Counter(ptmetric.Starts),
-		core:        ptruncontrol.New(ptrun.FenceToken(time.Now().UnixMilli()), deps.Clock.Now()),
+		core:        ptruncontrol.New(ptrun.FenceToken(time.Now().UnixMilli())),
 		peers:       make(map[ptid.EntryName]*peer), dialing: make(map[string]bool),
 	}
 	gauge := func(name ptmetric.Name, read func() int) {
@@ -135,6 +135,7 @@
 	}
 	gauge(ptmetric.WaitingRuns, func() int { waiting, _ := runner.core.RunCounts(); return waiting })
 	gauge(ptmetric.HoldingRuns, func() int { _, holding := runner.core.RunCounts(); return holding })
+	gauge(ptmetric.UnaccountedRuns, func() int { return runner.core.UnaccountedRuns() })
 	gauge(ptmetric.Sessions, func() int { return len(runner.peers) })
 	return runner
 }
@@ -215,10 +216,36 @@
 			runner.sendAdopted(effect)
 		case ptruncontrol.ThrottleRun:
 			go runner.throttle(effect)
+		default:
+			runner.handleObservation(effect)
 		}
 	}
 }
 
+// handleObservation logs the effects that report what the core has observed. The caller holds
+// the lock.
+func (runner *Runner) handleObservation(effect ptruncontrol.Effect) {
+	now := runner.deps.Clock.Now()
+	switch effect := effect.(type) {
+	case ptruncontrol.UnaccountedRunsChanged:
+		first := ""
+		if len(effect.Runs) > 0 {
+			first = effect.Runs[0].String()
+		}
+		runner.deps.Log.Info("unaccounted runs changed", "worker", effect.Worker.ID, "born", effect.Worker.StartedAt, "runs", len(effect.Runs),
+			"ended", effect.Ended, "first", first, "takeoverComplete", effect.TakeoverComplete)
+		runner.broadcastReport()
+	case ptruncontrol.WorkerReplaced:
+		runner.deps.Log.Info("worker replaced", "previous", effect.Previous.ID, "born", effect.Previous.StartedAt, "lostRuns", effect.Lost)
+	case ptruncontrol.LeaseExpired:
+		runner.deps.Log.Info("worker lease expired", "worker", effect.Worker.ID, "lostRuns", effect.Lost,
+			"listingAge", now.Sub(effect.ListedAt).String(), "expiredFor", now.Sub(effect.ExpiredAt).String())
+	case ptruncontrol.OrderJoined:
+		runner.deps.Log.Info("order joined the run of another owner", "job", effect.Run.Task.Job, "step", effect.Run.Task.Step,
+			"task", effect.Run.Task.Index, "run", effect.Run.Number, "entry", effect.Owner.Entry, "owner", effect.First.Entry, "ownerIncarnation", effect.First.Incarnation)
+	}
+}
+
 func (runner *Runner) sendEnd(effect ptruncontrol.SendEnd) {
 	runner.deps.Metrics.Counter(ptmetric.RunEnds, "result", string(effect.End.Result)).Inc()
 	if effect.End.Result != ptrun.Done {
@@ -328,7 +355,7 @@
 		runner.execute(runner.core.HandleWorkerGone(worker.WorkerIdentity, now))
 	default:
 		runner.backupListUntil = now.Add(backupListDuration)
-		runner.execute(runner.core.HandleListFailure(now))
+		runner.execute(runner.core.HandleListFailure(err, requestedAt, now))
 	}
 	return err
 }
