Failing test of the run control: a start while a stop is overdue

The deadline of a start order is a lease of all that runs on the worker. While a stop is overdue the agent renews no lease, but it starts further runs, and each start extends the lease by 300 ms: on a busy worker it never expires.

--- a/ptruncontrol/overdue_stop_test.go
+++ b/ptruncontrol/overdue_stop_test.go
@@ -84,3 +84,15 @@
 	until := milliseconds(ptassign.RunLossTimeout)
 	fixture.expect.Expect(fixture.lastLease(1, until, run(0, 1))).To(BeNumerically("<=", until))
 }
+
+// The deadline of a start order is also a lease of all runs on the worker.
+func TestNoRunStartsWhileAnotherIgnoresItsStops(test *testing.T) {
+	fixture := newFixture(test)
+	fixture.startRun(run(0, 1))
+	fixture.Stop(run(0, 1), ptrun.ReasonStopRequested, at(2))
+	fixture.lastLease(3, 500, run(0, 1))
+	effects := append(fixture.order(run(1, 1), 1000, at(510)), fixture.Tick(at(520))...)
+	fixture.expect.Expect(starts(effects)).To(BeEmpty())
+	stopped := []ptrun.ListedEnd{{Sequence: 1, End: ptrun.End{Run: run(0, 1), Result: ptrun.Stopped}}}
+	fixture.expect.Expect(starts(fixture.list(1530, at(528), at(530), stopped))).To(ConsistOf(run(1, 1)))
+}
