ptruncontrol: nothing starts while a stop is overdue

What callers would see: a task placed again beside its run (TWICE) on a busy worker that answers listings and not stops.

Cause: while a stop is overdue the agent lets the lease of the worker expire, but it went on starting other runs. The deadline of a start order is a lease of everything on the worker, so each start moved the expiry on by 300 ms.

Not shown to be the users' case.

Why this works: one predicate (mayStart) says whether anything may start, for waiting runs, offered runs and offers alike, and the report to entries says that the worker is full meanwhile. Ruled out: start orders with a shorter deadline; it would lie before the expiry only for the first of them.

--- a/ptruncontrol/ptruncontrol.go
+++ b/ptruncontrol/ptruncontrol.go
@@ -22,7 +22,7 @@
 //     last lease that may have been granted has expired, even if the worker's clock is
 //     slow by one part in [ClockDriftDivisor].
 //     A run that is active for [StopTimeout] after its first stop order is ended by the
-//     lease: the agent does not renew it, which ends all runs on the worker.
+//     lease: the agent does not renew it and starts no run, which ends all runs on the worker.
 //  5. If an entry has had no session for [OrphanTimeout], its best-effort runs are stopped.
 //     Its runs of durable jobs are stopped after [DurableOrphanTimeout]. When a new
 //     incarnation of an entry opens a session, the best-effort runs of the earlier
@@ -370,6 +370,8 @@
 	draining         bool
 	// held is the sum of the demands of the runs that hold capacity.
 	held ptrun.Demand
+	// stopOverdue is true while a run that is to be stopped is active after its stop deadline.
+	stopOverdue bool
 
 	effects []Effect
 }
@@ -557,7 +559,7 @@
 	case !core.worker.Capacity.Covers(order.Demand):
 		core.finishUnstarted(ordered, ptrun.ReasonNoCapacity, now)
 	default:
-		if offered && core.canStart(ordered) {
+		if offered && core.mayStart(now) && core.canStart(ordered) {
 			// The run starts before the waiting runs, because the capacity was reserved for it.
 			core.start(ordered, now)
 		}
@@ -593,7 +595,7 @@
 // startWaiting starts the waiting runs that fit, in the order of their queue keys.
 func (core *Core) startWaiting(now ptid.Instant) {
 	core.expireOffers(now)
-	if !core.known || !core.reachable || core.worker.Draining || core.clock == 0 {
+	if !core.mayStart(now) {
 		return
 	}
 	for _, run := range core.sortedRuns() {
@@ -604,9 +606,16 @@
 	core.offer(now)
 }
 
+// mayStart reports whether runs may start on the worker. A start extends the lease of all runs
+// there, so none is sent while the lease must expire.
+func (core *Core) mayStart(now ptid.Instant) bool {
+	core.stopOverdue = core.isStopOverdue(now)
+	return core.known && core.reachable && !core.worker.Draining && core.clock > 0 && len(core.unaccounted) == 0 && !core.stopOverdue
+}
+
 // canStart reports whether there is capacity for a waiting run.
 func (core *Core) canStart(run *run) bool {
-	if run.state != waiting || core.clock == 0 || len(core.unaccounted) > 0 || core.taskActive(run) {
+	if run.state != waiting || core.taskActive(run) {
 		return false
 	}
 	return core.worker.Capacity.Minus(core.held).Minus(core.offeredToOthers(run.Owner.Entry)).Covers(run.Demand)
--- a/ptruncontrol/responses.go
+++ b/ptruncontrol/responses.go
@@ -301,7 +301,8 @@
 }
 
 // CapacityReport returns the current report for an entry. The demands of waiting runs and the
-// capacity offered to other entries count as held. Unaccounted runs count as the whole capacity.
+// capacity offered to other entries count as held. Unaccounted runs and overdue stops
+// count as the whole capacity.
 func (core *Core) CapacityReport(entry ptid.EntryName) (report CapacityReport) {
 	report = CapacityReport{
 		Worker: core.worker.ID, Capacity: core.worker.Capacity, Labels: core.worker.Labels,
@@ -316,7 +317,7 @@
 		}
 	}
 	report.Held = report.Held.Plus(core.offeredToOthers(entry))
-	if len(core.unaccounted) > 0 {
+	if len(core.unaccounted) > 0 || core.stopOverdue {
 		report.Held = report.Held.Max(report.Capacity)
 	}
 	return report
