ptassign: a restarted agent can't deny a run of its earlier process

What callers would see: a refusal ("not run") of a job that ran, where the wall clock of an agent's VM was set back before the agent restarted.

Cause: since only a later incarnation of an agent ends the runs of the earlier one, since a late greeting proves nothing. With the clock set back the new process has an earlier incarnation, so its runs are asked for, and it answers neverStarted for each run that it hasn't ordered itself. The entry took that for proof that the job had not run.

Evidence: TestJobThatMayHaveRunIsNotRefusedAfterItsAgentRestartedWithAnEarlierClock failed before (refusal tooLate).

Why this works: neverStarted counts only from the incarnation that was asked to start the run. From another one it says that the run is over, which it knows from the worker, and no more. Ruled out: to take any other incarnation for a later one again.

--- a/ptassign/ptassign.go
+++ b/ptassign/ptassign.go
@@ -251,6 +251,8 @@
 	placedAt        ptid.Instant
 	expectedRunTime time.Duration
 	stopped         bool
+	// incarnation is the incarnation of the agent that was asked to start the run.
+	incarnation ptid.Incarnation
 }
 
 // AgentState is what an agent reports about its worker.
@@ -275,17 +277,20 @@
 type agentRecord struct {
 	name ptid.AgentName
 	// incarnation is the latest incarnation that has opened a session.
-	incarnation    ptid.Incarnation
-	service        ptid.ServiceName
-	sameZone       bool
-	connected      bool
-	disconnectedAt ptid.Instant
-	state          AgentState
-	hasReport      bool
-	heldByOthers   ptrun.Demand
-	reserved       ptrun.Demand
-	runs           map[ptrun.ID]*placedRun
-	observed       observations
+	incarnation ptid.Incarnation
+	// connectedIncarnation is the incarnation that opened the latest session. It is earlier than
+	// incarnation if the wall clock of the agent's VM was set back.
+	connectedIncarnation ptid.Incarnation
+	service              ptid.ServiceName
+	sameZone             bool
+	connected            bool
+	disconnectedAt       ptid.Instant
+	state                AgentState
+	hasReport            bool
+	heldByOthers         ptrun.Demand
+	reserved             ptrun.Demand
+	runs                 map[ptrun.ID]*placedRun
+	observed             observations
 	// quarantined is true if the worker gets only probe tasks, because its assessment is bad
 	// compared with the assessments of the other workers of the service.
 	quarantined bool
@@ -593,6 +598,7 @@
 func (core *Core) reserve(chosen *agentRecord, job *Job, task *ptgraph.Task, run ptrun.ID, now ptid.Instant) {
 	placed := &placedRun{
 		job: job, task: task, reservation: task.Step.Reservation(), placedAt: now, expectedRunTime: core.expectedRunTime(job.Queue.Name, task.Step),
+		incarnation: chosen.connectedIncarnation,
 	}
 	chosen.runs[run] = placed
 	chosen.reserved = chosen.reserved.Plus(placed.reservation)
@@ -703,7 +709,7 @@
 		agent.observed, agent.quarantined = newObservations(), false
 		agent.incarnation = incarnation
 	}
-	agent.service, agent.sameZone, agent.connected = service, sameZone, true
+	agent.service, agent.sameZone, agent.connected, agent.connectedIncarnation = service, sameZone, true, incarnation
 	for _, run := range sortedRuns(agent.runs) {
 		core.emit(SendQuery{Agent: name, Run: run})
 		if agent.runs[run].stopped {
@@ -787,6 +793,10 @@
 	if run == nil {
 		return
 	}
+	if end.Result == ptrun.NeverStarted && run.incarnation != agent.connectedIncarnation {
+		// An agent process does not know whether an earlier one has started a run.
+		end.Result, end.Reason = ptrun.Lost, ptrun.ReasonRestarted
+	}
 	agent.release(end.Run, run)
 	core.learn(agent, run, end, now)
 	core.dropRejectedTicket(agent, run, end)
