ptbroker: an agent that connects during the recovery must confirm the adoption

Callers of durable jobs would see a task run twice, or run again after it was done, when a partition changes its owner while an agent's link is broken.

Cause: a later owner places nothing until all runs of its predecessor are known. It waited for the agents that had a session when the partition was loaded, and for those that had lost theirs less than ptassign.DurableRunLossTimeout ago. An agent that opened a session in between was in neither set: its session ended the wait for it, and its answer to the adoption, which has its runs and its ends, was still under way. Besides, the bound since the acquisition ended the wait for agents that have a session, which holds for the runs of agents without one only.

Evidence: the new test failed before ("the agent has not confirmed": recovered).

Fix: an agent that is registered while a partition recovers is unconfirmed, and an unconfirmed agent with a session is waited for in any case. Its session ends within the bound of ptlink if it doesn't answer. The drill's model of the owners follows.

--- a/ptbroker/durable.go
+++ b/ptbroker/durable.go
@@ -571,20 +571,20 @@
 }
 
 // isRecovered reports whether every run of the earlier owner has been adopted or is known to
-// have ended. All runs that have not been adopted are known to have ended once
+// have ended. The runs of an agent without a session are known to have ended once
 // ptassign.DurableRunLossTimeout has passed since this entry acquired the partition.
 func (broker *Broker) isRecovered(partition *ownedPartition, now ptid.Instant) bool {
+	for name := range partition.unconfirmedAgents {
+		if broker.agentSessions[name] != nil {
+			return false
+		}
+	}
 	if now.Sub(partition.acquiredAt) > ptassign.DurableRunLossTimeout {
 		return true
 	}
 	if now.Sub(broker.ownership.startedAt) < agentDiscoveryWait || len(broker.agentSessions) == 0 {
 		return false
 	}
-	for name := range partition.unconfirmedAgents {
-		if broker.agentSessions[name] != nil {
-			return false
-		}
-	}
 	for _, lostAt := range broker.core.DisconnectedAgents() {
 		if now.Sub(lostAt) < ptassign.DurableRunLossTimeout {
 			return false
--- /dev/null
+++ b/ptbroker/recovery_test.go
@@ -0,0 +1,47 @@
+package ptbroker
+
+import (
+	"testing"
+
+	"github.com/go-logr/logr"
+	. "github.com/onsi/gomega"
+
+	"github.com/primrosetiller/primrosetiller/ptassign"
+	"github.com/primrosetiller/primrosetiller/ptid"
+	"github.com/primrosetiller/primrosetiller/ptmetric"
+	"github.com/primrosetiller/primrosetiller/ptqueue"
+	"github.com/primrosetiller/primrosetiller/ptsession"
+	"github.com/primrosetiller/primrosetiller/ptstandin"
+	"github.com/primrosetiller/primrosetiller/ptwire"
+)
+
+// newRecoveringBroker returns a broker with one session whose agent has confirmed the adoption of
+// the broker's only partition.
+func newRecoveringBroker() (broker *Broker, partition *ownedPartition) {
+	broker = New(Setting{Name: "entry", Zone: "zone", Seed: 1}, Dependencies{
+		Log: logr.Discard(), Metrics: ptmetric.New(), Clock: ptid.NewClock(), Queues: ptqueue.NewCatalogStore(),
+		JobStore: ptstandin.NewJobStore(4).Client("entry"),
+	})
+	connectAgent(broker, "agent")
+	partition = &ownedPartition{epoch: 1, loaded: true, recovering: true, unconfirmedAgents: make(map[ptid.AgentName]bool), acquiredAt: broker.deps.Clock.Now()}
+	broker.ownership.partitions[0] = partition
+	return broker, partition
+}
+
+func TestPartitionIsNotRecoveredBeforeAnAgentThatConnectsMeanwhileHasConfirmed(test *testing.T) {
+	expect := NewWithT(test)
+	broker, partition := newRecoveringBroker()
+	grown := broker.ownership.startedAt.Add(ptassign.DurableRunLossTimeout)
+	partition.acquiredAt = grown
+	expect.Expect(broker.isRecovered(partition, grown)).To(BeTrue())
+	connecting := connectAgent(broker, "connecting")
+	broker.sessionEnded(connecting, ptsession.ErrClosed)
+	expect.Expect(broker.isRecovered(partition, grown)).To(BeFalse(), "an agent has lost its session")
+	connecting.greeting.Session++
+	expect.Expect(broker.register(connecting, nil)).To(BeEmpty())
+	for _, now := range []ptid.Instant{grown, grown.Add(2 * ptassign.DurableRunLossTimeout)} {
+		expect.Expect(broker.isRecovered(partition, now)).To(BeFalse(), "the agent has not confirmed")
+	}
+	broker.handleAdopted(connecting, &ptwire.Adopted{Epoch: 1}, grown)
+	expect.Expect(broker.isRecovered(partition, grown)).To(BeTrue())
+}
--- a/ptbroker/session.go
+++ b/ptbroker/session.go
@@ -246,6 +246,9 @@
 	broker.handleReport(agent, report, now)
 	for _, partition := range broker.ownership.partitions {
 		if partition.loaded {
+			if partition.recovering {
+				partition.unconfirmedAgents[agent.name()] = true
+			}
 			agent.postAdoption(partition, broker.ownership.store.Partitions())
 		}
 	}
--- a/ptdrill/durable.go
+++ b/ptdrill/durable.go
@@ -260,6 +260,9 @@
 func (ownership *ownership) connected(index int) {
 	for _, number := range slices.Sorted(maps.Keys(ownership.partitions)) {
 		if partition := ownership.partitions[number]; partition.loaded {
+			if partition.recovering {
+				partition.unconfirmed[ownership.entry.sessions[index].agent.name()] = true
+			}
 			ownership.postAdoption(index, partition)
 		}
 	}
@@ -350,9 +353,6 @@
 }
 
 func (ownership *ownership) isRecovered(partition *ownedPartition, now ptid.Instant) bool {
-	if now.Sub(partition.acquiredAt) > ptassign.DurableRunLossTimeout {
-		return true
-	}
 	sessions := 0
 	for _, session := range ownership.entry.sessions {
 		if session != nil {
@@ -362,6 +362,9 @@
 			}
 		}
 	}
+	if now.Sub(partition.acquiredAt) > ptassign.DurableRunLossTimeout {
+		return true
+	}
 	if now.Sub(ownership.startedAt) < agentDiscoveryWait || sessions == 0 {
 		return false
 	}
