ptruncontrol: orders to an earlier incarnation of the worker are fenced off

What callers would see: LIMIT and TWICE after a worker has started again under its ID, when a start order that got no response is carried out seconds later.

Cause: orders name the worker by its ID alone, and the deadline of a start order bars it on the clock of the incarnation that it was sent to. A restarted worker's clock starts anew and it has seen no fence token, so it executes the order, also one whose end the agent had proved by the earlier clock. The agent's token stayed the same, and it started other runs at once.

Why this works: the agent raises its token when it learns of the later incarnation. A listing requested with the raised token is complete: an order of before was executed earlier, and its run or end is listed, or it is refused. Until that listing no run starts, no lease is renewed and no unconfirmed run is declared lost, not by the lease either, since late orders extend it. The restarted worker is listed before it is announced, so that this takes one call. A run that the worker had confirmed needs no such listing: its order was carried out once.

Ruled out: ending runs with the lease of the restarted worker; a timeout for late orders, which have no bound.

--- a/ptdrill/agent.go
+++ b/ptdrill/agent.go
@@ -218,7 +218,7 @@
 // listLoop requests listings. The backup loop does so only until backupListUntil.
 func (agent *agent) listLoop(backup bool) {
 	again := func() { agent.listLoop(backup) }
-	_, known := agent.core.Worker()
+	_, known := agent.core.WorkerToList()
 	if !known || backup && agent.simulation.Now() >= agent.backupListUntil {
 		agent.after(idleListDelay, again)
 		return
@@ -242,7 +242,7 @@
 // list requests a listing, which also renews the lease.
 func (agent *agent) list(wait time.Duration, done func(err error)) {
 	simulation := agent.simulation
-	current, known := agent.core.Worker()
+	current, known := agent.core.WorkerToList()
 	requestedAt, token := simulation.Now(), agent.core.FenceToken()
 	renewal := agent.core.LeaseRenewal(requestedAt)
 	if !known {
@@ -252,7 +252,7 @@
 	renewal.PollTimeout = wait
 	var listing ptrun.Listing
 	agent.call(listCall, wait+listTimeout, func(target *worker, respond func(err error)) {
-		target.renewLease(current.WorkerIdentity, token, renewal, func(listed ptrun.Listing, err error) {
+		target.renewLease(current, token, renewal, func(listed ptrun.Listing, err error) {
 			listing = listed
 			respond(err)
 		})
@@ -264,8 +264,8 @@
 		case errors.Is(err, ptrun.ErrFenced):
 			agent.core.RaiseToken(token)
 		case errors.Is(err, ptrun.ErrWorkerMismatch):
-			simulation.trace("%s learns that %s is gone", agent.name(), workerName(current.WorkerIdentity))
-			agent.applyEffects(agent.core.HandleWorkerGone(current.WorkerIdentity, now))
+			simulation.trace("%s learns that %s is gone", agent.name(), workerName(current))
+			agent.applyEffects(agent.core.HandleWorkerGone(current, now))
 		default:
 			agent.backupListUntil = now.Add(backupListDuration)
 			simulation.trace("%s gets no listing: %v", agent.name(), err)
--- a/ptruncontrol/ptruncontrol.go
+++ b/ptruncontrol/ptruncontrol.go
@@ -18,9 +18,9 @@
 //  4. The worker's lease is renewed to [LeaseDuration] after the earliest time that the
 //     worker's clock can show. A run has ended when the worker lists its end; when a
 //     listing that was requested after the response to the run's start or stop order (rule
-//  3. does not contain the run; when another incarnation of the worker responds; or when the
-//     last lease that may have been granted has expired, even if the worker's clock is
-//     slow by one part in [ClockDriftDivisor].
+//     3, for a restarted worker rule 11) does not contain the run; when an incarnation of the
+//     worker with another ID is announced; or when the last lease that may have been granted
+//     has expired, even if the worker's clock is slow by one part in [ClockDriftDivisor].
 //     A run that is active for [StopTimeout] after its first stop order is ended by the
 //     lease: the agent does not renew it and starts no run, which ends all runs on the worker.
 //  5. If an entry has had no session for [OrphanTimeout], its best-effort runs are stopped.
@@ -50,6 +50,11 @@
 //     the end in its next session. The end is therefore retained until [EndRetention]
 //     after the start of that session. The retention is limited to two minutes, except for
 //     durable ends that are not stored yet.
+//  11. A worker that restarts under its ID may execute orders to its earlier incarnation, whose
+//     deadlines mean nothing on its clock. The agent then raises its fence token. Until a
+//     listing requested with the raised token arrives, no run starts and none of the earlier
+//     orders is known to have no effect. That listing is complete: the worker has executed the
+//     earlier orders before it, or refuses them.
 //
 // # Usage
 //
@@ -65,7 +70,6 @@
 
 import (
 	"maps"
-	"math"
 	"slices"
 	"time"
 
@@ -278,9 +282,8 @@
 type run struct {
 	Order
 	state state
-	// workerStartBy is the deadline of the start order on the worker's clock, or the maximum if
-	// the order was sent to an earlier incarnation with another clock. Order.StartBy is the
-	// deadline of the run on the agent's clock.
+	// workerStartBy is the deadline of the start order on the worker's clock. Order.StartBy is
+	// the deadline of the run on the agent's clock.
 	workerStartBy ptrun.WorkerTime
 	startedAt     ptid.Instant
 	// checkedAt is when the latest order for the run got a response or timed out, or when a
@@ -298,6 +301,9 @@
 	// joined contains the further owners that have ordered the run: a caller may submit its job
 	// to two entries, which number its runs alike.
 	joined []Owner
+	// fenced means that the fence token was raised for a later incarnation of the worker before
+	// the worker had confirmed the run.
+	fenced bool
 	// percent is the speed limit that the worker lists for the run, and orderedPercent the speed
 	// limit that was ordered last. Both are percentages of the full speed.
 	percent        int
@@ -337,10 +343,17 @@
 	tokenStep        ptrun.FenceToken
 	takeoverComplete bool
 
-	worker    ptrun.Worker
-	known     bool
-	reachable bool
-	listedAt  ptid.Instant
+	worker ptrun.Worker
+	known  bool
+	// unannounced means that the worker is not known because a later incarnation has responded
+	// that was not announced yet.
+	unannounced bool
+	// fencedAt is when the fence token was raised for the present incarnation. fencePending is true
+	// until that incarnation has responded to a listing call with the raised token.
+	fencedAt     ptid.Instant
+	fencePending bool
+	reachable    bool
+	listedAt     ptid.Instant
 	// clock is a reading of the worker's clock at the instant clockAt; zero means unknown.
 	// leaseExpiresAt is the latest expiry of a lease that may have been granted.
 	clock          ptrun.WorkerTime
@@ -397,6 +410,12 @@
 // Worker returns the worker and whether it is known.
 func (core *Core) Worker() (worker ptrun.Worker, known bool) { return core.worker, core.known }
 
+// WorkerToList returns the incarnation of the worker to request listings from. That includes an
+// incarnation that was not announced yet.
+func (core *Core) WorkerToList() (worker ptrun.WorkerIdentity, ok bool) {
+	return core.worker.WorkerIdentity, core.known || core.unannounced
+}
+
 // FenceToken returns the fence token for calls to the worker.
 func (core *Core) FenceToken() ptrun.FenceToken { return core.token }
 
@@ -426,7 +445,7 @@
 	case worker.Sequence <= core.worker.Sequence:
 		return nil
 	}
-	core.worker, core.known, core.reachable = worker, true, true
+	core.worker, core.known, core.unannounced, core.reachable = worker, true, false, true
 	core.updateClock(clock, now)
 	if worker.Draining {
 		core.refuseWaiting(ptrun.ReasonDraining, now)
@@ -437,35 +456,54 @@
 
 // replaceWorker makes a later incarnation the current worker. An incarnation with another ID
 // executes no orders to the previous one, whose runs have therefore ended. Orders name the worker
-// only by its ID, so a later incarnation with the same ID may execute orders that were under way.
-// Its listings then show which runs it executes.
+// only by its ID, so a later incarnation with the same ID may execute orders to the previous one
+// until it has seen a higher fence token.
 func (core *Core) replaceWorker(next ptrun.WorkerIdentity, now ptid.Instant) {
 	previous, lost := core.worker.WorkerIdentity, 0
 	core.highestEnd, core.leaseExpiresAt, core.clock, core.clockAt = 0, 0, 0, now
-	for _, run := range core.sortedRuns() {
-		switch {
-		case !run.holdsCapacity():
-		case next.ID == previous.ID:
-			core.leaseExpiresAt = ptrun.WorkerTime(maxLease.Milliseconds())
-			run.stopAcked, run.workerStartBy = false, math.MaxInt64
-		default:
-			lost++
-			core.finish(run, ptrun.End{Run: run.Run, Result: ptrun.Lost, Reason: ptrun.ReasonRestarted}, now)
-		}
+	if next.ID == previous.ID {
+		core.fence(now)
+	} else {
+		core.fencePending = false
+		lost = core.loseRunsOfPrevious(now)
 	}
 	if previous.ID != "" {
 		core.emit(WorkerReplaced{Previous: previous, Lost: lost})
 	}
 	core.estimator, core.probeTurns = ptfitness.NewEstimator(), ptfitness.NewProbeTurns()
-	clear(core.unaccounted)
 	clear(core.unacked)
 }
 
+// fence raises the fence token. A listing requested with the raised token then shows which of the
+// unconfirmed runs the incarnation executes: it refuses all earlier orders from then on.
+func (core *Core) fence(now ptid.Instant) {
+	core.token++
+	core.fencedAt, core.fencePending = now, true
+	core.leaseExpiresAt = ptrun.WorkerTime(maxLease.Milliseconds())
+	for _, run := range core.runs {
+		if run.holdsCapacity() {
+			run.fenced, run.stopAcked = !run.confirmed, false
+		}
+	}
+}
+
+// loseRunsOfPrevious declares the runs on the previous incarnation lost.
+func (core *Core) loseRunsOfPrevious(now ptid.Instant) (lost int) {
+	for _, run := range core.sortedRuns() {
+		if run.holdsCapacity() {
+			lost++
+			core.finish(run, ptrun.End{Run: run.Run, Result: ptrun.Lost, Reason: ptrun.ReasonRestarted}, now)
+		}
+	}
+	clear(core.unaccounted)
+	return lost
+}
+
 // HandleWorkerGone records that another incarnation responded at the address of the worker. The
 // runs end when the other incarnation is announced, or when the lease has expired.
 func (core *Core) HandleWorkerGone(worker ptrun.WorkerIdentity, now ptid.Instant) (effects []Effect) {
-	if core.known && core.worker.WorkerIdentity == worker {
-		core.known = false
+	if current, ok := core.WorkerToList(); ok && current == worker {
+		core.known, core.unannounced = false, false
 		core.refuseWaiting(ptrun.ReasonWorkerAbsent, now)
 	}
 	return core.takeEffects()
@@ -493,12 +531,13 @@
 // the lease of a worker that has not responded for [UnreachableTimeout]. The worker may still
 // carry out a call to which it has not responded. If such calls extended the lease, the latest
 // possible expiry would move on with each call, and the runs could never be declared lost.
-// Nor does it extend the lease before the takeover is complete, or while a run ignores its stop
-// orders: entries rely on the end of a run that is to be stopped.
+// Nor does it extend the lease before the takeover is complete, while orders to an earlier
+// incarnation may be executed, or while a run ignores its stop orders: entries rely on the end of
+// a run that is to be stopped.
 func (core *Core) LeaseRenewal(now ptid.Instant) (renewal ptrun.LeaseRenewal) {
 	renewal.Acknowledged = core.ackableSequence()
 	unreachable := now.Sub(core.listedAt) > UnreachableTimeout
-	if core.clock > 0 && !unreachable && core.takeoverComplete && !core.mustLetLeaseExpire(now) && !core.isStopOverdue(now) {
+	if core.clock > 0 && !unreachable && core.takeoverComplete && !core.fencePending && !core.mustLetLeaseExpire(now) && !core.isStopOverdue(now) {
 		renewal.ExpiresAt = core.extendLease(now)
 	}
 	return renewal
@@ -607,10 +646,11 @@
 }
 
 // mayStart reports whether runs may start on the worker. A start extends the lease of all runs
-// there, so none is sent while the lease must expire.
+// there, so none is sent while the lease must expire. While the fence is pending, runs of unknown
+// demand may start.
 func (core *Core) mayStart(now ptid.Instant) bool {
 	core.stopOverdue = core.isStopOverdue(now)
-	return core.known && core.reachable && !core.worker.Draining && core.clock > 0 && len(core.unaccounted) == 0 && !core.stopOverdue
+	return core.known && core.reachable && !core.worker.Draining && core.clock > 0 && !core.fencePending && len(core.unaccounted) == 0 && !core.stopOverdue
 }
 
 // canStart reports whether there is capacity for a waiting run.
--- a/ptruncontrol/responses.go
+++ b/ptruncontrol/responses.go
@@ -59,7 +59,7 @@
 
 // HandleListing processes a listing that was requested at requestedAt.
 func (core *Core) HandleListing(listing ptrun.Listing, requestedAt, now ptid.Instant) (effects []Effect) {
-	if !core.known {
+	if _, ok := core.WorkerToList(); !ok {
 		return nil
 	}
 	switch {
@@ -71,11 +71,16 @@
 		// announced.
 		next := ptrun.WorkerIdentity{ID: core.worker.ID, StartedAt: listing.WorkerStartedAt}
 		core.replaceWorker(next, now)
-		core.worker.WorkerIdentity, core.worker.Sequence, core.known = next, 0, false
+		core.worker.WorkerIdentity, core.worker.Sequence, core.known, core.unannounced = next, 0, false, true
 		core.refuseWaiting(ptrun.ReasonWorkerAbsent, now)
 	}
 	core.reachable, core.listedAt = true, now
 	core.updateClock(listing.Clock, now)
+	complete := requestedAt > core.fencedAt
+	if complete && core.fencePending {
+		core.fencePending = false
+		core.leaseExpiresAt = max(core.leaseExpiresAt, listing.Clock+ptrun.WorkerTime(maxLease.Milliseconds()))
+	}
 	for _, listed := range listing.Ends {
 		core.handleListedEnd(listed, now)
 	}
@@ -84,13 +89,17 @@
 		active[listed.Run] = true
 		core.handleListedRun(listed, requestedAt, now)
 	}
-	core.pruneUnaccounted(active, requestedAt, now)
-	if len(active) == 0 {
-		core.takeoverComplete = true
+	if complete {
+		core.pruneUnaccounted(active, requestedAt, now)
+		core.takeoverComplete = core.takeoverComplete || len(active) == 0
 	}
 	core.reportUnaccounted()
 	for _, run := range core.sortedRuns() {
-		if !active[run.Run] {
+		switch {
+		case active[run.Run]:
+		case run.fenced && complete:
+			core.finish(run, ptrun.End{Run: run.Run, Result: ptrun.Lost, Reason: ptrun.ReasonRestarted}, now)
+		case !run.fenced:
 			core.handleUnlistedRun(run, listing.Clock, requestedAt, now)
 		}
 	}
@@ -143,7 +152,7 @@
 			core.orderStop(run, now)
 		}
 	case stopping:
-		if !requestedAfterCheck || !run.stopAcked && clock <= run.workerStartBy {
+		if !requestedAfterCheck || !run.confirmed && !run.stopAcked && clock <= run.workerStartBy {
 			return
 		}
 		result := ptrun.Stopped
@@ -176,7 +185,12 @@
 }
 
 // loseRuns declares the active runs lost, except the runs whose start call is still in progress.
+// While the fence of a restarted worker is pending, no bound holds: the worker may execute earlier
+// orders, which extend its lease.
 func (core *Core) loseRuns(now ptid.Instant) {
+	if _, present := core.WorkerToList(); present && core.fencePending {
+		return
+	}
 	lost := 0
 	for _, run := range core.sortedRuns() {
 		if run.holdsCapacity() && run.state != starting {
@@ -272,7 +286,7 @@
 			delete(core.ends, id)
 		}
 	}
-	if !core.known && now > core.leasesExpireBy() {
+	if _, present := core.WorkerToList(); !present && now > core.leasesExpireBy() {
 		core.loseRuns(now)
 	}
 	core.rebroadcastEnds(now)
@@ -301,8 +315,8 @@
 }
 
 // CapacityReport returns the current report for an entry. The demands of waiting runs and the
-// capacity offered to other entries count as held. Unaccounted runs and overdue stops
-// count as the whole capacity.
+// capacity offered to other entries count as held. Unaccounted runs, overdue stops
+// and a pending fence count as the whole capacity.
 func (core *Core) CapacityReport(entry ptid.EntryName) (report CapacityReport) {
 	report = CapacityReport{
 		Worker: core.worker.ID, Capacity: core.worker.Capacity, Labels: core.worker.Labels,
@@ -317,7 +331,7 @@
 		}
 	}
 	report.Held = report.Held.Plus(core.offeredToOthers(entry))
-	if len(core.unaccounted) > 0 || core.stopOverdue {
+	if len(core.unaccounted) > 0 || core.stopOverdue || core.fencePending {
 		report.Held = report.Held.Max(report.Capacity)
 	}
 	return report
--- a/ptrunner/ptrunner.go
+++ b/ptrunner/ptrunner.go
@@ -236,7 +236,8 @@
 			"ended", effect.Ended, "first", first, "takeoverComplete", effect.TakeoverComplete)
 		runner.broadcastReport()
 	case ptruncontrol.WorkerReplaced:
-		runner.deps.Log.Info("worker replaced", "previous", effect.Previous.ID, "born", effect.Previous.StartedAt, "lostRuns", effect.Lost)
+		runner.deps.Log.Info("worker replaced", "previous", effect.Previous.ID, "born", effect.Previous.StartedAt, "lostRuns", effect.Lost,
+			"token", runner.core.FenceToken())
 	case ptruncontrol.LeaseExpired:
 		runner.deps.Log.Info("worker lease expired", "worker", effect.Worker.ID, "lostRuns", effect.Lost,
 			"listingAge", now.Sub(effect.ListedAt).String(), "expiredFor", now.Sub(effect.ExpiredAt).String())
@@ -328,7 +329,7 @@
 // listWorker requests a listing from the worker, which also renews the lease, and processes it.
 func (runner *Runner) listWorker(wait time.Duration) (err error) {
 	runner.mu.Lock()
-	worker, known := runner.core.Worker()
+	worker, known := runner.core.WorkerToList()
 	requestedAt := runner.deps.Clock.Now()
 	renewal, token := runner.core.LeaseRenewal(requestedAt), runner.core.FenceToken()
 	runner.mu.Unlock()
@@ -338,7 +339,7 @@
 	renewal.PollTimeout = wait
 	ctx, cancel := context.WithTimeout(context.Background(), wait+listTimeout)
 	defer cancel()
-	listing, err := runner.deps.Executor.RenewLease(ctx, worker.WorkerIdentity, token, renewal)
+	listing, err := runner.deps.Executor.RenewLease(ctx, worker, token, renewal)
 	runner.mu.Lock()
 	defer runner.mu.Unlock()
 	now := runner.deps.Clock.Now()
@@ -352,7 +353,7 @@
 	case errors.Is(err, ptrun.ErrFenced):
 		runner.raiseTokenIfFenced(token, err)
 	case errors.Is(err, ptrun.ErrWorkerMismatch):
-		runner.execute(runner.core.HandleWorkerGone(worker.WorkerIdentity, now))
+		runner.execute(runner.core.HandleWorkerGone(worker, now))
 	default:
 		runner.backupListUntil = now.Add(backupListDuration)
 		runner.execute(runner.core.HandleListFailure(err, requestedAt, now))
@@ -372,7 +373,7 @@
 func (runner *Runner) listLoop(ctx context.Context, backup bool) {
 	for ctx.Err() == nil {
 		runner.mu.Lock()
-		_, known := runner.core.Worker()
+		_, known := runner.core.WorkerToList()
 		unacknowledged := runner.core.HasUnacknowledgedEnds()
 		backupNeeded := runner.deps.Clock.Now() < runner.backupListUntil
 		runner.mu.Unlock()
