A call that the agent can't send is no word of the worker

Cause: the agent tells a worker that refuses calls from one that is silent. The runs of the first are lost with the lease, those of the second after 2.5 s, since an overloaded worker ends its runs late. A dial timeout and a lack of free connections counted as a refusal, though both are what a silent, overloaded worker causes: each call without an answer holds one of 32 connections, and a full queue of new connections drops the dial.

Not shown: that it happened in the users' record.

Why this works: ErrNotSent says that the order wasn't sent and nothing about the worker; for a start that still proves that nothing started. Only a refused connection, 429 and 503 are the worker's word (ErrUnhealthy).

--- a/ptruncontrol/responses.go
+++ b/ptruncontrol/responses.go
@@ -177,7 +177,8 @@
 	}
 	core.reachable = false
 	core.refuseWaiting(ptrun.ReasonWorkerAbsent, now)
-	if requestedAt <= core.leasesExpireBy() || errors.Is(err, ptrun.ErrUnanswered) && silence <= SilentWorkerTimeout {
+	silent := errors.Is(err, ptrun.ErrUnanswered) || errors.Is(err, ptrun.ErrNotSent)
+	if requestedAt <= core.leasesExpireBy() || silent && silence <= SilentWorkerTimeout {
 		return core.takeEffects()
 	}
 	core.loseRuns(now)
--- a/ptruncontrol/takeover_test.go
+++ b/ptruncontrol/takeover_test.go
@@ -117,15 +117,17 @@
 }
 
 func TestRunsOfSilentWorkerAreNotLostWithTheLease(test *testing.T) {
-	fixture := newFixtureWithRun(test)
-	var lostAt int
-	for millis := 60; millis < 4000 && lostAt == 0; millis += 60 {
-		fixture.LeaseRenewal(at(millis - 50))
-		if len(sentEnds(fixture.HandleListFailure(ptrun.ErrUnanswered, at(millis-50), at(millis)))) > 0 {
-			lostAt = millis
+	for _, failure := range []error{ptrun.ErrUnanswered, ptrun.ErrNotSent} {
+		fixture := newFixtureWithRun(test)
+		var lostAt int
+		for millis := 60; millis < 4000 && lostAt == 0; millis += 60 {
+			fixture.LeaseRenewal(at(millis - 50))
+			if len(sentEnds(fixture.HandleListFailure(failure, at(millis-50), at(millis)))) > 0 {
+				lostAt = millis
+			}
 		}
+		fixture.expect.Expect(lostAt).To(BeNumerically("~", milliseconds(ptassign.RunLossTimeout)+60, 60), "%v", failure)
 	}
-	fixture.expect.Expect(lostAt).To(BeNumerically("~", milliseconds(ptassign.RunLossTimeout)+60, 60))
 }
 
 // listedAfterLapse processes a listing that contains a run whose lease the agent takes for
