ptruncontrol: a durable run whose end may be beyond the listed ends is not lost

What callers would see: a task of a durable job that runs again after it was done (TWICE).

Cause: a worker lists 500 ends at a time and repeats them until they are acknowledged. One end of a durable run that its owner can't store keeps all later ends of that worker listed, so after 500 more the worker's next ends aren't in its listings. A run that is neither active nor among them was declared lost, though it may have been done, and its end is acknowledged later.

Evidence: TestDurableRunIsNotLostWhileItsEndMayBeBeyondTheListedEnds fails before (lost).

Why this works: where a page of ends is full, only a listed end ends a durable run. Best-effort runs end as before, since they may run again. Open: a restarted agent that is asked for such a run while the page is full still answers neverStarted.

--- a/ptdrill/worker.go
+++ b/ptdrill/worker.go
@@ -327,6 +327,7 @@
 func (worker *worker) list() (listing ptrun.Listing) {
 	listing = ptrun.Listing{
 		WorkerStartedAt: worker.identity.StartedAt, Clock: worker.clock(), Ends: slices.Clone(worker.ends[:min(len(worker.ends), maxListedEnds)]),
+		EndsTruncated: len(worker.ends) >= maxListedEnds,
 	}
 	for _, id := range slices.SortedFunc(maps.Keys(worker.runs), ptrun.Compare) {
 		listing.Active = append(listing.Active, ptrun.ListedRun{Run: id, Percent: 100})
--- a/ptrun/ptrun.go
+++ b/ptrun/ptrun.go
@@ -227,6 +227,8 @@
 	Clock           WorkerTime
 	Active          []ListedRun
 	Ends            []ListedEnd
+	// EndsTruncated means that the worker may have further ends, with higher sequences.
+	EndsTruncated bool
 }
 
 // LeaseRenewal renews the lease for all runs of a worker and requests a [Listing].
--- a/ptruncontrol/responses.go
+++ b/ptruncontrol/responses.go
@@ -5,6 +5,7 @@
 
 	"github.com/primrosetiller/primrosetiller/ptfitness"
 	"github.com/primrosetiller/primrosetiller/ptid"
+	"github.com/primrosetiller/primrosetiller/ptjobstore"
 	"github.com/primrosetiller/primrosetiller/ptrun"
 )
 
@@ -90,13 +91,13 @@
 		core.handleListedRun(listed, requestedAt, now)
 	}
 	if complete {
-		core.pruneUnaccounted(active, requestedAt, now)
+		core.pruneUnaccounted(listing, active, requestedAt, now)
 		core.takeoverComplete = core.takeoverComplete || len(active) == 0
 	}
 	core.reportUnaccounted()
 	for _, run := range core.sortedRuns() {
 		switch {
-		case active[run.Run]:
+		case active[run.Run] || mayHaveEnd(listing, run.Run):
 		case run.fenced && complete:
 			core.finish(run, ptrun.End{Run: run.Run, Result: ptrun.Lost, Reason: ptrun.ReasonRestarted}, now)
 		case !run.fenced:
@@ -107,6 +108,12 @@
 	return core.takeEffects()
 }
 
+// mayHaveEnd reports whether the worker may have an end of a run of a durable job beyond the listed
+// ends. Its result may be Done, and then the task must not start again.
+func mayHaveEnd(listing ptrun.Listing, id ptrun.ID) bool {
+	return listing.EndsTruncated && ptjobstore.IsDurable(id.Number)
+}
+
 // handleListedRun processes a run that the worker lists as active. Listings overtake each other,
 // so a listing that was requested before the end of the run was recorded is out of date.
 func (core *Core) handleListedRun(listed ptrun.ListedRun, requestedAt, now ptid.Instant) {
--- a/ptruncontrol/takeover_test.go
+++ b/ptruncontrol/takeover_test.go
@@ -233,3 +233,16 @@
 		expect.Expect(ends[0].Result).To(Equal(ptrun.Stopped), name)
 	}
 }
+
+// A worker lists a limited number of ends at once, and repeats them until they are acknowledged.
+func TestDurableRunIsNotLostWhileItsEndMayBeBeyondTheListedEnds(test *testing.T) {
+	fixture := newFixture(test)
+	id := run(0, ptjobstore.RunNumberBase(4)+1)
+	fixture.order(id, 1000, at(1))
+	fixture.HandleStartResponse(id, 1002, nil, at(2))
+	truncated := ptrun.Listing{WorkerStartedAt: time.UnixMilli(5), Clock: 1010, EndsTruncated: true}
+	fixture.expect.Expect(sentEnds(fixture.HandleListing(truncated, at(9), at(10)))).To(BeEmpty())
+	ends := sentEnds(fixture.list(1020, at(19), at(20), []ptrun.ListedEnd{{Sequence: 501, End: ptrun.End{Run: id, Result: ptrun.Done}}}))
+	fixture.expect.Expect(ends).To(HaveLen(1))
+	fixture.expect.Expect(ends[0].Result).To(Equal(ptrun.Done))
+}
--- a/ptruncontrol/unaccounted.go
+++ b/ptruncontrol/unaccounted.go
@@ -76,9 +76,9 @@
 
 // pruneUnaccounted removes the unaccounted runs that have ended: a listing that was requested
 // after the run was last listed does not contain it.
-func (core *Core) pruneUnaccounted(active map[ptrun.ID]bool, requestedAt, now ptid.Instant) {
+func (core *Core) pruneUnaccounted(listing ptrun.Listing, active map[ptrun.ID]bool, requestedAt, now ptid.Instant) {
 	for _, id := range slices.SortedFunc(maps.Keys(core.unaccounted), ptrun.Compare) {
-		if !active[id] && requestedAt > core.unaccounted[id].listedAt {
+		if !active[id] && !mayHaveEnd(listing, id) && requestedAt > core.unaccounted[id].listedAt {
 			core.endUnaccounted(ptrun.End{Run: id, Result: ptrun.Stopped, Reason: ptrun.ReasonUnknownRun}, now)
 		}
 	}
