ptruncontrol: entries that asked for a listed run learn that its worker is gone

What callers would see: a job that gets no answer until its deadline (504), or a durable task that never runs again, after an agent and then its worker were replaced.

Cause: an entry that orders or queries a run that the worker lists and the books lack is told when it is over. When an incarnation with another ID replaced the worker, these runs were forgotten together with who had asked.

Evidence: TestEntryThatAskedForListedRunIsToldThatItsWorkerIsGone fails before (no end).

Why this works: the runs end as lost, as those in the books do. With the same ID they stay until a complete listing.

--- a/ptruncontrol/ptruncontrol.go
+++ b/ptruncontrol/ptruncontrol.go
@@ -495,7 +495,9 @@
 			core.finish(run, ptrun.End{Run: run.Run, Result: ptrun.Lost, Reason: ptrun.ReasonRestarted}, now)
 		}
 	}
-	clear(core.unaccounted)
+	for _, id := range slices.SortedFunc(maps.Keys(core.unaccounted), ptrun.Compare) {
+		core.endUnaccounted(ptrun.End{Run: id, Result: ptrun.Lost, Reason: ptrun.ReasonRestarted}, now)
+	}
 	return lost
 }
 
--- a/ptruncontrol/takeover_test.go
+++ b/ptruncontrol/takeover_test.go
@@ -246,3 +246,14 @@
 	fixture.expect.Expect(ends).To(HaveLen(1))
 	fixture.expect.Expect(ends[0].Result).To(Equal(ptrun.Done))
 }
+
+func TestEntryThatAskedForListedRunIsToldThatItsWorkerIsGone(test *testing.T) {
+	fixture := newFixture(test)
+	fixture.list(1010, at(9), at(10), nil, run(0, 1))
+	fixture.expect.Expect(sentEnds(fixture.QueryRun(owner, run(0, 1), at(11)))).To(BeEmpty())
+	other := sameWorker(2)
+	other.ID, other.StartedAt = "other", time.UnixMilli(9)
+	ends := sentEnds(fixture.HandleAnnouncement(other, 3, at(30)))
+	fixture.expect.Expect(ends).To(HaveLen(1))
+	fixture.expect.Expect(ends[0].Result).To(Equal(ptrun.Lost))
+}
