ptruncontrol: the silence of the worker doesn't count while the agent is paused

What callers would see: tasks that run twice (TWICE) after a machine without processor time has stopped the agent and delayed the worker.

Cause: a silent worker gets 2.5 s before its runs are lost, since an overloaded worker ends its runs late. The time was counted from the last listing. After a pause of the agent, in which nobody asked the worker, a single call without an answer was enough.

Evidence: TestSilenceOfWorkerDoesNotCountWhileTheAgentIsPaused fails before: all runs lost 140 ms after a pause of 5 s; now later than 2.2 s. Not shown to be the users' case.

Why this works: between two outcomes of listing calls at most 300 ms count, so an agent that is starved of processor time for long still comes to an end. Ruled out: to begin anew after each pause, which never ends where every call is late.

--- a/ptruncontrol/ptruncontrol.go
+++ b/ptruncontrol/ptruncontrol.go
@@ -354,6 +354,9 @@
 	fencePending bool
 	reachable    bool
 	listedAt     ptid.Instant
+	// listCalledAt is when the latest listing call succeeded or failed. The worker has been silent
+	// since silentSince, not counting the pauses of this process.
+	listCalledAt, silentSince ptid.Instant
 	// clock is a reading of the worker's clock at the instant clockAt; zero means unknown.
 	// leaseExpiresAt is the latest expiry of a lease that may have been granted.
 	clock          ptrun.WorkerTime
--- a/ptruncontrol/responses.go
+++ b/ptruncontrol/responses.go
@@ -75,7 +75,7 @@
 		core.worker.WorkerIdentity, core.worker.Sequence, core.known, core.unannounced = next, 0, false, true
 		core.refuseWaiting(ptrun.ReasonWorkerAbsent, now)
 	}
-	core.reachable, core.listedAt = true, now
+	core.reachable, core.listedAt, core.listCalledAt, core.silentSince = true, now, now, now
 	core.updateClock(listing.Clock, now)
 	complete := requestedAt > core.fencedAt
 	if complete && core.fencePending {
@@ -176,16 +176,19 @@
 // after the expiry of every lease that may have been granted has failed too, the active runs are
 // declared lost, except the runs whose start call is still in progress. An earlier call proves
 // nothing: the agent may have been paused while it waited for the response. A worker that does
-// not respond may be overloaded and end its runs late, so it gets [SilentWorkerTimeout].
+// not respond may be overloaded and end its runs late, so it gets [SilentWorkerTimeout]. While the
+// agent is paused nobody calls the worker, so the time between two outcomes counts up to
+// UnreachableTimeout only.
 func (core *Core) HandleListFailure(err error, requestedAt, now ptid.Instant) (effects []Effect) {
-	silence := now.Sub(core.listedAt)
-	if silence <= UnreachableTimeout {
+	core.silentSince = core.silentSince.Add(max(0, now.Sub(core.listCalledAt)-UnreachableTimeout))
+	core.listCalledAt = now
+	if now.Sub(core.listedAt) <= UnreachableTimeout {
 		return nil
 	}
 	core.reachable = false
 	core.refuseWaiting(ptrun.ReasonWorkerAbsent, now)
 	silent := errors.Is(err, ptrun.ErrUnanswered) || errors.Is(err, ptrun.ErrNotSent)
-	if requestedAt <= core.leasesExpireBy() || silent && silence <= SilentWorkerTimeout {
+	if requestedAt <= core.leasesExpireBy() || silent && now.Sub(core.silentSince) <= SilentWorkerTimeout {
 		return core.takeEffects()
 	}
 	core.loseRuns(now)
--- a/ptruncontrol/takeover_test.go
+++ b/ptruncontrol/takeover_test.go
@@ -257,3 +257,17 @@
 	fixture.expect.Expect(ends).To(HaveLen(1))
 	fixture.expect.Expect(ends[0].Result).To(Equal(ptrun.Lost))
 }
+
+// An overloaded machine stops the agent and delays the worker.
+func TestSilenceOfWorkerDoesNotCountWhileTheAgentIsPaused(test *testing.T) {
+	fixture := newFixtureWithRun(test)
+	fixture.LeaseRenewal(at(11))
+	fixture.HandleListFailure(ptrun.ErrUnanswered, at(11), at(5000))
+	lostAt := 0
+	for millis := 5140; millis < 9000 && lostAt == 0; millis += 140 {
+		if len(sentEnds(fixture.HandleListFailure(ptrun.ErrUnanswered, at(millis-140), at(millis)))) > 0 {
+			lostAt = millis
+		}
+	}
+	fixture.expect.Expect(lostAt).To(BeNumerically(">", 5000+milliseconds(ptruncontrol.SilentWorkerTimeout-ptruncontrol.UnreachableTimeout)))
+}
