--- a/ptruncontrol/ptruncontrol.go
+++ b/ptruncontrol/ptruncontrol.go
@@ -354,6 +354,9 @@
 	fencePending bool
 	reachable    bool
 	listedAt     ptid.Instant
+	// listCalledAt is when the latest listing call succeeded or failed. The worker has been silent
+	// since silentSince, not counting the pauses of this process.
+	listCalledAt, silentSince ptid.Instant
 	// clock is a reading of the worker's clock at the instant clockAt; zero means unknown.
 	// leaseExpiresAt is the latest expiry of a lease that may have been granted.
 	clock          ptrun.WorkerTime
@@ -495,7 +498,9 @@
 			core.finish(run, ptrun.End{Run: run.Run, Result: ptrun.Lost, Reason: ptrun.ReasonRestarted}, now)
 		}
 	}
-	clear(core.unaccounted)
+	for _, id := range slices.SortedFunc(maps.Keys(core.unaccounted), ptrun.Compare) {
+		core.endUnaccounted(ptrun.End{Run: id, Result: ptrun.Lost, Reason: ptrun.ReasonRestarted}, now)
+	}
 	return lost
 }
 
--- a/ptruncontrol/responses.go
+++ b/ptruncontrol/responses.go
@@ -5,6 +5,7 @@
 
 	"github.com/primrosetiller/primrosetiller/ptfitness"
 	"github.com/primrosetiller/primrosetiller/ptid"
+	"github.com/primrosetiller/primrosetiller/ptjobstore"
 	"github.com/primrosetiller/primrosetiller/ptrun"
 )
 
@@ -74,7 +75,7 @@
 		core.worker.WorkerIdentity, core.worker.Sequence, core.known, core.unannounced = next, 0, false, true
 		core.refuseWaiting(ptrun.ReasonWorkerAbsent, now)
 	}
-	core.reachable, core.listedAt = true, now
+	core.reachable, core.listedAt, core.listCalledAt, core.silentSince = true, now, now, now
 	core.updateClock(listing.Clock, now)
 	complete := requestedAt > core.fencedAt
 	if complete && core.fencePending {
@@ -90,13 +91,13 @@
 		core.handleListedRun(listed, requestedAt, now)
 	}
 	if complete {
-		core.pruneUnaccounted(active, requestedAt, now)
+		core.pruneUnaccounted(listing, active, requestedAt, now)
 		core.takeoverComplete = core.takeoverComplete || len(active) == 0
 	}
 	core.reportUnaccounted()
 	for _, run := range core.sortedRuns() {
 		switch {
-		case active[run.Run]:
+		case active[run.Run] || mayHaveEnd(listing, run.Run):
 		case run.fenced && complete:
 			core.finish(run, ptrun.End{Run: run.Run, Result: ptrun.Lost, Reason: ptrun.ReasonRestarted}, now)
 		case !run.fenced:
@@ -107,6 +108,12 @@
 	return core.takeEffects()
 }
 
+// mayHaveEnd reports whether the worker may have an end of a run of a durable job beyond the listed
+// ends. Its result may be Done, and then the task must not start again.
+func mayHaveEnd(listing ptrun.Listing, id ptrun.ID) bool {
+	return listing.EndsTruncated && ptjobstore.IsDurable(id.Number)
+}
+
 // handleListedRun processes a run that the worker lists as active. Listings overtake each other,
 // so a listing that was requested before the end of the run was recorded is out of date.
 func (core *Core) handleListedRun(listed ptrun.ListedRun, requestedAt, now ptid.Instant) {
@@ -169,15 +176,19 @@
 // after the expiry of every lease that may have been granted has failed too, the active runs are
 // declared lost, except the runs whose start call is still in progress. An earlier call proves
 // nothing: the agent may have been paused while it waited for the response. A worker that does
-// not respond may be overloaded and end its runs late, so it gets [SilentWorkerTimeout].
+// not respond may be overloaded and end its runs late, so it gets [SilentWorkerTimeout]. While the
+// agent is paused nobody calls the worker, so the time between two outcomes counts up to
+// UnreachableTimeout only.
 func (core *Core) HandleListFailure(err error, requestedAt, now ptid.Instant) (effects []Effect) {
-	silence := now.Sub(core.listedAt)
-	if silence <= UnreachableTimeout {
+	core.silentSince = core.silentSince.Add(max(0, now.Sub(core.listCalledAt)-UnreachableTimeout))
+	core.listCalledAt = now
+	if now.Sub(core.listedAt) <= UnreachableTimeout {
 		return nil
 	}
 	core.reachable = false
 	core.refuseWaiting(ptrun.ReasonWorkerAbsent, now)
-	if requestedAt <= core.leasesExpireBy() || errors.Is(err, ptrun.ErrUnanswered) && silence <= SilentWorkerTimeout {
+	silent := errors.Is(err, ptrun.ErrUnanswered) || errors.Is(err, ptrun.ErrNotSent)
+	if requestedAt <= core.leasesExpireBy() || silent && now.Sub(core.silentSince) <= SilentWorkerTimeout {
 		return core.takeEffects()
 	}
 	core.loseRuns(now)
--- a/ptruncontrol/takeover_test.go
+++ b/ptruncontrol/takeover_test.go
@@ -117,15 +117,17 @@
 }
 
 func TestRunsOfSilentWorkerAreNotLostWithTheLease(test *testing.T) {
-	fixture := newFixtureWithRun(test)
-	var lostAt int
-	for millis := 60; millis < 4000 && lostAt == 0; millis += 60 {
-		fixture.LeaseRenewal(at(millis - 50))
-		if len(sentEnds(fixture.HandleListFailure(ptrun.ErrUnanswered, at(millis-50), at(millis)))) > 0 {
-			lostAt = millis
+	for _, failure := range []error{ptrun.ErrUnanswered, ptrun.ErrNotSent} {
+		fixture := newFixtureWithRun(test)
+		var lostAt int
+		for millis := 60; millis < 4000 && lostAt == 0; millis += 60 {
+			fixture.LeaseRenewal(at(millis - 50))
+			if len(sentEnds(fixture.HandleListFailure(failure, at(millis-50), at(millis)))) > 0 {
+				lostAt = millis
+			}
 		}
+		fixture.expect.Expect(lostAt).To(BeNumerically("~", milliseconds(ptassign.RunLossTimeout)+60, 60), "%v", failure)
 	}
-	fixture.expect.Expect(lostAt).To(BeNumerically("~", milliseconds(ptassign.RunLossTimeout)+60, 60))
 }
 
 // listedAfterLapse processes a listing that contains a run whose lease the agent takes for
@@ -231,3 +233,41 @@
 		expect.Expect(ends[0].Result).To(Equal(ptrun.Stopped), name)
 	}
 }
+
+// A worker lists a limited number of ends at once, and repeats them until they are acknowledged.
+func TestDurableRunIsNotLostWhileItsEndMayBeBeyondTheListedEnds(test *testing.T) {
+	fixture := newFixture(test)
+	id := run(0, ptjobstore.RunNumberBase(4)+1)
+	fixture.order(id, 1000, at(1))
+	fixture.HandleStartResponse(id, 1002, nil, at(2))
+	truncated := ptrun.Listing{WorkerStartedAt: time.UnixMilli(5), Clock: 1010, EndsTruncated: true}
+	fixture.expect.Expect(sentEnds(fixture.HandleListing(truncated, at(9), at(10)))).To(BeEmpty())
+	ends := sentEnds(fixture.list(1020, at(19), at(20), []ptrun.ListedEnd{{Sequence: 501, End: ptrun.End{Run: id, Result: ptrun.Done}}}))
+	fixture.expect.Expect(ends).To(HaveLen(1))
+	fixture.expect.Expect(ends[0].Result).To(Equal(ptrun.Done))
+}
+
+func TestEntryThatAskedForListedRunIsToldThatItsWorkerIsGone(test *testing.T) {
+	fixture := newFixture(test)
+	fixture.list(1010, at(9), at(10), nil, run(0, 1))
+	fixture.expect.Expect(sentEnds(fixture.QueryRun(owner, run(0, 1), at(11)))).To(BeEmpty())
+	other := sameWorker(2)
+	other.ID, other.StartedAt = "other", time.UnixMilli(9)
+	ends := sentEnds(fixture.HandleAnnouncement(other, 3, at(30)))
+	fixture.expect.Expect(ends).To(HaveLen(1))
+	fixture.expect.Expect(ends[0].Result).To(Equal(ptrun.Lost))
+}
+
+// An overloaded machine stops the agent and delays the worker.
+func TestSilenceOfWorkerDoesNotCountWhileTheAgentIsPaused(test *testing.T) {
+	fixture := newFixtureWithRun(test)
+	fixture.LeaseRenewal(at(11))
+	fixture.HandleListFailure(ptrun.ErrUnanswered, at(11), at(5000))
+	lostAt := 0
+	for millis := 5140; millis < 9000 && lostAt == 0; millis += 140 {
+		if len(sentEnds(fixture.HandleListFailure(ptrun.ErrUnanswered, at(millis-140), at(millis)))) > 0 {
+			lostAt = millis
+		}
+	}
+	fixture.expect.Expect(lostAt).To(BeNumerically(">", 5000+milliseconds(ptruncontrol.SilentWorkerTimeout-ptruncontrol.UnreachableTimeout)))
+}
