ptruncontrol: the lease ends with the last proof of life of the runs' entries

What callers would see: a task of a resubmitted job started beside its earlier run (TWICE), where an entry and an agent fail together. Not shown to be the users' case.

Cause: the bound of 1.3 s was a sum of steps, and every step may be followed by a whole lease. An entry that is killed is noticed after up to 0.6 s and its runs are stopped after 0.9 s. Where the agent was then paused or killed, or the stops had no effect, 0.92 or 1.27 s of lease were left: 1.82 s, or 2.15 s.

Why this works: the agent knows when an entry was alive at the latest, by the send times of acknowledged frames and of orders, and grants no lease beyond that time and 1.25 s, whatever becomes of stops and of itself. A run that is to be stopped keeps the bound it had, and no lease is granted beyond 0.92 s after the request (1.27 s before). An order that was under way for longer than 330 ms is refused where the lease may be longer than its run. Entries send their estimate of the agent's clock with orders, in a field that was unused; without it StartBy says the same less closely. A frame that was sent before a pause of the entry proves nothing about the time after it. Greetings are no proof: the stops that were lost with a session come after them.

Ruled out: shorter leases for all (an agent that is late would lose healthy runs), orders held for a second owner (an agent knows its own worker only), a broadcast of jobs. Two tests of ptruncontrol order runs with a StartBy nearer than any entry sends; they now say when the order was sent.

--- a/ptbroker/session.go
+++ b/ptbroker/session.go
@@ -88,7 +88,11 @@
 
 // PrepareFrame implements [ptsession.Handler].
 func (agent *agentSession) PrepareFrame(_ *ptsession.Session, frame *ptwire.Frame) {
-	agent.lastSentAt.Store(int64(agent.broker.deps.Clock.Now()))
+	now := agent.broker.deps.Clock.Now()
+	agent.lastSentAt.Store(int64(now))
+	if len(frame.RunOrders) > 0 {
+		frame.AgentClockNanos = int64(agent.clock.ToPeerClock(now))
+	}
 	if requests := agent.broker.capacityRequests.Load(); requests != nil {
 		frame.Want = (*requests)[ptid.ServiceName(agent.greeting.Service)].Message()
 	}
--- a/ptdrill/entry.go
+++ b/ptdrill/entry.go
@@ -105,11 +105,12 @@
 				number, epoch = partition.number, partition.epoch
 			}
 			entry.simulation.trace("%s orders %v at %s", entry.name(), effect.Run, effect.Agent)
+			sentAt := entry.simulation.Now()
 			entry.post(agentIndex(effect.Agent), func(agent *agent) {
 				now := agent.simulation.Now()
 				agent.simulation.owners[agent.index][effect.Run] = entry.owner()
 				agent.applyEffects(agent.core.Order(ptruncontrol.Order{
-					Run: effect.Run, Owner: entry.owner(), Demand: effect.Demand, StartBy: effect.StartBy, WaitUntil: now.Add(effect.MaxWait),
+					Run: effect.Run, Owner: entry.owner(), Demand: effect.Demand, SentAt: sentAt, StartBy: effect.StartBy, WaitUntil: now.Add(effect.MaxWait),
 					QueueKey: effect.QueueKey, ExpectedRunTime: effect.ExpectedRunTime, Partition: number, Epoch: epoch,
 				}, now))
 			})
--- a/ptdrill/session.go
+++ b/ptdrill/session.go
@@ -109,6 +109,9 @@
 		if side.link.OnReceive(session.simulation.Now(), received.sequence, received.ack) && received.receive != nil {
 			received.receive()
 		}
+		if to == ptlink.AgentSide {
+			session.agent.core.OwnerConfirmed(session.entry.owner(), session.sides[to].link.PeerAliveAt())
+		}
 	}
 }
 
--- a/ptlink/ptlink.go
+++ b/ptlink/ptlink.go
@@ -99,6 +99,7 @@
 // sentFrame is an unacknowledged frame and the instant of its acknowledgement timeout.
 type sentFrame struct {
 	sequence ptid.Sequence
+	sentAt   ptid.Instant
 	deadline ptid.Instant
 	// extended is true once the deadline was extended after a pause.
 	extended bool
@@ -117,6 +118,7 @@
 	receiveExtended     bool
 	lastTick            ptid.Instant
 	highestAcknowledged ptid.Sequence
+	peerAliveAt         ptid.Instant
 }
 
 // New returns the link of a session that is opened at now.
@@ -145,7 +147,7 @@
 		return 0, link.highestReceived
 	}
 	link.lastSent++
-	link.unacked = append(link.unacked, sentFrame{sequence: link.lastSent, deadline: now.Add(AckTimeout)})
+	link.unacked = append(link.unacked, sentFrame{sequence: link.lastSent, sentAt: now, deadline: now.Add(AckTimeout)})
 	link.nextHeartbeat = now.Add(link.interval)
 	return link.lastSent, link.highestReceived
 }
@@ -175,6 +177,7 @@
 	link.highestAcknowledged = ack
 	count := 0
 	for count < len(link.unacked) && link.unacked[count].sequence <= ack {
+		link.peerAliveAt = link.unacked[count].sentAt
 		count++
 	}
 	link.unacked = append(link.unacked[:0], link.unacked[count:]...)
@@ -183,6 +186,10 @@
 // HighestAcknowledged returns the highest sequence number that the peer has acknowledged.
 func (link *Link) HighestAcknowledged() ptid.Sequence { return link.highestAcknowledged }
 
+// PeerAliveAt returns the latest instant at which the peer is known to have been alive: the peer has
+// acknowledged a frame that was sent then. It is zero before the first acknowledgement.
+func (link *Link) PeerAliveAt() ptid.Instant { return link.peerAliveAt }
+
 // Tick returns the action that is due at now. It must be called at a fixed interval.
 func (link *Link) Tick(now ptid.Instant) (action Action) {
 	paused := now.Sub(link.lastTick) > PauseThreshold
--- /dev/null
+++ b/ptruncontrol/owners.go
@@ -0,0 +1,91 @@
+package ptruncontrol
+
+import (
+	"time"
+
+	"github.com/primrosetiller/primrosetiller/ptid"
+	"github.com/primrosetiller/primrosetiller/ptrun"
+)
+
+const (
+	// OwnerTimeout is how long after the last proof of life of its owner a run of a best-effort
+	// job may be active, even if the agent fails or stop orders have no effect. The lease of the
+	// worker never extends beyond that. OwnerTimeout is less than the time after which callers
+	// resubmit; see docs/design/10-platform.md.
+	OwnerTimeout = 1250 * time.Millisecond
+	// orderTTL is how long after they were sent orders are valid at most (ptassign.OrderTTL).
+	orderTTL = 500 * time.Millisecond
+	// maxLeaseTime and maxStartTime are the longest times that a lease and a start order may
+	// last: by a slow clock of the worker, with the rounding of its milliseconds.
+	maxLeaseTime = LeaseDuration + LeaseDuration/(ClockDriftDivisor-1) + 2*time.Millisecond
+	maxStartTime = StartOrderTTL + StartOrderTTL/(ClockDriftDivisor-1) + 2*time.Millisecond
+)
+
+// OwnerConfirmed records that an incarnation of an entry was alive at aliveAt. The agent knows
+// this from an order, which names the instant at which it was sent, and from the acknowledgement
+// of a frame, which was sent after the frame. All stop requests that the entry sent before must
+// have been processed.
+func (core *Core) OwnerConfirmed(owner Owner, aliveAt ptid.Instant) {
+	if state := core.owners[owner.Entry]; state != nil && state.incarnation == owner.Incarnation {
+		state.aliveAt = max(state.aliveAt, aliveAt)
+	}
+}
+
+// sentAt returns the latest instant before which the order has certainly not been sent. The clocks
+// of entries are estimated, so it may lie ahead.
+func (order *Order) sentAt(now ptid.Instant) ptid.Instant {
+	if order.SentAt == 0 {
+		return min(now, order.StartBy.Add(-orderTTL))
+	}
+	return min(now, order.SentAt)
+}
+
+// ownerLimit returns when a run must have ended unless its owner is confirmed again.
+func (core *Core) ownerLimit(run *run) (limit ptid.Instant) {
+	if run.isDurable() {
+		return ptid.Never
+	}
+	aliveAt := ptid.Instant(0)
+	if state := core.owners[run.Owner.Entry]; state != nil && state.incarnation == run.Owner.Incarnation {
+		aliveAt = state.aliveAt
+	}
+	return aliveAt.Add(OwnerTimeout)
+}
+
+// limitStopped fixes the instant at which a run that is to be stopped must have ended. A lease
+// that was granted before may still run; it is not extended.
+func (core *Core) limitStopped(run *run, now ptid.Instant) {
+	run.mustEndBy = ptid.Never
+	if !run.isDurable() {
+		run.mustEndBy = min(core.ownerLimit(run), now.Add(maxLeaseTime))
+	}
+}
+
+// leaseLimit returns the latest instant at which the lease of the worker may expire.
+func (core *Core) leaseLimit() (limit ptid.Instant) {
+	limit = ptid.Never
+	for _, run := range core.runs {
+		switch {
+		case !run.holdsCapacity():
+		case run.stopRequested:
+			limit = min(limit, run.mustEndBy)
+		default:
+			limit = min(limit, core.ownerLimit(run))
+		}
+	}
+	return limit
+}
+
+// limitLease returns the expiry of a lease, or an earlier one if the lease must expire earlier.
+func (core *Core) limitLease(expiresAt ptrun.WorkerTime) ptrun.WorkerTime {
+	if limit := core.leaseLimit(); limit != ptid.Never {
+		return min(expiresAt, core.earliestClock(limit))
+	}
+	return expiresAt
+}
+
+// mayOutliveOwner reports whether a run that starts now might go on after ownerLimit: its order
+// was delayed, and the lease that has been granted is longer.
+func (core *Core) mayOutliveOwner(run *run, now ptid.Instant) bool {
+	return max(core.leasesExpireBy(), now.Add(maxStartTime)) > core.ownerLimit(run)
+}
--- a/ptruncontrol/ptruncontrol.go
+++ b/ptruncontrol/ptruncontrol.go
@@ -23,6 +23,9 @@
 //     slow by one part in [ClockDriftDivisor].
 //     A run that is active for [StopTimeout] after its first stop order is ended by the
 //     lease: the agent does not renew it and starts no run, which ends all runs on the worker.
+//     A lease never extends beyond [OwnerTimeout] after the last proof of life of an entry that
+//     has best-effort runs on the worker, nor, while one of its runs is to be stopped, beyond a lease
+//     after the stop was requested (owners.go).
 //  5. If an entry has had no session for [OrphanTimeout], its best-effort runs are stopped.
 //     Its runs of durable jobs are stopped after [DurableOrphanTimeout]. When a new
 //     incarnation of an entry opens a session, the best-effort runs of the earlier
@@ -137,6 +140,8 @@
 	Owner  Owner
 	Spec   string
 	Demand ptrun.Demand
+	// SentAt is an instant before which the entry has not sent the order; zero means unknown.
+	SentAt ptid.Instant
 	// StartBy is the deadline for the start of the run. WaitUntil is the instant at which the
 	// run is refused if it still waits for capacity. Waiting runs start in ascending order of
 	// QueueKey.
@@ -294,7 +299,9 @@
 	stopRetryAt   ptid.Instant
 	// stopDeadline is when the run must have ended after its first stop order.
 	stopDeadline ptid.Instant
-	stopReason   ptrun.Reason
+	// mustEndBy is when the run must have ended after its stop was requested.
+	mustEndBy  ptid.Instant
+	stopReason ptrun.Reason
 	// joined contains the further owners that have ordered the run: a caller may submit its job
 	// to two entries, which number its runs alike.
 	joined []Owner
@@ -321,7 +328,9 @@
 	incarnation    ptid.Incarnation
 	connected      bool
 	disconnectedAt ptid.Instant
-	request        ptrun.CapacityRequest
+	// aliveAt is the latest instant at which the incarnation is known to have been alive.
+	aliveAt ptid.Instant
+	request ptrun.CapacityRequest
 	// usage is the sum of the CPU demands of the runs that the entry has ordered, each divided
 	// by the rate at which the entry requested capacity. The entry with the lowest usage gets
 	// the next offer.
@@ -370,7 +379,8 @@
 	draining         bool
 	// held is the sum of the demands of the runs that hold capacity.
 	held ptrun.Demand
-	// stopOverdue is true while a run that is to be stopped is active after its stop deadline.
+	// stopOverdue is true while a run that is to be stopped is active after its stop deadline, or
+	// so close to mustEndBy that a start order would extend the lease beyond it.
 	stopOverdue bool
 
 	effects []Effect
@@ -493,8 +503,9 @@
 // the lease of a worker that has not responded for [UnreachableTimeout]. The worker may still
 // carry out a call to which it has not responded. If such calls extended the lease, the latest
 // possible expiry would move on with each call, and the runs could never be declared lost.
-// Nor does it extend the lease before the takeover is complete, or while a run ignores its stop
-// orders: entries rely on the end of a run that is to be stopped.
+// Nor does it extend the lease before the takeover is complete, while a run ignores its stop
+// orders, or beyond the instant at which a run must have ended: entries and callers rely on the
+// end of a run that is to be stopped, or of which an owner is silent.
 func (core *Core) LeaseRenewal(now ptid.Instant) (renewal ptrun.LeaseRenewal) {
 	renewal.Acknowledged = core.ackableSequence()
 	unreachable := now.Sub(core.listedAt) > UnreachableTimeout
@@ -520,7 +531,7 @@
 }
 
 func (core *Core) extendLease(now ptid.Instant) ptrun.WorkerTime {
-	expiresAt := core.earliestClock(now) + ptrun.WorkerTime(LeaseDuration.Milliseconds())
+	expiresAt := core.limitLease(core.earliestClock(now) + ptrun.WorkerTime(LeaseDuration.Milliseconds()))
 	core.leaseExpiresAt = max(core.leaseExpiresAt, expiresAt)
 	return expiresAt
 }
@@ -533,6 +544,7 @@
 
 // Order processes an order of an entry.
 func (core *Core) Order(order Order, now ptid.Instant) (effects []Effect) {
+	core.OwnerConfirmed(order.Owner, order.sentAt(now))
 	if existing := core.runs[order.Run]; existing != nil {
 		return core.join(existing, order.Owner)
 	}
@@ -609,7 +621,7 @@
 // mayStart reports whether runs may start on the worker. A start extends the lease of all runs
 // there, so none is sent while the lease must expire.
 func (core *Core) mayStart(now ptid.Instant) bool {
-	core.stopOverdue = core.isStopOverdue(now)
+	core.stopOverdue = core.isStopOverdue(now) || now.Add(maxStartTime) > core.leaseLimit()
 	return core.known && core.reachable && !core.worker.Draining && core.clock > 0 && len(core.unaccounted) == 0 && !core.stopOverdue
 }
 
@@ -632,7 +644,7 @@
 }
 
 func (core *Core) start(run *run, now ptid.Instant) {
-	if now >= run.StartBy {
+	if now >= run.StartBy || core.mayOutliveOwner(run, now) {
 		core.finishUnstarted(run, ptrun.ReasonStartDeadline, now)
 		return
 	}
@@ -662,6 +674,7 @@
 		return
 	}
 	run.stopRequested, run.stopReason = true, reason
+	core.limitStopped(run, now)
 	switch run.state {
 	case waiting:
 		core.finishUnstarted(run, reason, now)
--- a/ptruncontrol/ptruncontrol_test.go
+++ b/ptruncontrol/ptruncontrol_test.go
@@ -214,7 +214,7 @@
 	core.HandleListing(ptrun.Listing{WorkerStartedAt: time.UnixMilli(5), Clock: 90_000}, at(1), at(2))
 	expect.Expect(core.TakeoverComplete()).To(BeTrue())
 	core.SessionOpened(owner, at(2))
-	expect.Expect(starts(core.Order(ptruncontrol.Order{Run: run(0, 1), Owner: owner, Demand: ptrun.Demand{CPU: 5}, StartBy: at(40), WaitUntil: at(40)}, at(3)))).To(HaveLen(1))
+	expect.Expect(starts(core.Order(ptruncontrol.Order{Run: run(0, 1), Owner: owner, Demand: ptrun.Demand{CPU: 5}, SentAt: at(3), StartBy: at(40), WaitUntil: at(40)}, at(3)))).To(HaveLen(1))
 	// The restored worker is not used if another incarnation responds at its address.
 	other := ptruncontrol.New(100)
 	other.HandleAnnouncement(ptrun.Worker{WorkerIdentity: identity, Capacity: ptrun.Demand{CPU: 10}}, 0, start)
@@ -307,8 +307,8 @@
 func TestOpportunisticRunsAreThrottledAtTailLatencyTarget(test *testing.T) {
 	fixture := newFixture(test)
 	serving, opportunistic := run(0, 1), run(1, 1)
-	fixture.Order(ptruncontrol.Order{Run: serving, Owner: owner, Demand: ptrun.Demand{CPU: 10}, StartBy: at(50), WaitUntil: at(50), TailLatencyTarget: 100 * time.Millisecond}, at(1))
-	fixture.Order(ptruncontrol.Order{Run: opportunistic, Owner: owner, StartBy: at(50), WaitUntil: at(50), Opportunistic: true}, at(1))
+	fixture.Order(ptruncontrol.Order{Run: serving, Owner: owner, Demand: ptrun.Demand{CPU: 10}, SentAt: at(1), StartBy: at(50), WaitUntil: at(50), TailLatencyTarget: 100 * time.Millisecond}, at(1))
+	fixture.Order(ptruncontrol.Order{Run: opportunistic, Owner: owner, SentAt: at(1), StartBy: at(50), WaitUntil: at(50), Opportunistic: true}, at(1))
 	fixture.HandleStartResponse(serving, 1001, nil, at(2))
 	fixture.HandleStartResponse(opportunistic, 1001, nil, at(2))
 	fixture.HandleListing(ptrun.Listing{WorkerStartedAt: time.UnixMilli(5), Clock: 1010, Active: []ptrun.ListedRun{
--- a/ptruncontrol/responses.go
+++ b/ptruncontrol/responses.go
@@ -192,12 +192,16 @@
 // SessionOpened records that an incarnation of an entry has opened a session. The best-effort
 // runs of its earlier incarnations are stopped.
 func (core *Core) SessionOpened(owner Owner, now ptid.Instant) (effects []Effect) {
-	core.owners[owner.Entry] = &ownerState{incarnation: owner.Incarnation, connected: true}
 	for _, run := range core.sortedRuns() {
 		if run.Owner.Entry == owner.Entry && run.Owner.Incarnation != owner.Incarnation && !run.isDurable() {
 			core.stop(run, ptrun.ReasonOwnerTimeout, now)
 		}
 	}
+	opened := &ownerState{incarnation: owner.Incarnation, connected: true}
+	if previous := core.owners[owner.Entry]; previous != nil && previous.incarnation == owner.Incarnation {
+		opened.aliveAt = previous.aliveAt
+	}
+	core.owners[owner.Entry] = opened
 	for id, ended := range core.ends {
 		switch {
 		case ended.owner.Entry != owner.Entry:
--- /dev/null
+++ b/ptruncontrol/silent_owner_test.go
@@ -0,0 +1,59 @@
+package ptruncontrol_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/primrosetiller/primrosetiller/ptrun"
+	"github.com/primrosetiller/primrosetiller/ptruncontrol"
+)
+
+// The entry ends at the start. Its caller submits the job to another entry, and the agent may be
+// paused or killed at any time.
+func TestRunOfSilentOwnerEndsBeforeItsCallerSubmitsAgainIfAgentIsPaused(test *testing.T) {
+	fixture := newFixture(test)
+	fixture.startRun(run(0, 1))
+	latest := fixture.lastLease(2, silenceDetection, run(0, 1))
+	fixture.SessionClosed(owner.Entry, at(silenceDetection))
+	latest = max(latest, fixture.lastLease(silenceDetection+1, silenceDetection+300, run(0, 1)))
+	fixture.expect.Expect(latest).To(BeNumerically("<=", resubmitDelay*49/50))
+}
+
+// The caller's connection breaks at the start, and the entry is paused for 300 ms.
+func TestRunWithLateStopRequestEndsBeforeItsCallerSubmitsAgain(test *testing.T) {
+	fixture := newFixture(test)
+	fixture.startRun(run(0, 1))
+	latest := fixture.lastLease(2, 300, run(0, 1))
+	fixture.OwnerConfirmed(owner, at(290))
+	fixture.Stop(run(0, 1), ptrun.ReasonStopRequested, at(301))
+	latest = max(latest, fixture.lastLease(302, resubmitDelay, run(0, 1)))
+	fixture.expect.Expect(latest).To(BeNumerically("<=", resubmitDelay*49/50))
+}
+
+func TestLeaseIsRenewedWhileOwnersAreConfirmed(test *testing.T) {
+	fixture := newFixture(test)
+	fixture.startRun(run(0, 1))
+	for millis := 100; millis <= 5000; millis += 100 {
+		fixture.OwnerConfirmed(owner, at(millis-400))
+		fixture.list(ptrun.WorkerTime(1000+millis), at(millis-1), at(millis), nil, run(0, 1))
+		fixture.expect.Expect(fixture.LeaseRenewal(at(millis)).ExpiresAt).To(BeNumerically(">=", 1000+millis+800))
+	}
+}
+
+// The lease that was granted before the order arrived is longer than the run may be active.
+func TestDelayedOrderOfSilentOwnerIsRefused(test *testing.T) {
+	for delay, wantStarts := range map[int]int{100: 1, 450: 0} {
+		fixture := newFixture(test)
+		fixture.list(3000, at(1999), at(2000), nil)
+		fixture.LeaseRenewal(at(2000))
+		fixture.list(3000, at(2000), at(2000), nil)
+		effects := fixture.Order(ptruncontrol.Order{
+			Run: run(0, 1), Owner: owner, Demand: ptrun.Demand{CPU: 1000}, SentAt: at(2000 - delay), StartBy: at(2000 - delay + 500), WaitUntil: at(2010), QueueKey: at(2000),
+		}, at(2000))
+		fixture.expect.Expect(starts(effects)).To(HaveLen(wantStarts), "delay %d ms", delay)
+		if wantStarts == 0 {
+			fixture.expect.Expect(sentEnds(effects)).To(HaveLen(1))
+		}
+	}
+}
--- a/ptrunner/session.go
+++ b/ptrunner/session.go
@@ -121,7 +121,7 @@
 			Demand: ptrun.Demand{
 				CPU: ptrun.Millicores(order.CpuMillicores), Memory: ptrun.Mebibytes(order.MemoryMebibytes), Accelerators: order.Accelerators,
 			},
-			StartBy: ptid.Instant(order.StartByNanos), WaitUntil: now.Add(time.Duration(order.WaitNanos)), QueueKey: ptid.Instant(order.OrderNanos), Checkpoint: ptrun.Checkpoint(order.Checkpoint),
+			SentAt: ptid.Instant(frame.AgentClockNanos), StartBy: ptid.Instant(order.StartByNanos), WaitUntil: now.Add(time.Duration(order.WaitNanos)), QueueKey: ptid.Instant(order.OrderNanos), Checkpoint: ptrun.Checkpoint(order.Checkpoint),
 			Partition: ptjobstore.Partition(order.Partition), Epoch: ptjobstore.Epoch(order.Epoch), Ticket: order.Ticket,
 			Opportunistic: order.Filling, TailLatencyTarget: time.Duration(order.TailTargetNanos), ExpectedRunTime: time.Duration(order.ExpectedNanos),
 		}, now))
@@ -129,6 +129,7 @@
 	for _, ref := range frame.RunStops {
 		runner.execute(runner.core.Stop(ptrun.IDFromRef(ref), ptrun.ReasonStopRequested, now))
 	}
+	runner.core.OwnerConfirmed(peer.owner, peer.session.PeerAliveAt())
 }
 
 // dialLoop starts one dialing goroutine for each known entry address, once the worker executes
--- a/ptsession/ptsession.go
+++ b/ptsession/ptsession.go
@@ -255,6 +255,13 @@
 	session.link.SetHeartbeatInterval(session.clock.Now(), interval)
 }
 
+// PeerAliveAt returns the latest instant at which the peer is known to have been alive.
+func (session *Session) PeerAliveAt() ptid.Instant {
+	session.mu.Lock()
+	defer session.mu.Unlock()
+	return session.link.PeerAliveAt()
+}
+
 // Tick sends an acknowledgement or a heartbeat if one is due, and ends the session if it has
 // timed out.
 func (session *Session) Tick() {
--- a/ptsim/agent.go
+++ b/ptsim/agent.go
@@ -214,6 +214,10 @@
 	if agent.down || agent.core == nil {
 		return
 	}
+	// Entries do not fail here, so their heartbeats are not simulated.
+	for _, entry := range simulation.entries {
+		agent.core.OwnerConfirmed(entry.owner(), now)
+	}
 	agent.applyEffects(agent.core.Tick(now))
 	sameZoneEntries := 0
 	for _, entry := range simulation.entries {
--- a/ptsim/entry.go
+++ b/ptsim/entry.go
@@ -107,10 +107,11 @@
 		switch effect := effect.(type) {
 		case ptassign.SendOrder:
 			simulation.report.Orders++
+			sentAt := simulation.Now()
 			agent := simulation.agentOf(effect.Agent)
 			entry.send(agent, func() {
 				agent.applyEffects(agent.core.Order(ptruncontrol.Order{
-					Run: effect.Run, Owner: entry.owner(), Demand: effect.Demand, StartBy: effect.StartBy, WaitUntil: simulation.Now().Add(effect.MaxWait), QueueKey: effect.QueueKey,
+					Run: effect.Run, Owner: entry.owner(), Demand: effect.Demand, SentAt: sentAt, StartBy: effect.StartBy, WaitUntil: simulation.Now().Add(effect.MaxWait), QueueKey: effect.QueueKey,
 					ExpectedRunTime: effect.ExpectedRunTime,
 				}, simulation.Now()))
 			})
