ptruncontrol: a run of two owners is stopped when either is silent

What callers would see: a task placed again beside its run (TWICE), where two entries have one job and one of them loses its agent.

Cause: an entry that ordered a run which another entry had ordered before waits for its end.

Evidence: found by reading.

Why this works: any owner that is silent has its runs stopped, and the lease ends with the earliest of their bounds. An incarnation of an entry that was replaced is no owner any more. Ruled out: to keep the run for the other owner; it places the task again when it hears of the stop.

--- a/ptruncontrol/owners.go
+++ b/ptruncontrol/owners.go
@@ -1,6 +1,7 @@
 package ptruncontrol
 
 import (
+	"slices"
 	"time"
 
 	"github.com/primrosetiller/primrosetiller/ptid"
@@ -40,16 +41,23 @@
 	return min(now, order.SentAt)
 }
 
-// ownerLimit returns when a run must have ended unless its owner is confirmed again.
+// owners returns the owners that have ordered the run.
+func (run *run) owners() []Owner { return append(run.joined, run.Owner) }
+
+// ownerLimit returns when a run must have ended unless its owners are confirmed again.
 func (core *Core) ownerLimit(run *run) (limit ptid.Instant) {
 	if run.isDurable() {
 		return ptid.Never
 	}
-	aliveAt := ptid.Instant(0)
-	if state := core.owners[run.Owner.Entry]; state != nil && state.incarnation == run.Owner.Incarnation {
-		aliveAt = state.aliveAt
+	limit = ptid.Never
+	for _, owner := range run.owners() {
+		aliveAt := ptid.Instant(0)
+		if state := core.owners[owner.Entry]; state != nil && state.incarnation == owner.Incarnation {
+			aliveAt = state.aliveAt
+		}
+		limit = min(limit, aliveAt.Add(OwnerTimeout))
 	}
-	return aliveAt.Add(OwnerTimeout)
+	return limit
 }
 
 // limitStopped fixes the instant at which a run that is to be stopped must have ended. A lease
@@ -89,3 +97,11 @@
 func (core *Core) mayOutliveOwner(run *run, now ptid.Instant) bool {
 	return max(core.leasesExpireBy(), now.Add(maxStartTime)) > core.ownerLimit(run)
 }
+
+// isOrphaned reports whether an owner of a run has had no session for the orphan timeout.
+func (core *Core) isOrphaned(run *run, now ptid.Instant) bool {
+	return slices.ContainsFunc(run.owners(), func(owner Owner) bool {
+		state := core.owners[owner.Entry]
+		return state != nil && !state.connected && now.Sub(state.disconnectedAt) > run.orphanTimeout()
+	})
+}
--- a/ptruncontrol/responses.go
+++ b/ptruncontrol/responses.go
@@ -1,6 +1,8 @@
 package ptruncontrol
 
 import (
+	"slices"
+
 	"github.com/pkg/errors"
 
 	"github.com/primrosetiller/primrosetiller/ptfitness"
@@ -196,6 +198,9 @@
 		if run.Owner.Entry == owner.Entry && run.Owner.Incarnation != owner.Incarnation && !run.isDurable() {
 			core.stop(run, ptrun.ReasonOwnerTimeout, now)
 		}
+		run.joined = slices.DeleteFunc(run.joined, func(joined Owner) bool {
+			return joined.Entry == owner.Entry && joined.Incarnation != owner.Incarnation
+		})
 	}
 	opened := &ownerState{incarnation: owner.Incarnation, connected: true}
 	if previous := core.owners[owner.Entry]; previous != nil && previous.incarnation == owner.Incarnation {
@@ -266,7 +271,7 @@
 		case run.state == stopping && !run.stopAcked && now >= run.stopRetryAt:
 			core.orderStop(run, now)
 		default:
-			if owner := core.owners[run.Owner.Entry]; owner != nil && !owner.connected && now.Sub(owner.disconnectedAt) > run.orphanTimeout() {
+			if core.isOrphaned(run, now) {
 				core.stop(run, ptrun.ReasonOwnerTimeout, now)
 			}
 		}
--- a/ptruncontrol/silent_owner_test.go
+++ b/ptruncontrol/silent_owner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -57,3 +58,9 @@
 		}
 	}
 }
+
+func TestRunIsStoppedIfAnyOfItsOwnersIsSilent(test *testing.T) {
+	fixture := newFixtureWithSecondOwner(test)
+	fixture.SessionClosed(secondOwner.Entry, at(20))
+	fixture.expect.Expect(stops(fixture.Tick(at(20).Add(ptruncontrol.OrphanTimeout + 10*time.Millisecond)))).To(ConsistOf(run(0, 1)))
+}
