ptbroker: an owner whose membership may have expired orders no runs

Callers of durable jobs would see two runs of one task at once: an entry that was paused, or cut from the log, orders a run of a partition that another entry has been given meanwhile, at an agent that the other one has not reached.

Cause: ordering relied on the last assignment that the entry had read, however old. The agents' epochs bar such orders only where the later owner has a session with the agent. The bound of the later owner (ptassign.DurableRunLossTimeout since it acquired the partition) holds only if no order follows that moment, and nothing made sure of that.

Fix: the core gets the instant at which the membership may have expired, which is the length of a membership after the request of the latest renewal that was answered. From then on it places no task of a durable job, and its orders carry a start deadline no later than that, so that an order which was held up in a paused process starts nothing either. The cost: while the log gives no answer for over 1.5 s, no task of a durable job is placed, at any entry. Recovery isn't later: a next renewal ends the hold.

changeOwner, the setup of two tests, let the earlier owner start runs after its membership had expired, which it no longer does. It now lets a second entry join while the first one's membership lasts: the same state (the later owner has read the specs, the earlier one then starts both tasks and can't save), and the later owner has a session before it loads. Both tests pass with it on the code before as well.

--- a/ptassign/durable.go
+++ b/ptassign/durable.go
@@ -14,6 +14,16 @@
 // it. docs/design/10-platform.md adds up the time limits behind this value.
 const DurableRunLossTimeout = 4500 * time.Millisecond
 
+// SetOwnershipExpiry sets when another entry may become the owner of the durable jobs, unless the
+// ownership is renewed before. An earlier owner does not learn of that at once. After the expiry,
+// the core therefore places no tasks of durable jobs, and runs that it ordered before do not start.
+func (core *Core) SetOwnershipExpiry(expiresAt ptid.Instant) { core.ownershipExpiresAt = expiresAt }
+
+// isOnHold reports whether the tasks of a job are not placed now.
+func (core *Core) isOnHold(job *Job, now ptid.Instant) bool {
+	return job.Recovering || job.Durable && now >= core.ownershipExpiresAt
+}
+
 // SubmitDurable admits a durable job with the progress that an earlier owner has stored; nil
 // means that there is none. A recovering job is not placed before [Core.FinishRecovery].
 func (core *Core) SubmitDurable(spec Spec, progress *ptgraph.Progress, recovering bool, now ptid.Instant) (job *Job, effects []Effect, err error) {
--- a/ptassign/forecast.go
+++ b/ptassign/forecast.go
@@ -121,7 +121,7 @@
 	ahead := make(map[ptid.ServiceName]ptrun.Millicores)
 	for _, job := range core.waiting {
 		service := job.Queue.Service
-		if job.State().Ended() || job.Recovering {
+		if job.State().Ended() || core.isOnHold(job, now) {
 			continue
 		}
 		ahead[service] += core.readyDemand(job)
--- a/ptassign/ptassign.go
+++ b/ptassign/ptassign.go
@@ -335,6 +335,8 @@
 	// [ptid.Never] if no job requests capacity. requestsSentAt is when CapacityRequestsToSend
 	// last asked for frames that carry only capacity requests.
 	waitingSince, requestsSentAt ptid.Instant
+	// ownershipExpiresAt is when another entry may own the durable jobs.
+	ownershipExpiresAt ptid.Instant
 }
 
 // New returns a core without jobs or agents. The seed makes its random choices reproducible.
@@ -343,7 +345,8 @@
 		agents: make(map[ptid.AgentName]*agentRecord), jobs: make(map[Key]*Job), bestEffort: make(map[Key]*Job),
 		stopping:       make(map[Key]*Job),
 		averageRunTime: make(map[ptid.ProfileName]float64), demands: make(map[ptid.ProfileName]*queueDemand), estimateBias: 1, waitingSince: ptid.Never,
-		random: rand.New(rand.NewPCG(seed, 1)),
+		ownershipExpiresAt: ptid.Never,
+		random:             rand.New(rand.NewPCG(seed, 1)),
 	}
 }
 
@@ -502,7 +505,7 @@
 		case job.State().Ended():
 			job.inQueue = false
 			continue
-		case job.Recovering:
+		case core.isOnHold(job, now):
 		case !core.placeJob(job, now):
 			blocked++
 		}
@@ -579,7 +582,9 @@
 	if task.Step.Gang {
 		wait = GangWaitAtAgent
 	}
-	if !job.Durable {
+	if job.Durable {
+		startBy = min(startBy, core.ownershipExpiresAt)
+	} else {
 		startBy = min(startBy, job.Deadline)
 	}
 	ticket, _ := ticketFor(chosen, job, task, now)
--- a/ptbroker/durable.go
+++ b/ptbroker/durable.go
@@ -159,6 +159,7 @@
 	}
 	lost := false
 	for ctx.Err() == nil {
+		requestedAt := broker.deps.Clock.Now()
 		callCtx, cancel := context.WithTimeout(ctx, membershipTTL)
 		membership, err := broker.ownership.store.Join(callCtx, broker.ownership.memberID, broker.ownership.epoch, membershipTTL)
 		cancel()
@@ -167,7 +168,7 @@
 			broker.deps.Log.Info("partition owner membership changed", "lost", lost, "error", errorText(err))
 		}
 		if err == nil {
-			broker.applyAssignment(ctx, membership)
+			broker.applyAssignment(ctx, membership, requestedAt)
 		}
 		sleep(ctx, joinInterval)
 	}
@@ -216,10 +217,11 @@
 }
 
 // applyAssignment acquires and releases partitions according to the assignment by the consumer
-// group.
-func (broker *Broker) applyAssignment(ctx context.Context, membership ptjobstore.Membership) {
+// group, which was requested at requestedAt.
+func (broker *Broker) applyAssignment(ctx context.Context, membership ptjobstore.Membership, requestedAt ptid.Instant) {
 	broker.mu.Lock()
 	defer broker.mu.Unlock()
+	broker.core.SetOwnershipExpiry(requestedAt.Add(membershipTTL))
 	ownership := &broker.ownership
 	ownership.epoch = max(ownership.epoch, membership.Epoch)
 	for number, partition := range ownership.partitions {
--- a/ptbroker/ptbroker_test.go
+++ b/ptbroker/ptbroker_test.go
@@ -293,41 +293,44 @@
 	system.expect.Eventually(system.workers[0].AllEndsAcknowledged).WithTimeout(conditionTimeout).Should(BeTrue())
 }
 
-// changeOwner submits a job while its partition changes owners. The later owner reads the specs,
-// then the job is submitted, and the earlier owner reads the job and starts its two tasks.
-// changeOwner then calls meanwhile, and finally lets the later owner load the partition.
+// changeOwner submits a job while its partition changes owners. A second entry joins the owners. It
+// reads the specs, then the job is submitted, and the earlier owner, whose membership has not expired
+// yet, reads the job and starts its two tasks. changeOwner then calls meanwhile, and finally lets the
+// later owner load the partition.
 func changeOwner(test *testing.T, meanwhile func(system *system)) (changed *system, id string) {
-	system := newSystem(test, 2, 1)
-	owners, err := system.store.Owners(context.Background())
-	system.expect.Expect(err).NotTo(HaveOccurred())
-	earlierOwner, moved := system.brokers[0].MemberID(), 0
-	for _, member := range owners {
-		if member == earlierOwner {
-			moved++
-		}
-	}
-	for index := 1; id == ""; index++ {
-		candidate := fmt.Sprintf("%016x", index)
-		if owners[ptjobstore.PartitionOf(ptid.JobID(candidate), len(owners))] == earlierOwner {
-			id = candidate
-		}
-	}
-	var loading sync.WaitGroup
-	loading.Add(moved)
-	started := make(chan struct{})
+	system := newSystem(test, 1, 1)
+	const first = "00000000000000ff"
+	system.expect.Expect(system.brokers[0].SubmitDurable(context.Background(), durableSpec(first, 1))).To(Succeed())
+	system.expect.Eventually(system.active).WithTimeout(conditionTimeout).Should(Equal(1))
+	system.expect.Expect(system.brokers[0].CancelDurable(context.Background(), first)).To(Succeed())
+	system.expect.Eventually(system.active).WithTimeout(conditionTimeout).Should(BeZero())
+	const moved = 2
+	loading, started := make(chan struct{}, 2*moved), make(chan struct{})
 	system.store.SetFault(func(call ptstandin.JobStoreCall, client string) error {
 		switch {
 		case client == "entry0" && (call == ptstandin.JobStoreJoin || call == ptstandin.JobStoreSave), client == "entry1" && call == ptstandin.JobStoreFollow:
 			return ptjobstore.ErrUnanswered
 		case client == "entry1" && call == ptstandin.JobStoreProgress:
-			loading.Done()
+			loading <- struct{}{}
 			<-started
 		}
 		return nil
 	})
-	loading.Wait()
+	system.startBroker(1)
+	for range moved {
+		<-loading
+	}
+	owners, err := system.store.Owners(context.Background())
+	system.expect.Expect(err).NotTo(HaveOccurred())
+	for index := 1; id == ""; index++ {
+		candidate := fmt.Sprintf("%016x", index)
+		if owners[ptjobstore.PartitionOf(ptid.JobID(candidate), len(owners))] == system.brokers[1].MemberID() {
+			id = candidate
+		}
+	}
 	system.expect.Expect(system.brokers[0].SubmitDurable(context.Background(), durableSpec(id, 2))).To(Succeed())
 	system.expect.Eventually(system.active).WithTimeout(conditionTimeout).Should(Equal(2))
+	system.expect.Eventually(system.brokers[1].Ready).WithTimeout(conditionTimeout).Should(BeTrue())
 	meanwhile(system)
 	close(started)
 	return system, id
--- a/ptdrill/durable.go
+++ b/ptdrill/durable.go
@@ -150,8 +150,9 @@
 func (ownership *ownership) join() {
 	var generation ptjobstore.Epoch
 	var assigned []ptjobstore.Partition
-	last := ownership.generation
+	last, requestedAt := ownership.generation, ownership.entry.simulation.Now()
 	ownership.callLog(func(log *log) { generation, assigned = log.join(ownership.entry, last) }, func() {
+		ownership.entry.core.SetOwnershipExpiry(requestedAt.Add(membershipTTL))
 		ownership.generation = max(ownership.generation, generation)
 		for _, number := range slices.Sorted(maps.Keys(ownership.partitions)) {
 			if !slices.Contains(assigned, number) {
