ptbroker: a new entry waits for the runs of agents that it does not know

Callers of durable jobs would see a task run again after it was done, or twice at once: an entry starts, is given partitions, and places their tasks while an agent with runs or unsaved ends of these partitions is cut from it.

Cause: a later owner waits for the agents that it knows. An agent that has had no session with this process is unknown to it, and a new entry ended the wait 2.5 s after its start (agentDiscoveryWait), taking all agents to have connected by then. Runs of a durable job go on for up to ptassign.DurableRunLossTimeout, 4.5 s, after the last word of their owner, and their ends wait as long. The wait was shorter than the bound that it relied on.

The new test is red without the fix (recovered 1 ns before the bound).

Fix: the wait of a new entry is DurableRunLossTimeout after its start; agentDiscoveryWait is gone. The cost is that tasks that are not running in the partitions of an entry that has just started are placed up to 2 s later than before; runs go on, and partitions of older entries recover as fast as before. Ruled out: counting the agents that other entries know (an agent may be known to the dead owner alone).

--- a/ptbroker/durable.go
+++ b/ptbroker/durable.go
@@ -34,8 +34,6 @@
 	// storeTimeout limits a call to the log. In putRecord it limits all attempts together, and
 	// thereby the time to accept a job.
 	storeTimeout = time.Second
-	// agentDiscoveryWait is how long a new entry waits for the agents to discover it.
-	agentDiscoveryWait = 2500 * time.Millisecond
 	// maxOrphanLookups limits how many jobs with orphan progress, which is progress without a
 	// spec, are looked up in one cleanup. Each lookup takes two calls to the log.
 	maxOrphanLookups = 8
@@ -574,7 +572,8 @@
 
 // isRecovered reports whether every run of the earlier owner has been adopted or is known to
 // have ended. The runs of an agent without a session are known to have ended once
-// ptassign.DurableRunLossTimeout has passed since this entry acquired the partition.
+// ptassign.DurableRunLossTimeout has passed since this entry acquired the partition. An entry that
+// has started more recently may not know all agents.
 func (broker *Broker) isRecovered(partition *ownedPartition, now ptid.Instant) bool {
 	for name := range partition.unconfirmedAgents {
 		if broker.agentSessions[name] != nil {
@@ -584,7 +583,7 @@
 	if now.Sub(partition.acquiredAt) > ptassign.DurableRunLossTimeout {
 		return true
 	}
-	if now.Sub(broker.ownership.startedAt) < agentDiscoveryWait || len(broker.agentSessions) == 0 {
+	if now.Sub(broker.ownership.startedAt) < ptassign.DurableRunLossTimeout || len(broker.agentSessions) == 0 {
 		return false
 	}
 	for _, lostAt := range broker.core.DisconnectedAgents() {
--- a/ptbroker/handover_test.go
+++ b/ptbroker/handover_test.go
@@ -50,8 +50,8 @@
 
 // Partitions change owners repeatedly while jobs are submitted. The entries lose their connection
 // to the log one after the other. Each outage lasts until other entries have been assigned the
-// partitions of the disconnected entry. During the outage the disconnected entry continues to
-// order runs for the partitions that it believes it owns. Ownership changes are the only faults,
+// partitions of the disconnected entry. Until its membership may have expired, the disconnected
+// entry orders runs for the partitions that it believes it owns. Ownership changes are the only faults,
 // so every task must start exactly once, whichever entry ordered it, and every accepted job must
 // end.
 func TestOwnershipChangesStartNoTaskTwice(test *testing.T) {
--- a/ptbroker/recovery_test.go
+++ b/ptbroker/recovery_test.go
@@ -45,3 +45,11 @@
 	broker.handleAdopted(connecting, &ptwire.Adopted{Epoch: 1}, grown)
 	expect.Expect(broker.isRecovered(partition, grown)).To(BeTrue())
 }
+
+func TestPartitionOfANewEntryIsNotRecoveredWhileAnAgentWithItsRunsMayBeUnknown(test *testing.T) {
+	expect := NewWithT(test)
+	broker, partition := newRecoveringBroker()
+	almost := broker.ownership.startedAt.Add(ptassign.DurableRunLossTimeout - 1)
+	expect.Expect(broker.isRecovered(partition, almost)).To(BeFalse())
+	expect.Expect(broker.isRecovered(partition, almost+1)).To(BeTrue())
+}
--- a/ptdrill/durable.go
+++ b/ptdrill/durable.go
@@ -17,10 +17,9 @@
 const (
 	partitions = 4
 	// These limits are those of package ptbroker.
-	membershipTTL      = 1500 * time.Millisecond
-	joinInterval       = 400 * time.Millisecond
-	followInterval     = 50 * time.Millisecond
-	agentDiscoveryWait = 2500 * time.Millisecond
+	membershipTTL  = 1500 * time.Millisecond
+	joinInterval   = 400 * time.Millisecond
+	followInterval = 50 * time.Millisecond
 )
 
 // log is the log of the durable jobs. It also assigns the partitions to the entries.
@@ -366,7 +365,7 @@
 	if now.Sub(partition.acquiredAt) > ptassign.DurableRunLossTimeout {
 		return true
 	}
-	if now.Sub(ownership.startedAt) < agentDiscoveryWait || sessions == 0 {
+	if now.Sub(ownership.startedAt) < ptassign.DurableRunLossTimeout || sessions == 0 {
 		return false
 	}
 	for _, lostAt := range ownership.entry.core.DisconnectedAgents() {
