ptbroker: the bound for unknown agents counts from the acquisition of the partition

Callers of durable jobs would see a task run again after it was done, as before, if the partition moves to an entry seconds after that entry's start.

Cause: let a new entry wait for the bound after its start. The runs of an agent that it doesn't know end within the bound after the last word of the earlier owner, which may live until the partition moves.

Fix: where an entry acquires a partition within the bound after its start, the bound since the acquisition decides. The cost is up to 4.5 s for tasks that are not running, in partitions that move to an entry so young.

--- a/ptbroker/durable.go
+++ b/ptbroker/durable.go
@@ -573,7 +573,7 @@
 // isRecovered reports whether every run of the earlier owner has been adopted or is known to
 // have ended. The runs of an agent without a session are known to have ended once
 // ptassign.DurableRunLossTimeout has passed since this entry acquired the partition. An entry that
-// has started more recently may not know all agents.
+// had started only shortly before may not know all agents.
 func (broker *Broker) isRecovered(partition *ownedPartition, now ptid.Instant) bool {
 	for name := range partition.unconfirmedAgents {
 		if broker.agentSessions[name] != nil {
@@ -583,7 +583,7 @@
 	if now.Sub(partition.acquiredAt) > ptassign.DurableRunLossTimeout {
 		return true
 	}
-	if now.Sub(broker.ownership.startedAt) < ptassign.DurableRunLossTimeout || len(broker.agentSessions) == 0 {
+	if partition.acquiredAt.Sub(broker.ownership.startedAt) < ptassign.DurableRunLossTimeout || len(broker.agentSessions) == 0 {
 		return false
 	}
 	for _, lostAt := range broker.core.DisconnectedAgents() {
--- a/ptbroker/recovery_test.go
+++ b/ptbroker/recovery_test.go
@@ -49,7 +49,8 @@
 func TestPartitionOfANewEntryIsNotRecoveredWhileAnAgentWithItsRunsMayBeUnknown(test *testing.T) {
 	expect := NewWithT(test)
 	broker, partition := newRecoveringBroker()
-	almost := broker.ownership.startedAt.Add(ptassign.DurableRunLossTimeout - 1)
-	expect.Expect(broker.isRecovered(partition, almost)).To(BeFalse())
-	expect.Expect(broker.isRecovered(partition, almost+1)).To(BeTrue())
+	partition.acquiredAt = broker.ownership.startedAt.Add(ptassign.DurableRunLossTimeout - 1)
+	bound := partition.acquiredAt.Add(ptassign.DurableRunLossTimeout)
+	expect.Expect(broker.isRecovered(partition, bound)).To(BeFalse())
+	expect.Expect(broker.isRecovered(partition, bound+1)).To(BeTrue())
 }
--- a/ptdrill/durable.go
+++ b/ptdrill/durable.go
@@ -365,7 +365,7 @@
 	if now.Sub(partition.acquiredAt) > ptassign.DurableRunLossTimeout {
 		return true
 	}
-	if now.Sub(ownership.startedAt) < ptassign.DurableRunLossTimeout || sessions == 0 {
+	if partition.acquiredAt.Sub(ownership.startedAt) < ptassign.DurableRunLossTimeout || sessions == 0 {
 		return false
 	}
 	for _, lostAt := range ownership.entry.core.DisconnectedAgents() {
