--- a/ptbroker/durable.go
+++ b/ptbroker/durable.go
@@ -34,8 +34,6 @@
 	// storeTimeout limits a call to the log. In putRecord it limits all attempts together, and
 	// thereby the time to accept a job.
 	storeTimeout = time.Second
-	// agentDiscoveryWait is how long a new entry waits for the agents to discover it.
-	agentDiscoveryWait = 2500 * time.Millisecond
 	// maxOrphanLookups limits how many jobs with orphan progress, which is progress without a
 	// spec, are looked up in one cleanup. Each lookup takes two calls to the log.
 	maxOrphanLookups = 8
@@ -159,6 +157,7 @@
 	}
 	lost := false
 	for ctx.Err() == nil {
+		requestedAt := broker.deps.Clock.Now()
 		callCtx, cancel := context.WithTimeout(ctx, membershipTTL)
 		membership, err := broker.ownership.store.Join(callCtx, broker.ownership.memberID, broker.ownership.epoch, membershipTTL)
 		cancel()
@@ -167,7 +166,7 @@
 			broker.deps.Log.Info("partition owner membership changed", "lost", lost, "error", errorText(err))
 		}
 		if err == nil {
-			broker.applyAssignment(ctx, membership)
+			broker.applyAssignment(ctx, membership, requestedAt)
 		}
 		sleep(ctx, joinInterval)
 	}
@@ -216,10 +215,11 @@
 }
 
 // applyAssignment acquires and releases partitions according to the assignment by the consumer
-// group.
-func (broker *Broker) applyAssignment(ctx context.Context, membership ptjobstore.Membership) {
+// group, which was requested at requestedAt.
+func (broker *Broker) applyAssignment(ctx context.Context, membership ptjobstore.Membership, requestedAt ptid.Instant) {
 	broker.mu.Lock()
 	defer broker.mu.Unlock()
+	broker.core.SetOwnershipExpiry(requestedAt.Add(membershipTTL))
 	ownership := &broker.ownership
 	ownership.epoch = max(ownership.epoch, membership.Epoch)
 	for number, partition := range ownership.partitions {
@@ -572,7 +572,8 @@
 
 // isRecovered reports whether every run of the earlier owner has been adopted or is known to
 // have ended. The runs of an agent without a session are known to have ended once
-// ptassign.DurableRunLossTimeout has passed since this entry acquired the partition.
+// ptassign.DurableRunLossTimeout has passed since this entry acquired the partition. An entry that
+// had started only shortly before may not know all agents.
 func (broker *Broker) isRecovered(partition *ownedPartition, now ptid.Instant) bool {
 	for name := range partition.unconfirmedAgents {
 		if broker.agentSessions[name] != nil {
@@ -582,7 +583,7 @@
 	if now.Sub(partition.acquiredAt) > ptassign.DurableRunLossTimeout {
 		return true
 	}
-	if now.Sub(broker.ownership.startedAt) < agentDiscoveryWait || len(broker.agentSessions) == 0 {
+	if partition.acquiredAt.Sub(broker.ownership.startedAt) < ptassign.DurableRunLossTimeout || len(broker.agentSessions) == 0 {
 		return false
 	}
 	for _, lostAt := range broker.core.DisconnectedAgents() {
--- a/ptbroker/recovery_test.go
+++ b/ptbroker/recovery_test.go
@@ -45,3 +45,12 @@
 	broker.handleAdopted(connecting, &ptwire.Adopted{Epoch: 1}, grown)
 	expect.Expect(broker.isRecovered(partition, grown)).To(BeTrue())
 }
+
+func TestPartitionOfANewEntryIsNotRecoveredWhileAnAgentWithItsRunsMayBeUnknown(test *testing.T) {
+	expect := NewWithT(test)
+	broker, partition := newRecoveringBroker()
+	partition.acquiredAt = broker.ownership.startedAt.Add(ptassign.DurableRunLossTimeout - 1)
+	bound := partition.acquiredAt.Add(ptassign.DurableRunLossTimeout)
+	expect.Expect(broker.isRecovered(partition, bound)).To(BeFalse())
+	expect.Expect(broker.isRecovered(partition, bound+1)).To(BeTrue())
+}
