ptruncontrol: the time of a suspension counts for the deadlines that entries rely on

What callers would see: a task that is placed again beside its run (TWICE), where the machine of an agent is suspended for less than a lease while the agent has lost the entry and the worker does not carry out its stops.

Cause: the steady clock stands still while a machine is suspended (DEPLOY.md). An entry's bounds of 2.5 s and 4.5 s go on meanwhile; the agent's timeouts for orphaned runs and for stops that have no effect did not. Everything else that the agent derives from its clock errs to the safe side: start deadlines and leases come out early, the expiry of leases late.

Why this works: the worker's clock isn't fast, so where it has advanced by more than the agent's, the agent was suspended for the difference. Readings that are late are below the estimate and not taken. The deadline of a stop that comes late counts from when the entry's silence should have been over. Ruled out: CLOCK_BOOTTIME for the agent's clock; where the worker is suspended too, the estimate of its clock, and with it all start deadlines, would be seconds too late.

--- a/ptid/ptid.go
+++ b/ptid/ptid.go
@@ -151,7 +151,8 @@
 // never returns zero, and a zero Instant can mean "not set".
 func NewClock() *Clock { return &Clock{start: time.Now().Add(-time.Hour)} }
 
-// Now returns the current instant. The clock advances while the process is paused.
+// Now returns the current instant. The clock advances while the process is paused,
+// and stands still while its machine is suspended.
 func (clock *Clock) Now() Instant { return Instant(time.Since(clock.start)) }
 
 // FromTime returns the instant that corresponds to a wall-clock time.
--- a/ptruncontrol/overdue_stop_test.go
+++ b/ptruncontrol/overdue_stop_test.go
@@ -96,3 +96,30 @@
 	stopped := []ptrun.ListedEnd{{Sequence: 1, End: ptrun.End{Run: run(0, 1), Result: ptrun.Stopped}}}
 	fixture.expect.Expect(starts(fixture.list(1530, at(528), at(530), stopped))).To(ConsistOf(run(1, 1)))
 }
+
+// The steady clock of a suspended machine stands still, and the clock of its worker goes on.
+func TestOrphanedRunOfSuspendedAgentEndsBeforeItsTaskIsPlacedAgain(test *testing.T) {
+	const suspended = 800
+	for name, limits := range map[string]struct {
+		run                ptrun.ID
+		orphaned, lossTime int
+	}{
+		"best-effort": {run: run(0, 1), orphaned: milliseconds(ptruncontrol.OrphanTimeout), lossTime: milliseconds(ptassign.RunLossTimeout)},
+		"durable":     {run: run(0, 1<<20+1), orphaned: milliseconds(ptruncontrol.DurableOrphanTimeout), lossTime: milliseconds(ptassign.DurableRunLossTimeout)},
+	} {
+		fixture := newFixture(test)
+		fixture.startRun(limits.run)
+		fixture.lastLease(2, silenceDetection, limits.run)
+		fixture.SessionClosed(owner.Entry, at(silenceDetection))
+		resumedAt := silenceDetection + limits.orphaned/2
+		fixture.lastLease(silenceDetection+1, resumedAt, limits.run)
+		latest := 0
+		for now := resumedAt + 1; now+suspended <= limits.lossTime; now += 25 {
+			latest = max(latest, int(fixture.LeaseRenewal(at(now)).ExpiresAt)-1000)
+			for _, id := range stops(append(fixture.list(ptrun.WorkerTime(1000+now+suspended), at(now), at(now+1), nil, limits.run), fixture.Tick(at(now+2))...)) {
+				fixture.HandleStopResponse(id, 0, ptrun.ErrUnanswered, at(now+20))
+			}
+		}
+		fixture.expect.Expect(latest).To(BeNumerically("<=", limits.lossTime), name)
+	}
+}
--- a/ptruncontrol/ptruncontrol.go
+++ b/ptruncontrol/ptruncontrol.go
@@ -88,6 +88,9 @@
 	// StartOrderTTL is how long a start order stays valid. A local call takes about a
 	// millisecond, and up to some hundred milliseconds if the worker is paused.
 	StartOrderTTL = 300 * time.Millisecond
+	// minSuspension is the difference of two clocks from which on this process counts as
+	// suspended. Shorter ones are those of the readings.
+	minSuspension = 50 * time.Millisecond
 	// ClockDriftDivisor bounds the drift of the worker's clock: it may be slow by one part in
 	// ClockDriftDivisor.
 	ClockDriftDivisor = 50
@@ -521,10 +524,30 @@
 		core.leaseExpiresAt = max(core.leaseExpiresAt, clock+ptrun.WorkerTime(LeaseDuration.Milliseconds()))
 	}
 	if clock >= core.earliestClock(now) {
+		core.countSuspension(clock, now)
 		core.clock, core.clockAt = clock, now
 	}
 }
 
+// countSuspension moves the deadlines that entries rely on by the time for which this process was
+// suspended with its steady clock. The worker's clock, which is not fast, has then advanced by
+// more than the clock of this process.
+func (core *Core) countSuspension(clock ptrun.WorkerTime, now ptid.Instant) {
+	suspended := time.Duration(clock-core.clock)*time.Millisecond - now.Sub(core.clockAt)
+	if core.clock == 0 || suspended < minSuspension {
+		return
+	}
+	for _, owner := range core.owners {
+		owner.disconnectedAt = owner.disconnectedAt.Add(-suspended)
+	}
+	for _, run := range core.runs {
+		run.stopDeadline = run.stopDeadline.Add(-suspended)
+	}
+	for _, run := range core.unaccounted {
+		run.stopDeadline = run.stopDeadline.Add(-suspended)
+	}
+}
+
 // earliestClock returns the earliest time that the worker's clock can show now.
 func (core *Core) earliestClock(now ptid.Instant) ptrun.WorkerTime {
 	elapsed := now.Sub(core.clockAt)
--- a/ptruncontrol/responses.go
+++ b/ptruncontrol/responses.go
@@ -289,6 +289,8 @@
 		default:
 			if owner := core.owners[run.Owner.Entry]; owner != nil && !owner.connected && now.Sub(owner.disconnectedAt) > run.orphanTimeout() {
 				core.stop(run, ptrun.ReasonOwnerTimeout, now)
+				// The stop may be late, but the entry doesn't wait longer.
+				run.stopDeadline = min(run.stopDeadline, owner.disconnectedAt.Add(run.orphanTimeout()+StopTimeout))
 			}
 		}
 	}
