--- a/ptruncontrol/owners.go
+++ b/ptruncontrol/owners.go
@@ -1,7 +1,6 @@
 package ptruncontrol
 
 import (
-	"slices"
 	"time"
 
 	"github.com/primrosetiller/primrosetiller/ptid"
@@ -98,10 +97,14 @@
 	return max(core.leasesExpireBy(), now.Add(maxStartTime)) > core.ownerLimit(run)
 }
 
-// isOrphaned reports whether an owner of a run has had no session for the orphan timeout.
-func (core *Core) isOrphaned(run *run, now ptid.Instant) bool {
-	return slices.ContainsFunc(run.owners(), func(owner Owner) bool {
-		state := core.owners[owner.Entry]
-		return state != nil && !state.connected && now.Sub(state.disconnectedAt) > run.orphanTimeout()
-	})
+// orphanedAt returns when an owner of a run will have had no session for the orphan timeout; Never
+// if all owners have sessions.
+func (core *Core) orphanedAt(run *run) (orphanedAt ptid.Instant) {
+	orphanedAt = ptid.Never
+	for _, owner := range run.owners() {
+		if state := core.owners[owner.Entry]; state != nil && !state.connected {
+			orphanedAt = min(orphanedAt, state.disconnectedAt.Add(run.orphanTimeout()))
+		}
+	}
+	return orphanedAt
 }
--- a/ptruncontrol/responses.go
+++ b/ptruncontrol/responses.go
@@ -296,8 +296,10 @@
 		case run.state == stopping && !run.stopAcked && now >= run.stopRetryAt:
 			core.orderStop(run, now)
 		default:
-			if core.isOrphaned(run, now) {
+			if orphanedAt := core.orphanedAt(run); now > orphanedAt {
 				core.stop(run, ptrun.ReasonOwnerTimeout, now)
+				// The stop may be late, but the entry does not wait longer.
+				run.stopDeadline = min(run.stopDeadline, orphanedAt.Add(StopTimeout))
 			}
 		}
 	}
