ptrunner: an entry that joined a run is asked for proof of life as often as its owner

What callers would see: all runs of a worker end with its lease at once, although nothing has failed, and nothing starts on the worker for a while. Tasks of lasting jobs on it are interrupted. The condition is a run of two owners (a caller has submitted its job to two entries) that takes longer than a second.

Heartbeats come every 250 ms only to entries whose own runs hold capacity (Room.Own), which leaves out a second owner. Its heartbeat interval is 8 ms times the number of agents, 1.28 s with 160 of them, and reports of changes come to a far entry every 2.56 s with 40 entries.

With few entries the fault hides: the worker is reported as full after 0.94 s, and the acknowledgement of that report renews the lease.

Why this works: an entry is busy as long as it owns a run or has joined one, so the ground of the bound and the heartbeats are the same set. Ruled out: to count the limit of the first owner alone (the second one waits for the end, and relies on it).

--- a/ptruncontrol/owners.go
+++ b/ptruncontrol/owners.go
@@ -1,6 +1,7 @@
 package ptruncontrol
 
 import (
+	"slices"
 	"time"
 
 	"github.com/primrosetiller/primrosetiller/ptid"
@@ -43,6 +44,16 @@
 // owners returns the owners that have ordered the run.
 func (run *run) owners() []Owner { return append(run.joined, run.Owner) }
 
+// HasRuns reports whether an entry has ordered a run that has not ended.
+func (core *Core) HasRuns(entry ptid.EntryName) bool {
+	for _, run := range core.runs {
+		if slices.ContainsFunc(run.owners(), func(owner Owner) bool { return owner.Entry == entry }) {
+			return true
+		}
+	}
+	return false
+}
+
 // ownerLimit returns when a run must have ended unless its owners are confirmed again.
 func (core *Core) ownerLimit(run *run) (limit ptid.Instant) {
 	if run.isDurable() {
