ptassign: a pause of the entry is not taken for hanging workers

What callers would see: tasks stopped and run again, and jobs that find no worker for a second or more (late, 504), after an entry was starved of processor time or paused for some hundred milliseconds. Two runs of a sound worker are enough for a backoff of 1 to 8 s.

Cause: a run counted as hanging 100 ms plus three times its expected run time after it was placed, by the entry's clock. The tick that follows a pause may be processed before the ends that lie unread in the sockets.

Evidence: TestWorkerIsNotTakenForHangingBecauseItsEntryWasPaused fails before (two stops at the first tick after a pause of 400 ms).

Why this works: between two ticks at most 50 ms, two tick intervals, count towards the timeout. An entry that is always starved still detects hanging workers, after as many ticks as it would take at the largest interval that counts (TestStarvedEntryDetectsHangingWorkers; its ticks of 25 and 50 ms pass before as well). No more than backoffs and stops depended on this timeout: a task is placed again only after its run has ended. Ruled out: to wait for a frame of the agent that was sent later; where a worker hangs nothing changes, and the next heartbeat may be 300 ms away.

--- a/ptassign/fitness.go
+++ b/ptassign/fitness.go
@@ -32,6 +32,9 @@
 	hangTimeoutBase   = 100 * time.Millisecond
 	// maxTimeoutDoublings bounds how often the hang timeout of a task doubles.
 	maxTimeoutDoublings = 10
+	// maxTickGap is the longest time between two ticks that counts towards the hang timeout. In
+	// a longer gap the entry did not run, and the ends of runs may still be unread.
+	maxTickGap = 50 * time.Millisecond
 	// If an entry has measured a high slowdown and the agent reports a lower slowdown, the
 	// entry's value approaches the agent's value with the time constant localSlowdownDecay: after
 	// this time a third of the difference is left. The agent's value is more reliable, because
@@ -196,11 +199,33 @@
 	observed.nextBackoff = min(2*observed.nextBackoff, maxBackoff)
 }
 
+// hangTimeout returns how long a run of the task may take before it counts as hanging.
+func hangTimeout(task *ptgraph.Task, expected time.Duration) time.Duration {
+	return (hangTimeoutFactor*expected + hangTimeoutBase) << min(task.TimedOutRuns, maxTimeoutDoublings)
+}
+
+// extendHangDeadlines extends the deadlines by the time since the last tick in which the entry
+// did not run.
+func (core *Core) extendHangDeadlines(now ptid.Instant) {
+	lastTickAt := core.lastTickAt
+	core.lastTickAt = now
+	if now.Sub(lastTickAt) <= maxTickGap {
+		return
+	}
+	for _, agent := range core.sortedAgents {
+		for _, run := range agent.runs {
+			if pause := now.Sub(max(lastTickAt, run.placedAt)) - maxTickGap; pause > 0 {
+				run.hangsAt = run.hangsAt.Add(pause)
+			}
+		}
+	}
+}
+
 // stopHangingRuns starts a backoff for a worker on which runs hang, and stops these runs.
 func (core *Core) stopHangingRuns(agent *agentRecord, now ptid.Instant) {
 	hanging := 0
 	for _, run := range agent.runs {
-		if !run.stopped && !run.task.Step.LongRunning && run.placedAt > agent.observed.lastEndAt && isHanging(run, now) {
+		if !run.stopped && !run.task.Step.LongRunning && run.placedAt > agent.observed.lastEndAt && now > run.hangsAt {
 			hanging++
 		}
 	}
@@ -209,14 +234,9 @@
 	}
 	agent.observed.startBackoff(now)
 	for _, id := range sortedRuns(agent.runs) {
-		if run := agent.runs[id]; !run.stopped && !run.task.Step.LongRunning && isHanging(run, now) {
+		if run := agent.runs[id]; !run.stopped && !run.task.Step.LongRunning && now > run.hangsAt {
 			run.task.TimedOutRuns++
 			core.stopRun(agent, id, run, ptrun.ReasonUnanswered)
 		}
 	}
 }
-
-func isHanging(run *placedRun, now ptid.Instant) bool {
-	timeout := hangTimeoutFactor*run.expectedRunTime + hangTimeoutBase
-	return now.Sub(run.placedAt) > timeout<<min(run.task.TimedOutRuns, maxTimeoutDoublings)
-}
--- a/ptassign/ptassign.go
+++ b/ptassign/ptassign.go
@@ -250,7 +250,9 @@
 	reservation     ptrun.Demand
 	placedAt        ptid.Instant
 	expectedRunTime time.Duration
-	stopped         bool
+	// hangsAt is when the run counts as hanging.
+	hangsAt ptid.Instant
+	stopped bool
 	// incarnation is the incarnation of the agent that was asked to start the run.
 	incarnation ptid.Incarnation
 }
@@ -342,6 +344,7 @@
 	waitingSince, requestsSentAt ptid.Instant
 	// ownershipExpiresAt is when another entry may own the durable jobs.
 	ownershipExpiresAt ptid.Instant
+	lastTickAt         ptid.Instant
 }
 
 // New returns a core without jobs or agents. The seed makes its random choices reproducible.
@@ -601,9 +604,10 @@
 
 // reserve adds a run to the agent's list and reserves the run's capacity.
 func (core *Core) reserve(chosen *agentRecord, job *Job, task *ptgraph.Task, run ptrun.ID, now ptid.Instant) {
+	expected := core.expectedRunTime(job.Queue.Name, task.Step)
 	placed := &placedRun{
-		job: job, task: task, reservation: task.Step.Reservation(), placedAt: now, expectedRunTime: core.expectedRunTime(job.Queue.Name, task.Step),
-		incarnation: chosen.connectedIncarnation,
+		job: job, task: task, reservation: task.Step.Reservation(), placedAt: now, expectedRunTime: expected,
+		hangsAt: now.Add(hangTimeout(task, expected)), incarnation: chosen.connectedIncarnation,
 	}
 	chosen.runs[run] = placed
 	chosen.reserved = chosen.reserved.Plus(placed.reservation)
@@ -895,6 +899,7 @@
 // and placing.
 func (core *Core) Tick(now ptid.Instant) (effects []Effect) {
 	core.updateQuarantine()
+	core.extendHangDeadlines(now)
 	for _, agent := range core.sortedAgents {
 		if !agent.connected && len(agent.runs) > 0 && now.Sub(agent.disconnectedAt) > RunLossTimeout {
 			core.loseRuns(agent, ptrun.ReasonLeaseExpired, bestEffortRuns, now)
