ptruncontrol: the silence of a worker doesn't count for its successor

What callers would see: a task placed again beside its run (TWICE) on an overloaded machine, where a worker that replaces a silent one is slow from the start.

Cause: a silent worker gets 2.5 s before its runs are lost. The time was counted from the last listing of whatever worker; a successor that was announced after seconds of silence had none of it left, and its runs were lost with its first lease. For the same reason the first call to a successor renewed no lease.

Evidence: TestSilenceOfPreviousWorkerDoesNotCountForItsSuccessor fails before (lost after 1,100 ms) and passes now. Not shown to be the users' case.

Why this works: the announcement or listing that shows the successor is its first response; all that is counted since the last response starts there.

--- a/ptruncontrol/ptruncontrol.go
+++ b/ptruncontrol/ptruncontrol.go
@@ -477,6 +477,7 @@
 func (core *Core) replaceWorker(next ptrun.WorkerIdentity, now ptid.Instant) {
 	previous, lost := core.worker.WorkerIdentity, 0
 	core.highestEnd, core.leaseExpiresAt, core.clock, core.clockAt = 0, 0, 0, now
+	core.listedAt, core.listCalledAt, core.silentSince = now, now, now
 	if next.ID == previous.ID {
 		core.fence(now)
 	} else {
