A worker that refuses calls has its runs declared lost as late as a silent one

Cause: an end taken as proved without the worker's word. The status 429 or 503 of a listing was one error with a refused connection, so the runs were lost 1 ms after the expiry of the lease by the worker's clock. A worker that refuses calls lives, and is the overloaded one that gives 2.5 s to.

Evidence: TestRunsOfSilentWorkerAreNotLostWithTheLease, now also with such refusals, fails before (lost after 1,320 ms, not 2,500). Not shown to be the users' case.

Why this works: ErrNotListening is new and says that nobody listens; only then the expired lease is enough, since the worker's process is gone. Refused orders prove as before that nothing was started. Cost: after the loss of a worker that refuses calls for good, its tasks wait 1.6 s longer.

Tests: those that mean a worker that is down (a refused connection) now name ErrNotListening and ask for the same times; the test of a restarted worker names both errors. The drill's dead workers refuse connections, its living ones answer 503, as before in one error.

--- a/ptdrill/agent.go
+++ b/ptdrill/agent.go
@@ -329,7 +329,11 @@
 		case lostResponse:
 			target.receive(func() { execute(target, func(error) {}) })
 		case refusedCall:
-			answer(ptrun.ErrUnhealthy)
+			if target.alive {
+				answer(ptrun.ErrUnhealthy)
+			} else {
+				answer(ptrun.ErrNotListening)
+			}
 		case mismatchedCall:
 			answer(ptrun.ErrWorkerMismatch)
 		case answeredCall:
--- a/ptrun/ptrun.go
+++ b/ptrun/ptrun.go
@@ -262,9 +262,11 @@
 	// ErrNotSent means that the order was not sent, because no connection to the worker was
 	// available or could be opened in time. It says nothing about the worker.
 	ErrNotSent = errors.New("the order was not sent to the worker")
-	// ErrUnhealthy means that nobody listens at the worker's address, or that the worker refused
-	// the order because it is unhealthy or overloaded. It has not carried out the order.
-	ErrUnhealthy = errors.New("the worker is unhealthy or down and has not carried out the order")
+	// ErrNotListening means that nobody listens at the worker's address: the worker is down.
+	ErrNotListening = errors.New("nobody listens at the worker's address")
+	// ErrUnhealthy means that the worker refused the order because it is unhealthy or overloaded.
+	// It has not carried out the order.
+	ErrUnhealthy = errors.New("the worker is unhealthy and has not carried out the order")
 	// ErrRejected means that the worker does not accept the order as valid.
 	ErrRejected = errors.New("the worker rejected the order")
 )
--- a/ptruncontrol/ptruncontrol.go
+++ b/ptruncontrol/ptruncontrol.go
@@ -108,8 +108,8 @@
 	// UnreachableTimeout is how long listings may fail before the agent takes no more orders.
 	// It covers a few calls without a response.
 	UnreachableTimeout = 300 * time.Millisecond
-	// SilentWorkerTimeout is how long a worker may leave listings without a response before its
-	// runs are declared lost. Entries wait as long for the runs of a silent agent
+	// SilentWorkerTimeout is how long a worker may leave listings without a response, or refuse
+	// them, before its runs are declared lost. Entries wait as long for the runs of a silent agent
 	// (ptassign.RunLossTimeout).
 	SilentWorkerTimeout = 2500 * time.Millisecond
 	// rebroadcastInterval is the interval at which the agent broadcasts the end of a run again
--- a/ptruncontrol/ptruncontrol_test.go
+++ b/ptruncontrol/ptruncontrol_test.go
@@ -159,13 +159,13 @@
 	fixture.HandleStartResponse(run(0, 1), 1001, nil, at(2))
 	until := fixture.LeaseRenewal(at(10)).ExpiresAt
 	fixture.expect.Expect(until).To(BeNumerically("<=", 1910))
-	fixture.expect.Expect(sentEnds(fixture.HandleListFailure(ptrun.ErrUnhealthy, at(899), at(900)))).To(BeEmpty())
+	fixture.expect.Expect(sentEnds(fixture.HandleListFailure(ptrun.ErrNotListening, at(899), at(900)))).To(BeEmpty())
 	// The worker's clock may be slow by two percent: while it advances by 910 ms, the agent's
 	// clock may advance by 929 ms.
-	fixture.expect.Expect(sentEnds(fixture.HandleListFailure(ptrun.ErrUnhealthy, at(924), at(925)))).To(BeEmpty())
+	fixture.expect.Expect(sentEnds(fixture.HandleListFailure(ptrun.ErrNotListening, at(924), at(925)))).To(BeEmpty())
 	// A call that was requested before the expiry proves nothing.
-	fixture.expect.Expect(sentEnds(fixture.HandleListFailure(ptrun.ErrUnhealthy, at(920), at(935)))).To(BeEmpty())
-	ends := sentEnds(fixture.HandleListFailure(ptrun.ErrUnhealthy, at(934), at(935)))
+	fixture.expect.Expect(sentEnds(fixture.HandleListFailure(ptrun.ErrNotListening, at(920), at(935)))).To(BeEmpty())
+	ends := sentEnds(fixture.HandleListFailure(ptrun.ErrNotListening, at(934), at(935)))
 	fixture.expect.Expect(ends).To(HaveLen(1))
 	fixture.expect.Expect(ends[0].Result).To(Equal(ptrun.Lost))
 }
@@ -174,10 +174,10 @@
 	fixture := newFixture(test)
 	fixture.order(run(0, 1), 4000, at(1))
 	fixture.order(run(1, 1), 1000, at(1))
-	fixture.expect.Expect(sentEnds(fixture.HandleListFailure(ptrun.ErrUnhealthy, at(29), at(30)))).To(BeEmpty())
+	fixture.expect.Expect(sentEnds(fixture.HandleListFailure(ptrun.ErrNotListening, at(29), at(30)))).To(BeEmpty())
 	fixture.expect.Expect(fixture.CapacityReport(owner.Entry).Unusable).To(BeFalse())
 	// The waiting run is refused once the worker has been unreachable for the timeout.
-	fixture.expect.Expect(sentEnds(fixture.HandleListFailure(ptrun.ErrUnhealthy, at(349), at(350)))).To(HaveLen(1))
+	fixture.expect.Expect(sentEnds(fixture.HandleListFailure(ptrun.ErrNotListening, at(349), at(350)))).To(HaveLen(1))
 	fixture.expect.Expect(fixture.CapacityReport(owner.Entry).Unusable).To(BeTrue())
 }
 
@@ -353,7 +353,7 @@
 	var ends []ptrun.End
 	for millis := 10; millis < 1400 && len(ends) == 0; millis += 20 {
 		fixture.LeaseRenewal(at(millis))
-		ends = sentEnds(fixture.HandleListFailure(ptrun.ErrUnhealthy, at(millis), at(millis+10)))
+		ends = sentEnds(fixture.HandleListFailure(ptrun.ErrNotListening, at(millis), at(millis+10)))
 	}
 	fixture.expect.Expect(ends).To(HaveLen(1))
 	fixture.expect.Expect(ends[0].Result).To(Equal(ptrun.Lost))
--- a/ptruncontrol/responses.go
+++ b/ptruncontrol/responses.go
@@ -178,9 +178,9 @@
 // after the expiry of every lease that may have been granted has failed too, the active runs are
 // declared lost, except the runs whose start call is still in progress. An earlier call proves
 // nothing: the agent may have been paused while it waited for the response. A worker that does
-// not respond may be overloaded and end its runs late, so it gets [SilentWorkerTimeout]. While the
-// agent is paused nobody calls the worker, so the time between two outcomes counts up to
-// UnreachableTimeout only.
+// not respond or refuses calls may be overloaded and end its runs late, so it gets
+// [SilentWorkerTimeout], unless nobody listens at its address. While the agent is paused nobody
+// calls the worker, so the time between two outcomes counts up to UnreachableTimeout only.
 func (core *Core) HandleListFailure(err error, requestedAt, now ptid.Instant) (effects []Effect) {
 	core.silentSince = core.silentSince.Add(max(0, now.Sub(core.listCalledAt)-UnreachableTimeout))
 	core.listCalledAt = now
@@ -189,8 +189,8 @@
 	}
 	core.reachable = false
 	core.refuseWaiting(ptrun.ReasonWorkerAbsent, now)
-	silent := errors.Is(err, ptrun.ErrUnanswered) || errors.Is(err, ptrun.ErrNotSent)
-	if requestedAt <= core.leasesExpireBy() || silent && now.Sub(core.silentSince) <= SilentWorkerTimeout {
+	down := errors.Is(err, ptrun.ErrNotListening)
+	if requestedAt <= core.leasesExpireBy() || !down && now.Sub(core.silentSince) <= SilentWorkerTimeout {
 		return core.takeEffects()
 	}
 	core.loseRuns(now)
--- a/ptruncontrol/restart_test.go
+++ b/ptruncontrol/restart_test.go
@@ -71,6 +71,7 @@
 	for millis := 100; millis < 6000; millis += 100 {
 		effects = append(effects, fixture.HandleListFailure(ptrun.ErrUnanswered, at(millis-60), at(millis))...)
 		effects = append(effects, fixture.HandleListFailure(ptrun.ErrUnhealthy, at(millis-60), at(millis))...)
+		effects = append(effects, fixture.HandleListFailure(ptrun.ErrNotListening, at(millis-60), at(millis))...)
 		effects = append(effects, fixture.Tick(at(millis))...)
 	}
 	fixture.expect.Expect(sentEnds(effects)).To(BeEmpty(), "the worker may still execute the start order")
--- a/ptruncontrol/takeover_test.go
+++ b/ptruncontrol/takeover_test.go
@@ -76,7 +76,7 @@
 	core.HandleAnnouncement(worker, 1000, start)
 	core.HandleListing(ptrun.Listing{WorkerStartedAt: worker.StartedAt, Clock: 1001, Active: []ptrun.ListedRun{{Run: run(0, 1)}}}, start, at(1))
 	core.LeaseRenewal(at(200))
-	core.HandleListFailure(ptrun.ErrUnhealthy, at(1150), at(1290))
+	core.HandleListFailure(ptrun.ErrNotListening, at(1150), at(1290))
 	expect.Expect(core.TakeoverComplete()).To(BeFalse(), "only a listing shows that the unknown run has ended")
 }
 
@@ -117,7 +117,7 @@
 }
 
 func TestRunsOfSilentWorkerAreNotLostWithTheLease(test *testing.T) {
-	for _, failure := range []error{ptrun.ErrUnanswered, ptrun.ErrNotSent} {
+	for _, failure := range []error{ptrun.ErrUnanswered, ptrun.ErrNotSent, ptrun.ErrUnhealthy} {
 		fixture := newFixtureWithRun(test)
 		var lostAt int
 		for millis := 60; millis < 4000 && lostAt == 0; millis += 60 {
@@ -147,7 +147,7 @@
 	fixture := newFixtureWithRun(test)
 	for millis := 60; millis < 2000; millis += 60 {
 		fixture.LeaseRenewal(at(millis - 50))
-		fixture.HandleListFailure(ptrun.ErrUnhealthy, at(millis-50), at(millis))
+		fixture.HandleListFailure(ptrun.ErrNotListening, at(millis-50), at(millis))
 		fixture.Tick(at(millis))
 	}
 	fixture.listedAfterLapse(1100, 2000)
@@ -157,7 +157,7 @@
 	fixture := newFixtureWithRun(test)
 	fixture.LeaseRenewal(at(11))
 	// The first call after the freeze is the listing call that was under way.
-	effects := fixture.HandleListFailure(ptrun.ErrUnhealthy, at(11), at(5000))
+	effects := fixture.HandleListFailure(ptrun.ErrNotListening, at(11), at(5000))
 	effects = append(effects, fixture.Tick(at(5000))...)
 	fixture.expect.Expect(sentEnds(effects)).To(BeEmpty(), "no listing call has failed while the agent was running")
 	fixture.listedAfterLapse(1020, 5001)
@@ -210,7 +210,7 @@
 	fixture.order(run(0, 1), 3000, at(1))
 	fixture.HandleStartResponse(run(0, 1), 1002, nil, at(2))
 	for millis := 100; millis < 900; millis += 50 {
-		fixture.expect.Expect(sentEnds(fixture.HandleListFailure(ptrun.ErrUnhealthy, at(millis-40), at(millis)))).To(BeEmpty(), "%d ms", millis)
+		fixture.expect.Expect(sentEnds(fixture.HandleListFailure(ptrun.ErrNotListening, at(millis-40), at(millis)))).To(BeEmpty(), "%d ms", millis)
 	}
 }
 
