ptruncontrol: a worker that starts again with its wall clock set back is used

What callers would see: the capacity of a worker lost for good, and runs that never end (504, or a durable task that never runs again), after the wall clock of a worker's machine was set back and the worker started again. Not shown to be the users' case; clocks that jump are a trouble of several sites.

Cause: incarnations were ordered by their start times alone. Listings and announcements of a successor with an earlier start time were dropped as late ones, for as long as the agent lived. With the same ID, the agent also went on to start runs by the clock of the previous incarnation.

Evidence: TestSuccessorWithAnEarlierStartTimeIsUsed fails before (no end within 5 s, nothing starts), with the same and with another ID. TestLateListingOfPreviousIncarnationIsIgnored and the tests of late announcements pass before and after.

Why this works: only a process that lives answers a call, so a listing that was requested after the present incarnation was heard from comes from that one or from a successor, whatever the start times say. Where another worker answers at the address, the previous one is gone, and any announcement may be the successor's; if it is a late one, the next call says so. Ruled out: to order by arrival alone, since announcements may be late.

--- a/ptruncontrol/ptruncontrol.go
+++ b/ptruncontrol/ptruncontrol.go
@@ -357,6 +357,8 @@
 
 	worker ptrun.Worker
 	known  bool
+	// identifiedAt is when the present incarnation was first heard from.
+	identifiedAt ptid.Instant
 	// unannounced means that the worker is not known because a later incarnation has responded
 	// that was not announced yet.
 	unannounced bool
@@ -450,10 +452,12 @@
 }
 
 // HandleAnnouncement processes an announcement of the worker. An incarnation that is announced
-// again after [Core.HandleWorkerGone] keeps its runs.
+// again after [Core.HandleWorkerGone] keeps its runs. An incarnation with an earlier start time is
+// a successor only if the present one is gone: the wall clock may have been set back.
 func (core *Core) HandleAnnouncement(worker ptrun.Worker, clock ptrun.WorkerTime, now ptid.Instant) (effects []Effect) {
+	_, present := core.WorkerToList()
 	switch {
-	case worker.StartedAt.Before(core.worker.StartedAt):
+	case present && worker.StartedAt.Before(core.worker.StartedAt):
 		// The announcement was delayed, and a later incarnation of the worker is known.
 		return nil
 	case core.worker.WorkerIdentity != worker.WorkerIdentity:
@@ -477,7 +481,7 @@
 func (core *Core) replaceWorker(next ptrun.WorkerIdentity, now ptid.Instant) {
 	previous, lost := core.worker.WorkerIdentity, 0
 	core.highestEnd, core.leaseExpiresAt, core.clock, core.clockAt = 0, 0, 0, now
-	core.listedAt, core.listCalledAt, core.silentSince = now, now, now
+	core.identifiedAt, core.listedAt, core.listCalledAt, core.silentSince = now, now, now, now
 	if next.ID == previous.ID {
 		core.fence(now)
 	} else {
--- a/ptruncontrol/replaced_worker_test.go
+++ b/ptruncontrol/replaced_worker_test.go
@@ -29,3 +29,37 @@
 	}
 	fixture.expect.Expect(lostAt).To(BeNumerically(">", 5000+milliseconds(ptruncontrol.SilentWorkerTimeout)))
 }
+
+// The wall clock of a worker's machine may be set back before the worker starts again.
+func TestSuccessorWithAnEarlierStartTimeIsUsed(test *testing.T) {
+	for name, id := range map[string]ptrun.WorkerID{"same ID": "worker", "other ID": "next"} {
+		fixture := newFixtureWithRun(test)
+		next := sameWorker(1)
+		next.ID, next.StartedAt = id, time.UnixMilli(2)
+		restarted := ptrun.Listing{WorkerStartedAt: next.StartedAt, Clock: 1}
+		var ends []ptrun.End
+		for millis := 100; millis < 5000; millis += 100 {
+			restarted.Clock += 100
+			switch listed, known := fixture.WorkerToList(); {
+			case !known:
+			case listed.ID != id:
+				fixture.HandleWorkerGone(listed, at(millis))
+			default:
+				ends = append(ends, sentEnds(fixture.HandleListing(restarted, at(millis-1), at(millis)))...)
+			}
+			next.Sequence++
+			ends = append(ends, sentEnds(fixture.HandleAnnouncement(next, restarted.Clock, at(millis+1)))...)
+		}
+		fixture.expect.Expect(ends).To(HaveLen(1), name)
+		fixture.expect.Expect(ends[0].Result).To(Equal(ptrun.Lost), name)
+		fixture.expect.Expect(starts(fixture.order(run(1, 1), 4000, at(5000)))).To(HaveLen(1), name)
+	}
+}
+
+func TestLateListingOfPreviousIncarnationIsIgnored(test *testing.T) {
+	fixture := newFixture(test)
+	fixture.HandleListing(restartedListing(2), at(11), at(12))
+	fixture.list(1020, at(10), at(13), nil)
+	listed, _ := fixture.WorkerToList()
+	fixture.expect.Expect(listed).To(Equal(restartedWorker().WorkerIdentity))
+}
--- a/ptruncontrol/responses.go
+++ b/ptruncontrol/responses.go
@@ -67,10 +67,11 @@
 	}
 	switch {
 	case listing.WorkerStartedAt.IsZero() || listing.WorkerStartedAt.Equal(core.worker.StartedAt):
-	case listing.WorkerStartedAt.Before(core.worker.StartedAt):
+	case listing.WorkerStartedAt.Before(core.worker.StartedAt) && requestedAt <= core.identifiedAt:
+		// An earlier incarnation has responded.
 		return nil
 	default:
-		// The worker has restarted. Its capacity may differ, so it is not used before it is
+		// The worker has restarted, with its wall clock set back if the start time is earlier. Its capacity may differ, so it is not used before it is
 		// announced.
 		next := ptrun.WorkerIdentity{ID: core.worker.ID, StartedAt: listing.WorkerStartedAt}
 		core.replaceWorker(next, now)
