ptruncontrol: a durable run of a restarted entry is stopped unless it is adopted

What callers would see: two runs of a task of a durable job at once (TWICE): an entry is killed and restarted, its partition goes to another entry that can't reach the agent, and that one places the task again after 4.5 s.

Cause: a run of an owner without a session is stopped after 2.5 s. As soon as the restarted entry had opened a session, its name had one, and the runs of its earlier incarnation went on without an owner for as long as they liked. The restarted entry doesn't own them: the log gives the partition to any entry.

Evidence: TestDurableRunOfRestartedEntryEndsBeforeItsTaskIsPlacedAgain fails before (a lease until 5,398 ms against 4,500, and no stop at all) and passes now, also where the entry restarts three times. TestAdoptedRunOfRestartedEntryIsNotStopped passes before and after. Not shown to be the users' case; its mass kills of entries are what it takes.

Why this works: the run keeps the instant at which the session with its owner ended until an entry adopts it, so a restarted owner is like one that stays away. Ruled out: to stop such runs when the entry is back, since the adoption usually follows within 2 s.

Open: an agent whose earlier owner lives, connected, after the partition has moved (TestLaterOwnerThatAnAgentDoesNotKnowStartsNoTaskTwice).

--- a/ptruncontrol/durable.go
+++ b/ptruncontrol/durable.go
@@ -80,7 +80,7 @@
 			core.finishUnstarted(run, ptrun.ReasonOtherOwner, now)
 			continue
 		}
-		run.Owner = owner
+		run.Owner, run.ownerLostAt = owner, 0
 		adopted.Runs = append(adopted.Runs, run.Run)
 	}
 	for _, id := range slices.SortedFunc(maps.Keys(core.unacked), ptrun.Compare) {
--- a/ptruncontrol/overdue_stop_test.go
+++ b/ptruncontrol/overdue_stop_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/primrosetiller/primrosetiller/ptassign"
+	"github.com/primrosetiller/primrosetiller/ptid"
 	"github.com/primrosetiller/primrosetiller/ptrun"
 	"github.com/primrosetiller/primrosetiller/ptruncontrol"
 )
@@ -66,6 +67,26 @@
 	fixture.expect.Expect(latest).To(BeNumerically("<=", until))
 }
 
+// The entry fails at the start and is restarted, and the partition goes to another entry, which the
+// agent can't reach.
+func TestDurableRunOfRestartedEntryEndsBeforeItsTaskIsPlacedAgain(test *testing.T) {
+	for name, restarts := range map[string][]int{"once": {700}, "repeatedly": {700, 2000, 3300}} {
+		fixture := newFixture(test)
+		id := run(0, 1<<20+1)
+		fixture.startRun(id)
+		until := milliseconds(ptassign.DurableRunLossTimeout)
+		latest, now := fixture.lastLease(2, silenceDetection, id), silenceDetection
+		for index, restartedAt := range restarts {
+			fixture.SessionClosed(owner.Entry, at(now))
+			latest = max(latest, fixture.lastLease(now+1, restartedAt, id))
+			fixture.SessionOpened(ptruncontrol.Owner{Entry: owner.Entry, Incarnation: ptid.Incarnation(index + 2)}, at(restartedAt))
+			latest, now = max(latest, fixture.lastLease(restartedAt+1, restartedAt+500, id)), restartedAt+500
+		}
+		latest = max(latest, fixture.lastLease(now, until, id))
+		fixture.expect.Expect(latest).To(BeNumerically("<=", until), name)
+	}
+}
+
 // The caller's connection breaks at the start, and its entry stops the run at once. The caller
 // submits the job again to another entry.
 func TestStoppedRunThatIgnoresStopsEndsBeforeItsCallerSubmitsAgain(test *testing.T) {
@@ -123,3 +144,18 @@
 		fixture.expect.Expect(latest).To(BeNumerically("<=", limits.lossTime), name)
 	}
 }
+
+func TestAdoptedRunOfRestartedEntryIsNotStopped(test *testing.T) {
+	fixture := newFixture(test)
+	id := run(0, 1<<20+1)
+	fixture.startRun(id)
+	fixture.SessionClosed(owner.Entry, at(600))
+	restarted := ptruncontrol.Owner{Entry: owner.Entry, Incarnation: 2}
+	fixture.SessionOpened(restarted, at(700))
+	fixture.lastLease(701, 2600, id)
+	fixture.AdoptPartition(restarted, 0, 4, 2, at(2601))
+	for millis := 2650; millis < 6000; millis += 50 {
+		effects := append(fixture.list(ptrun.WorkerTime(1000+millis), at(millis-1), at(millis), nil, id), fixture.Tick(at(millis))...)
+		fixture.expect.Expect(stops(effects)).To(BeEmpty(), "%d ms", millis)
+	}
+}
--- a/ptruncontrol/owners.go
+++ b/ptruncontrol/owners.go
@@ -112,6 +112,9 @@
 // if all owners have sessions.
 func (core *Core) orphanedAt(run *run) (orphanedAt ptid.Instant) {
 	orphanedAt = ptid.Never
+	if run.ownerLostAt != 0 {
+		orphanedAt = run.ownerLostAt.Add(run.orphanTimeout())
+	}
 	for _, owner := range run.owners() {
 		if state := core.owners[owner.Entry]; state != nil && !state.connected {
 			orphanedAt = min(orphanedAt, state.disconnectedAt.Add(run.orphanTimeout()))
--- a/ptruncontrol/ptruncontrol.go
+++ b/ptruncontrol/ptruncontrol.go
@@ -27,9 +27,9 @@
 //     has best-effort runs on the worker, nor, while one of its runs is to be stopped, beyond a lease
 //     after the stop was requested (owners.go).
 //  5. If an entry has had no session for [OrphanTimeout], its best-effort runs are stopped.
-//     Its runs of durable jobs are stopped after [DurableOrphanTimeout]. When a new
-//     incarnation of an entry opens a session, the best-effort runs of the earlier
-//     incarnations are stopped immediately.
+//     Its runs of durable jobs are stopped after [DurableOrphanTimeout], unless an entry has
+//     adopted them. When a new incarnation of an entry opens a session, the best-effort runs of
+//     the earlier incarnations are stopped immediately.
 //  6. Runs that the worker lists and that hold no capacity in the agent's records are stopped:
 //     runs that this agent has not ordered, and runs whose end it has declared. While the
 //     worker lists such a run, no run starts, because its demand is unknown. The agent
@@ -308,6 +308,9 @@
 	// mustEndBy is when the run must have ended after its stop was requested.
 	mustEndBy  ptid.Instant
 	stopReason ptrun.Reason
+	// ownerLostAt is when the session with the owner of a durable run ended, if the owner has been
+	// restarted since; zero if not.
+	ownerLostAt ptid.Instant
 	// joined contains the further owners that have ordered the run: a caller may submit its job
 	// to two entries, which number its runs alike.
 	joined []Owner
@@ -557,6 +560,9 @@
 	}
 	for _, run := range core.runs {
 		run.stopDeadline = run.stopDeadline.Add(-suspended)
+		if run.ownerLostAt != 0 {
+			run.ownerLostAt = run.ownerLostAt.Add(-suspended)
+		}
 		if run.mustEndBy != ptid.Never {
 			run.mustEndBy = run.mustEndBy.Add(-suspended)
 		}
--- a/ptruncontrol/responses.go
+++ b/ptruncontrol/responses.go
@@ -220,16 +220,24 @@
 // SessionOpened records that an incarnation of an entry has opened a session. The best-effort
 // runs of its earlier incarnations are stopped.
 func (core *Core) SessionOpened(owner Owner, now ptid.Instant) (effects []Effect) {
+	previous := core.owners[owner.Entry]
 	for _, run := range core.sortedRuns() {
-		if run.Owner.Entry == owner.Entry && run.Owner.Incarnation != owner.Incarnation && !run.isDurable() {
+		switch {
+		case run.Owner.Entry != owner.Entry || run.Owner.Incarnation == owner.Incarnation:
+		case !run.isDurable():
 			core.stop(run, ptrun.ReasonOwnerTimeout, now)
+		case run.ownerLostAt == 0:
+			run.ownerLostAt = now
+			if previous != nil && !previous.connected {
+				run.ownerLostAt = previous.disconnectedAt
+			}
 		}
 		run.joined = slices.DeleteFunc(run.joined, func(joined Owner) bool {
 			return joined.Entry == owner.Entry && joined.Incarnation != owner.Incarnation
 		})
 	}
 	opened := &ownerState{incarnation: owner.Incarnation, connected: true}
-	if previous := core.owners[owner.Entry]; previous != nil && previous.incarnation == owner.Incarnation {
+	if previous != nil && previous.incarnation == owner.Incarnation {
 		opened.aliveAt = previous.aliveAt
 	}
 	core.owners[owner.Entry] = opened
