ptruncontrol: the lease ends with the last proof of life of the owners of durable runs

What callers would see: a task of a durable job placed again beside its run (TWICE), where an agent that is starved of processor time is cut from the entry, and the worker doesn't carry out its stops.

Cause: replaced the sum of steps by a limit of the lease for best-effort runs only. For durable runs the sum was left (detection, 2.5 s, 0.35 s, a lease: 4.35 s of 4.5). The detection of 0.575 s doesn't hold: a single pause of the agent restarts the timeouts of its session, and postpones the end of the session by up to the pause and 0.3 s.

Evidence: TestDurableRunOfSilentOwnerEndsBeforeItsTaskIsPlacedAgainAfterALateDetection fails before (detected 0.8 s late, a lease until 5,099 ms against 4,500) and passes now. Not shown to be the users' case.

Why this works: the owner counts from the end of its session, which follows the last acknowledgement that the agent has of it; the lease ends 4.3 s after that, whatever becomes of detection, stops and of the agent itself. Adoption makes the new owner's session the ground. Ruled out: to stop orphaned runs earlier, which leaves less time for adoption.

--- a/ptruncontrol/owners.go
+++ b/ptruncontrol/owners.go
@@ -14,6 +14,9 @@
 	// worker never extends beyond that. OwnerTimeout is less than the time after which callers
 	// resubmit; see docs/design/10-platform.md.
 	OwnerTimeout = 1250 * time.Millisecond
+	// DurableOwnerTimeout is the same for a run of a durable job. It is less than the time after
+	// which its owner places the task again (ptassign.DurableRunLossTimeout).
+	DurableOwnerTimeout = 4300 * time.Millisecond
 	// orderTTL is how long after they were sent orders are valid at most (ptassign.OrderTTL).
 	orderTTL = 500 * time.Millisecond
 	// maxLeaseTime and maxStartTime are the longest times that a lease and a start order may
@@ -57,7 +60,7 @@
 // ownerLimit returns when a run must have ended unless its owners are confirmed again.
 func (core *Core) ownerLimit(run *run) (limit ptid.Instant) {
 	if run.isDurable() {
-		return ptid.Never
+		return core.durableOwnerAliveAt(run).Add(DurableOwnerTimeout)
 	}
 	limit = ptid.Never
 	for _, owner := range run.owners() {
@@ -70,12 +73,22 @@
 	return limit
 }
 
+// durableOwnerAliveAt returns when the owner of a run of a durable job is known to have had its
+// session with this agent. Unlike for best-effort jobs, the opening of the session counts: the
+// owner waits from the end of its latest session.
+func (core *Core) durableOwnerAliveAt(run *run) (aliveAt ptid.Instant) {
+	if state := core.owners[run.Owner.Entry]; run.ownerLostAt == 0 && state != nil {
+		return max(state.aliveAt, state.openedAt)
+	}
+	return run.ownerLostAt
+}
+
 // limitStopped fixes the instant at which a run that is to be stopped must have ended. A lease
 // that was granted before may still run; it is not extended.
 func (core *Core) limitStopped(run *run, now ptid.Instant) {
-	run.mustEndBy = ptid.Never
+	run.mustEndBy = core.ownerLimit(run)
 	if !run.isDurable() {
-		run.mustEndBy = min(core.ownerLimit(run), now.Add(maxLeaseTime))
+		run.mustEndBy = min(run.mustEndBy, now.Add(maxLeaseTime))
 	}
 }
 
--- a/ptruncontrol/ptruncontrol.go
+++ b/ptruncontrol/ptruncontrol.go
@@ -24,8 +24,9 @@
 //     A run that is active for [StopTimeout] after its first stop order is ended by the
 //     lease: the agent does not renew it and starts no run, which ends all runs on the worker.
 //     A lease never extends beyond [OwnerTimeout] after the last proof of life of an entry that
-//     has best-effort runs on the worker, nor, while one of its runs is to be stopped, beyond a lease
-//     after the stop was requested (owners.go).
+//     has best-effort runs on the worker ([DurableOwnerTimeout] for runs of durable jobs), nor,
+//     while a best-effort run is to be stopped, beyond a lease after the stop was requested
+//     (owners.go).
 //  5. If an entry has had no session for [OrphanTimeout], its best-effort runs are stopped.
 //     Its runs of durable jobs are stopped after [DurableOrphanTimeout], unless an entry has
 //     adopted them. When a new incarnation of an entry opens a session, the best-effort runs of
@@ -340,9 +341,10 @@
 	incarnation    ptid.Incarnation
 	connected      bool
 	disconnectedAt ptid.Instant
-	// aliveAt is the latest instant at which the incarnation is known to have been alive.
-	aliveAt ptid.Instant
-	request ptrun.CapacityRequest
+	// aliveAt is the latest instant at which the incarnation is known to have been alive, and
+	// openedAt when it opened its latest session.
+	aliveAt, openedAt ptid.Instant
+	request           ptrun.CapacityRequest
 	// usage is the sum of the CPU demands of the runs that the entry has ordered, each divided
 	// by the rate at which the entry requested capacity. The entry with the lowest usage gets
 	// the next offer.
@@ -557,6 +559,7 @@
 	}
 	for _, owner := range core.owners {
 		owner.disconnectedAt, owner.aliveAt = owner.disconnectedAt.Add(-suspended), owner.aliveAt.Add(-suspended)
+		owner.openedAt = owner.openedAt.Add(-suspended)
 	}
 	for _, run := range core.runs {
 		run.stopDeadline = run.stopDeadline.Add(-suspended)
--- a/ptruncontrol/responses.go
+++ b/ptruncontrol/responses.go
@@ -236,7 +236,7 @@
 			return joined.Entry == owner.Entry && joined.Incarnation != owner.Incarnation
 		})
 	}
-	opened := &ownerState{incarnation: owner.Incarnation, connected: true}
+	opened := &ownerState{incarnation: owner.Incarnation, connected: true, openedAt: now}
 	if previous != nil && previous.incarnation == owner.Incarnation {
 		opened.aliveAt = previous.aliveAt
 	}
--- a/ptruncontrol/silent_owner_test.go
+++ b/ptruncontrol/silent_owner_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/primrosetiller/primrosetiller/ptassign"
 	"github.com/primrosetiller/primrosetiller/ptrun"
 	"github.com/primrosetiller/primrosetiller/ptruncontrol"
 )
@@ -64,3 +65,28 @@
 	fixture.SessionClosed(secondOwner.Entry, at(20))
 	fixture.expect.Expect(stops(fixture.Tick(at(20).Add(ptruncontrol.OrphanTimeout + 10*time.Millisecond)))).To(ConsistOf(run(0, 1)))
 }
+
+// A pause of the agent postpones the end of its session with the entry by up to 0.8 s.
+func TestDurableRunOfSilentOwnerEndsBeforeItsTaskIsPlacedAgainAfterALateDetection(test *testing.T) {
+	const detected = silenceDetection + 800
+	fixture := newFixture(test)
+	id := run(0, 1<<20+1)
+	fixture.startRun(id)
+	until := milliseconds(ptassign.DurableRunLossTimeout)
+	latest := fixture.lastLease(2, detected, id)
+	fixture.SessionClosed(owner.Entry, at(detected))
+	latest = max(latest, fixture.lastLease(detected+1, until, id))
+	fixture.expect.Expect(latest).To(BeNumerically("<=", until))
+}
+
+func TestAdoptedRunKeepsItsLeaseBeforeItsNewOwnerAcknowledgesAFrame(test *testing.T) {
+	fixture := newFixture(test)
+	id := run(0, 1<<20+1)
+	fixture.startRun(id)
+	fixture.SessionClosed(owner.Entry, at(600))
+	later := ptruncontrol.Owner{Entry: "later", Incarnation: 1}
+	fixture.list(3500, at(2499), at(2500), nil, id)
+	fixture.SessionOpened(later, at(2501))
+	fixture.AdoptPartition(later, 0, 4, 2, at(2502))
+	fixture.expect.Expect(fixture.LeaseRenewal(at(2503)).ExpiresAt).To(BeNumerically(">", 4390))
+}
