--- a/ptruncontrol/ptruncontrol.go
+++ b/ptruncontrol/ptruncontrol.go
@@ -24,12 +24,13 @@
 //     A run that is active for [StopTimeout] after its first stop order is ended by the
 //     lease: the agent does not renew it and starts no run, which ends all runs on the worker.
 //     A lease never extends beyond [OwnerTimeout] after the last proof of life of an entry that
-//     has best-effort runs on the worker, nor, while one of its runs is to be stopped, beyond a lease
-//     after the stop was requested (owners.go).
+//     has best-effort runs on the worker ([DurableOwnerTimeout] for runs of durable jobs), nor,
+//     while a best-effort run is to be stopped, beyond a lease after the stop was requested
+//     (owners.go).
 //  5. If an entry has had no session for [OrphanTimeout], its best-effort runs are stopped.
-//     Its runs of durable jobs are stopped after [DurableOrphanTimeout]. When a new
-//     incarnation of an entry opens a session, the best-effort runs of the earlier
-//     incarnations are stopped immediately.
+//     Its runs of durable jobs are stopped after [DurableOrphanTimeout], unless an entry has
+//     adopted them. When a new incarnation of an entry opens a session, the best-effort runs of
+//     the earlier incarnations are stopped immediately.
 //  6. Runs that the worker lists and that hold no capacity in the agent's records are stopped:
 //     runs that this agent has not ordered, and runs whose end it has declared. While the
 //     worker lists such a run, no run starts, because its demand is unknown. The agent
@@ -108,8 +109,8 @@
 	// UnreachableTimeout is how long listings may fail before the agent takes no more orders.
 	// It covers a few calls without a response.
 	UnreachableTimeout = 300 * time.Millisecond
-	// SilentWorkerTimeout is how long a worker may leave listings without a response before its
-	// runs are declared lost. Entries wait as long for the runs of a silent agent
+	// SilentWorkerTimeout is how long a worker may leave listings without a response, or refuse
+	// them, before its runs are declared lost. Entries wait as long for the runs of a silent agent
 	// (ptassign.RunLossTimeout).
 	SilentWorkerTimeout = 2500 * time.Millisecond
 	// rebroadcastInterval is the interval at which the agent broadcasts the end of a run again
@@ -308,6 +309,9 @@
 	// mustEndBy is when the run must have ended after its stop was requested.
 	mustEndBy  ptid.Instant
 	stopReason ptrun.Reason
+	// ownerLostAt is when the session with the owner of a durable run ended, if the owner has been
+	// restarted since; zero if not.
+	ownerLostAt ptid.Instant
 	// joined contains the further owners that have ordered the run: a caller may submit its job
 	// to two entries, which number its runs alike.
 	joined []Owner
@@ -337,9 +341,10 @@
 	incarnation    ptid.Incarnation
 	connected      bool
 	disconnectedAt ptid.Instant
-	// aliveAt is the latest instant at which the incarnation is known to have been alive.
-	aliveAt ptid.Instant
-	request ptrun.CapacityRequest
+	// aliveAt is the latest instant at which the incarnation is known to have been alive, and
+	// openedAt when it opened its latest session.
+	aliveAt, openedAt ptid.Instant
+	request           ptrun.CapacityRequest
 	// usage is the sum of the CPU demands of the runs that the entry has ordered, each divided
 	// by the rate at which the entry requested capacity. The entry with the lowest usage gets
 	// the next offer.
@@ -357,6 +362,8 @@
 
 	worker ptrun.Worker
 	known  bool
+	// identifiedAt is when the present incarnation was first heard from.
+	identifiedAt ptid.Instant
 	// unannounced means that the worker is not known because a later incarnation has responded
 	// that was not announced yet.
 	unannounced bool
@@ -450,10 +457,12 @@
 }
 
 // HandleAnnouncement processes an announcement of the worker. An incarnation that is announced
-// again after [Core.HandleWorkerGone] keeps its runs.
+// again after [Core.HandleWorkerGone] keeps its runs. An incarnation with an earlier start time is
+// a successor only if the present one is gone: the wall clock may have been set back.
 func (core *Core) HandleAnnouncement(worker ptrun.Worker, clock ptrun.WorkerTime, now ptid.Instant) (effects []Effect) {
+	_, present := core.WorkerToList()
 	switch {
-	case worker.StartedAt.Before(core.worker.StartedAt):
+	case present && worker.StartedAt.Before(core.worker.StartedAt):
 		// The announcement was delayed, and a later incarnation of the worker is known.
 		return nil
 	case core.worker.WorkerIdentity != worker.WorkerIdentity:
@@ -477,6 +486,7 @@
 func (core *Core) replaceWorker(next ptrun.WorkerIdentity, now ptid.Instant) {
 	previous, lost := core.worker.WorkerIdentity, 0
 	core.highestEnd, core.leaseExpiresAt, core.clock, core.clockAt = 0, 0, 0, now
+	core.identifiedAt, core.listedAt, core.listCalledAt, core.silentSince = now, now, now, now
 	if next.ID == previous.ID {
 		core.fence(now)
 	} else {
@@ -549,9 +559,13 @@
 	}
 	for _, owner := range core.owners {
 		owner.disconnectedAt, owner.aliveAt = owner.disconnectedAt.Add(-suspended), owner.aliveAt.Add(-suspended)
+		owner.openedAt = owner.openedAt.Add(-suspended)
 	}
 	for _, run := range core.runs {
 		run.stopDeadline = run.stopDeadline.Add(-suspended)
+		if run.ownerLostAt != 0 {
+			run.ownerLostAt = run.ownerLostAt.Add(-suspended)
+		}
 		if run.mustEndBy != ptid.Never {
 			run.mustEndBy = run.mustEndBy.Add(-suspended)
 		}
--- a/ptruncontrol/responses.go
+++ b/ptruncontrol/responses.go
@@ -67,10 +67,11 @@
 	}
 	switch {
 	case listing.WorkerStartedAt.IsZero() || listing.WorkerStartedAt.Equal(core.worker.StartedAt):
-	case listing.WorkerStartedAt.Before(core.worker.StartedAt):
+	case listing.WorkerStartedAt.Before(core.worker.StartedAt) && requestedAt <= core.identifiedAt:
+		// An earlier incarnation has responded.
 		return nil
 	default:
-		// The worker has restarted. Its capacity may differ, so it is not used before it is
+		// The worker has restarted, with its wall clock set back if the start time is earlier. Its capacity may differ, so it is not used before it is
 		// announced.
 		next := ptrun.WorkerIdentity{ID: core.worker.ID, StartedAt: listing.WorkerStartedAt}
 		core.replaceWorker(next, now)
@@ -178,9 +179,9 @@
 // after the expiry of every lease that may have been granted has failed too, the active runs are
 // declared lost, except the runs whose start call is still in progress. An earlier call proves
 // nothing: the agent may have been paused while it waited for the response. A worker that does
-// not respond may be overloaded and end its runs late, so it gets [SilentWorkerTimeout]. While the
-// agent is paused nobody calls the worker, so the time between two outcomes counts up to
-// UnreachableTimeout only.
+// not respond or refuses calls may be overloaded and end its runs late, so it gets
+// [SilentWorkerTimeout], unless nobody listens at its address. While the agent is paused nobody
+// calls the worker, so the time between two outcomes counts up to UnreachableTimeout only.
 func (core *Core) HandleListFailure(err error, requestedAt, now ptid.Instant) (effects []Effect) {
 	core.silentSince = core.silentSince.Add(max(0, now.Sub(core.listCalledAt)-UnreachableTimeout))
 	core.listCalledAt = now
@@ -189,8 +190,8 @@
 	}
 	core.reachable = false
 	core.refuseWaiting(ptrun.ReasonWorkerAbsent, now)
-	silent := errors.Is(err, ptrun.ErrUnanswered) || errors.Is(err, ptrun.ErrNotSent)
-	if requestedAt <= core.leasesExpireBy() || silent && now.Sub(core.silentSince) <= SilentWorkerTimeout {
+	down := errors.Is(err, ptrun.ErrNotListening)
+	if requestedAt <= core.leasesExpireBy() || !down && now.Sub(core.silentSince) <= SilentWorkerTimeout {
 		return core.takeEffects()
 	}
 	core.loseRuns(now)
@@ -219,16 +220,24 @@
 // SessionOpened records that an incarnation of an entry has opened a session. The best-effort
 // runs of its earlier incarnations are stopped.
 func (core *Core) SessionOpened(owner Owner, now ptid.Instant) (effects []Effect) {
+	previous := core.owners[owner.Entry]
 	for _, run := range core.sortedRuns() {
-		if run.Owner.Entry == owner.Entry && run.Owner.Incarnation != owner.Incarnation && !run.isDurable() {
+		switch {
+		case run.Owner.Entry != owner.Entry || run.Owner.Incarnation == owner.Incarnation:
+		case !run.isDurable():
 			core.stop(run, ptrun.ReasonOwnerTimeout, now)
+		case run.ownerLostAt == 0:
+			run.ownerLostAt = now
+			if previous != nil && !previous.connected {
+				run.ownerLostAt = previous.disconnectedAt
+			}
 		}
 		run.joined = slices.DeleteFunc(run.joined, func(joined Owner) bool {
 			return joined.Entry == owner.Entry && joined.Incarnation != owner.Incarnation
 		})
 	}
-	opened := &ownerState{incarnation: owner.Incarnation, connected: true}
-	if previous := core.owners[owner.Entry]; previous != nil && previous.incarnation == owner.Incarnation {
+	opened := &ownerState{incarnation: owner.Incarnation, connected: true, openedAt: now}
+	if previous != nil && previous.incarnation == owner.Incarnation {
 		opened.aliveAt = previous.aliveAt
 	}
 	core.owners[owner.Entry] = opened
