ptbroker: the test of invalid frames plays its own clock

TestInvalidFramesOfOneAgentDoNotAffectOthers failed on a busy machine: where the 300 frames of one seed took more than 103 ms, the two runs at the sound worker, which end only with the test, counted as hanging, and the last job was not placed.

What remained was the test's own dependence on the time of day: 300 frames in 103 ms of time in which the entry does run. The broker's clock is now an interface, and the test advances it by 0.3 ms per frame, 90 ms in all, so that its length is fixed close to the timeout. Frames, seeds and expectations are unchanged.

--- a/ptbroker/invalid_frames_test.go
+++ b/ptbroker/invalid_frames_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,16 +25,31 @@
 	"github.com/primrosetiller/primrosetiller/ptwire"
 )
 
+// manualClock is a clock that the test advances.
+type manualClock struct{ now atomic.Int64 }
+
+func newManualClock() (clock *manualClock) {
+	clock = &manualClock{}
+	clock.Advance(time.Hour)
+	return clock
+}
+
+func (clock *manualClock) Now() ptid.Instant { return ptid.Instant(clock.now.Load()) }
+
+func (clock *manualClock) Advance(duration time.Duration) { clock.now.Add(int64(duration)) }
+
 // Invalid frames from one agent must neither crash the entry nor prevent it from using the
 // workers of other agents.
 func TestInvalidFramesOfOneAgentDoNotAffectOthers(test *testing.T) {
 	ptassert.PanicOnFailure()
-	const seeds, frames = 20, 300
+	// All frames of a seed arrive before the runs at the sound worker, which do not end, count as
+	// hanging.
+	const seeds, frames, frameInterval = 20, 300, 300 * time.Microsecond
 	for seed := range uint64(seeds) {
 		expect := NewWithT(test)
-		random := rand.New(rand.NewPCG(seed, 1))
+		random, clock := rand.New(rand.NewPCG(seed, 1)), newManualClock()
 		broker := New(Setting{Name: "entry", Zone: "zone", Seed: seed}, Dependencies{
-			Log: logr.Discard(), Metrics: ptmetric.New(), Clock: ptid.NewClock(), Queues: ptqueue.NewCatalogStore(),
+			Log: logr.Discard(), Metrics: ptmetric.New(), Clock: clock, Queues: ptqueue.NewCatalogStore(),
 			JobStore: ptstandin.NewJobStore(4).Client("entry"), PeerAddress: "127.0.0.1:1",
 		})
 		broker.ownership.partitions[1] = &ownedPartition{
@@ -49,6 +65,7 @@
 				submit(expect, broker, frame)
 			}
 			faulty.Receive(nil, ptstandin.ArbitraryFrame(random, []string{"", "done", "failed", "service", "broken", fmt.Sprintf("%016x", frame/10*10), "\xff"}))
+			clock.Advance(frameInterval)
 			broker.mu.Lock()
 			broker.execute(broker.core.Tick(broker.deps.Clock.Now()))
 			broker.mu.Unlock()
--- a/ptbroker/ptbroker.go
+++ b/ptbroker/ptbroker.go
@@ -39,6 +39,7 @@
 	"github.com/primrosetiller/primrosetiller/ptmetric"
 	"github.com/primrosetiller/primrosetiller/ptqueue"
 	"github.com/primrosetiller/primrosetiller/ptrun"
+	"github.com/primrosetiller/primrosetiller/ptsession"
 )
 
 const (
@@ -68,7 +69,7 @@
 type Dependencies struct {
 	Log     logr.Logger
 	Metrics *ptmetric.Set
-	Clock   *ptid.Clock
+	Clock   ptsession.Clock
 	Queues  *ptqueue.CatalogStore
 	// Advisor decides which workers may run a step of a queue that requires advice. If it is
 	// nil, no worker may.
