ptbroker: a partition that another entry may have owned meanwhile is acquired anew

Callers of durable jobs saw jobs that never end: their owner is alive and places none of their tasks.

Cause: an entry compared only the list of partitions with the one before. Where its membership had expired, a partition may have been another entry's for a while and be assigned to it again by the next renewal that is answered. The entry kept its old epoch, progress and recovery. Agents that have seen the later epoch don't confirm an adoption of an earlier one, so the recovery never ends (and holds all jobs of the partition); at agents that haven't seen it, orders by the outdated progress would be carried out.

Fix: where a renewal is answered after the membership may have expired, and the generation of the group has changed, all partitions are released and acquired with the new epoch. The generation rises with each change (PROTOCOL.md, log-join), so with the same one nobody else had them. Runs go on and are adopted, as in any change of owners. A renewal in time needs nothing: the log takes a partition from a member that renews only after that member has read the generation without it.

Ruled out: to wait for the fence of the log. A partition in recovery saves nothing, so it is never told.

--- a/ptbroker/durable.go
+++ b/ptbroker/durable.go
@@ -122,6 +122,15 @@
 	epoch      ptjobstore.Epoch
 	partitions map[ptjobstore.Partition]*ownedPartition
 	startedAt  ptid.Instant
+	// expiresAt is when another entry may become the owner of the partitions, unless the membership
+	// is renewed before.
+	expiresAt ptid.Instant
+}
+
+// mayHaveLapsed reports whether another entry may have owned the partitions since the latest
+// renewal of the membership, also those that the next renewal assigns to this entry again.
+func (ownership *ownership) mayHaveLapsed(epoch ptjobstore.Epoch, now ptid.Instant) bool {
+	return epoch > ownership.epoch && now >= ownership.expiresAt
 }
 
 // SubmitDurable writes a job to the log. If it returns nil, the job will be executed. If it
@@ -219,12 +228,16 @@
 func (broker *Broker) applyAssignment(ctx context.Context, membership ptjobstore.Membership, requestedAt ptid.Instant) {
 	broker.mu.Lock()
 	defer broker.mu.Unlock()
-	broker.core.SetOwnershipExpiry(requestedAt.Add(membershipTTL))
 	ownership := &broker.ownership
-	ownership.epoch = max(ownership.epoch, membership.Epoch)
+	lapsed := ownership.mayHaveLapsed(membership.Epoch, broker.deps.Clock.Now())
+	ownership.epoch, ownership.expiresAt = max(ownership.epoch, membership.Epoch), requestedAt.Add(membershipTTL)
+	broker.core.SetOwnershipExpiry(ownership.expiresAt)
 	for number, partition := range ownership.partitions {
-		if !slices.Contains(membership.Partitions, number) {
+		switch {
+		case !slices.Contains(membership.Partitions, number):
 			broker.releasePartition(partition, "reassigned to another entry")
+		case lapsed:
+			broker.releasePartition(partition, "membership may have expired meanwhile")
 		}
 	}
 	for _, number := range membership.Partitions {
--- a/ptdrill/durable.go
+++ b/ptdrill/durable.go
@@ -126,6 +126,8 @@
 	generation ptjobstore.Epoch
 	partitions map[ptjobstore.Partition]*ownedPartition
 	startedAt  ptid.Instant
+	// expiresAt is when another entry may become the owner of the partitions.
+	expiresAt ptid.Instant
 }
 
 func newOwnership(entry *entry) *ownership {
@@ -151,10 +153,11 @@
 	var assigned []ptjobstore.Partition
 	last, requestedAt := ownership.generation, ownership.entry.simulation.Now()
 	ownership.callLog(func(log *log) { generation, assigned = log.join(ownership.entry, last) }, func() {
-		ownership.entry.core.SetOwnershipExpiry(requestedAt.Add(membershipTTL))
-		ownership.generation = max(ownership.generation, generation)
+		lapsed := generation > ownership.generation && ownership.entry.simulation.Now() >= ownership.expiresAt
+		ownership.generation, ownership.expiresAt = max(ownership.generation, generation), requestedAt.Add(membershipTTL)
+		ownership.entry.core.SetOwnershipExpiry(ownership.expiresAt)
 		for _, number := range slices.Sorted(maps.Keys(ownership.partitions)) {
-			if !slices.Contains(assigned, number) {
+			if lapsed || !slices.Contains(assigned, number) {
 				ownership.release(ownership.partitions[number])
 			}
 		}
