ptruncontrol: nothing starts on a silent worker before it has listed its runs

What callers would see: LIMIT and TWICE on one worker by one agent, on a machine out of processor time.

Cause: every announcement made the worker reachable again, whether it answered calls or not. After the runs of a silent worker had been declared lost, its next announcement, 1.5 s later at most, let new runs start without a listing, beside whatever an overloaded worker had not ended yet. Before that, entries were told by turns that the worker was usable and that it wasn't.

Evidence: TestNothingStartsOnASilentWorkerThatAnnouncesItself fails before (a run of 3,000 starts beside one of 3,000 of 4,000 millicores that the next listing contains). Not shown to be the users' case.

Why this works: an announcement makes a worker reachable only if it is another incarnation, which starts empty; otherwise a listing does, and it names what runs. Listings go on every 160 ms meanwhile, so a sound worker is back no later than before.

--- a/ptruncontrol/ptruncontrol.go
+++ b/ptruncontrol/ptruncontrol.go
@@ -470,7 +470,7 @@
 	case worker.Sequence <= core.worker.Sequence:
 		return nil
 	}
-	core.worker, core.known, core.unannounced, core.reachable = worker, true, false, true
+	core.worker, core.known, core.unannounced = worker, true, false
 	core.updateClock(clock, now)
 	if worker.Draining {
 		core.refuseWaiting(ptrun.ReasonDraining, now)
@@ -486,7 +486,7 @@
 func (core *Core) replaceWorker(next ptrun.WorkerIdentity, now ptid.Instant) {
 	previous, lost := core.worker.WorkerIdentity, 0
 	core.highestEnd, core.leaseExpiresAt, core.clock, core.clockAt = 0, 0, 0, now
-	core.identifiedAt, core.listedAt, core.listCalledAt, core.silentSince = now, now, now, now
+	core.identifiedAt, core.listedAt, core.listCalledAt, core.silentSince, core.reachable = now, now, now, now, true
 	if next.ID == previous.ID {
 		core.fence(now)
 	} else {
--- a/ptruncontrol/replaced_worker_test.go
+++ b/ptruncontrol/replaced_worker_test.go
@@ -63,3 +63,21 @@
 	listed, _ := fixture.WorkerToList()
 	fixture.expect.Expect(listed).To(Equal(restartedWorker().WorkerIdentity))
 }
+
+// Only a listing shows whether the runs that were declared lost have ended.
+func TestNothingStartsOnASilentWorkerThatAnnouncesItself(test *testing.T) {
+	fixture := newFixtureWithRun(test)
+	lost := 0
+	for millis := 60; millis < 4000; millis += 60 {
+		fixture.LeaseRenewal(at(millis - 50))
+		lost += len(sentEnds(fixture.HandleListFailure(ptrun.ErrUnanswered, at(millis-50), at(millis))))
+	}
+	fixture.expect.Expect(lost).To(Equal(1))
+	fixture.HandleAnnouncement(sameWorker(2), 5000, at(4001))
+	fixture.expect.Expect(starts(fixture.order(run(1, 1), 3000, at(4002)))).To(BeEmpty())
+	fixture.expect.Expect(fixture.CapacityReport(owner.Entry).Unusable).To(BeTrue())
+	fixture.listedAfterLapse(5010, 4010)
+	fixture.Tick(at(4498))
+	fixture.list(5500, at(4499), at(4500), nil)
+	fixture.expect.Expect(starts(fixture.order(run(2, 1), 3000, at(4501)))).To(HaveLen(1))
+}
