--- a/ptruncontrol/owners.go
+++ b/ptruncontrol/owners.go
@@ -47,14 +47,9 @@
 // owners returns the owners that have ordered the run.
 func (run *run) owners() []Owner { return append(run.joined, run.Owner) }
 
-// HasRuns reports whether an entry has ordered a run that has not ended.
-func (core *Core) HasRuns(entry ptid.EntryName) bool {
-	for _, run := range core.runs {
-		if slices.ContainsFunc(run.owners(), func(owner Owner) bool { return owner.Entry == entry }) {
-			return true
-		}
-	}
-	return false
+// isOwnedBy reports whether an entry has ordered the run.
+func (run *run) isOwnedBy(entry ptid.EntryName) bool {
+	return run.Owner.Entry == entry || slices.ContainsFunc(run.joined, func(owner Owner) bool { return owner.Entry == entry })
 }
 
 // ownerLimit returns when a run must have ended unless its owners are confirmed again.
--- a/ptruncontrol/responses.go
+++ b/ptruncontrol/responses.go
@@ -335,6 +335,9 @@
 	Held   ptrun.Demand
 	Own    ptrun.Demand
 	Labels []string
+	// HasRuns is true while a run that the entry has ordered has not ended. Another entry may have
+	// ordered it first.
+	HasRuns bool
 	// Unusable is true while the worker takes no orders.
 	Unusable bool
 	// RequestedByOthers is the rate at which the other entries request capacity.
@@ -357,6 +360,7 @@
 	}
 	for _, run := range core.runs {
 		report.Held = report.Held.Plus(run.Demand)
+		report.HasRuns = report.HasRuns || run.isOwnedBy(entry)
 		if run.Owner.Entry == entry {
 			report.Own = report.Own.Plus(run.Demand)
 		}
--- a/ptrunner/ptrunner.go
+++ b/ptrunner/ptrunner.go
@@ -491,7 +491,7 @@
 	}
 	for _, peer := range runner.peers {
 		report := runner.core.CapacityReport(peer.owner.Entry)
-		peer.setBusy(runner.core.HasRuns(peer.owner.Entry))
+		peer.setBusy(report.HasRuns)
 		changed := !sameReport(report, peer.reported)
 		if changed && now.Sub(peer.reportedAt) >= ptruncontrol.ReportInterval(peer.near, near, len(runner.peers)) {
 			peer.session.Post(func(*ptwire.Frame) {})
