ptruncontrol: entries that asked for a listed run learn that its worker has vanished

What callers would see: a job that gets no answer until its deadline (504), or a durable task that never runs again, where a worker vanishes for good while it lists a run that the agent has given up, and an entry has asked for that run.

With the lease of a vanished worker only the runs in the books ended; the others stayed, and whoever asked for them got no word, for as long as no worker came back.

Evidence: TestEntryThatAskedForListedRunIsToldThatItsWorkerHasVanished fails before (no end within 5 s), where nobody listens, where the worker is silent, and where another worker answers at the address. Found by reading.

Why this works: the lease holds for all that runs on the worker, so what proves the end of the runs in the books proves theirs. If the worker comes back and lists one of them, it is unaccounted again.

--- a/ptruncontrol/ptruncontrol.go
+++ b/ptruncontrol/ptruncontrol.go
@@ -521,9 +521,7 @@
 			core.finish(run, ptrun.End{Run: run.Run, Result: ptrun.Lost, Reason: ptrun.ReasonRestarted}, now)
 		}
 	}
-	for _, id := range slices.SortedFunc(maps.Keys(core.unaccounted), ptrun.Compare) {
-		core.endUnaccounted(ptrun.End{Run: id, Result: ptrun.Lost, Reason: ptrun.ReasonRestarted}, now)
-	}
+	core.loseUnaccounted(ptrun.ReasonRestarted, now)
 	return lost
 }
 
--- a/ptruncontrol/replaced_worker_test.go
+++ b/ptruncontrol/replaced_worker_test.go
@@ -81,3 +81,30 @@
 	fixture.list(5500, at(4499), at(4500), nil)
 	fixture.expect.Expect(starts(fixture.order(run(2, 1), 3000, at(4501)))).To(HaveLen(1))
 }
+
+func TestEntryThatAskedForListedRunIsToldThatItsWorkerHasVanished(test *testing.T) {
+	for name, vanish := range map[string]func(fixture *fixture, millis int) []ptruncontrol.Effect{
+		"no listener": func(fixture *fixture, millis int) []ptruncontrol.Effect {
+			return fixture.HandleListFailure(ptrun.ErrNotListening, at(millis-50), at(millis))
+		},
+		"no response": func(fixture *fixture, millis int) []ptruncontrol.Effect {
+			return fixture.HandleListFailure(ptrun.ErrUnanswered, at(millis-50), at(millis))
+		},
+		"other worker": func(fixture *fixture, millis int) []ptruncontrol.Effect {
+			return append(fixture.HandleWorkerGone(sameWorker(1).WorkerIdentity, at(millis)), fixture.Tick(at(millis))...)
+		},
+	} {
+		fixture := newFixture(test)
+		fixture.list(1010, at(9), at(10), nil, run(0, 1))
+		fixture.expect.Expect(sentEnds(fixture.QueryRun(owner, run(0, 1), at(11)))).To(BeEmpty(), name)
+		var ends []ptrun.End
+		for millis := 100; millis < 5000; millis += 100 {
+			ends = append(ends, sentEnds(vanish(fixture, millis))...)
+			if millis < 900 {
+				fixture.expect.Expect(ends).To(BeEmpty(), "%s: the lease runs", name)
+			}
+		}
+		fixture.expect.Expect(ends).To(HaveLen(1), name)
+		fixture.expect.Expect(ends[0].Result).To(Equal(ptrun.Lost), name)
+	}
+}
--- a/ptruncontrol/responses.go
+++ b/ptruncontrol/responses.go
@@ -212,6 +212,7 @@
 			core.finish(run, ptrun.End{Run: run.Run, Result: ptrun.Lost, Reason: ptrun.ReasonLeaseExpired}, now)
 		}
 	}
+	core.loseUnaccounted(ptrun.ReasonLeaseExpired, now)
 	if lost > 0 {
 		core.emit(LeaseExpired{Worker: core.worker.WorkerIdentity, ListedAt: core.listedAt, ExpiredAt: core.leasesExpireBy(), Lost: lost})
 	}
--- a/ptruncontrol/unaccounted.go
+++ b/ptruncontrol/unaccounted.go
@@ -53,6 +53,13 @@
 	}
 }
 
+// loseUnaccounted declares the unaccounted runs lost.
+func (core *Core) loseUnaccounted(reason ptrun.Reason, now ptid.Instant) {
+	for _, id := range slices.SortedFunc(maps.Keys(core.unaccounted), ptrun.Compare) {
+		core.endUnaccounted(ptrun.End{Run: id, Result: ptrun.Lost, Reason: reason}, now)
+	}
+}
+
 // isOutdated reports whether a listing that was requested at requestedAt may be older than the
 // recorded end of a run.
 func (core *Core) isOutdated(id ptrun.ID, requestedAt ptid.Instant) bool {
