ptruncontrol: an unaccounted run that has ended doesn't hold the worker

What callers would see: a worker takes nothing more, and all that runs there ends with its lease, until the log is back, after an agent was restarted during a long outage of the log.

Cause: an unaccounted run of a durable job stays recorded while its end may be beyond the 500 ends that a worker lists at once. Though the listings no longer contained it, nothing started beside it, and as its stop was overdue, no lease was renewed either.

Evidence: TestUnaccountedRunThatHasEndedDoesNotHoldTheWorker fails before (no renewal, no start) and passes now; the entry that asked for the run still gets its end as done. Found by reading; it takes a worker with 500 ends that no owner has stored.

Why this works: only active runs hold capacity, and a listing that was requested after the run was last listed says that it isn't active. The record stays for its result alone.

--- a/ptruncontrol/ptruncontrol.go
+++ b/ptruncontrol/ptruncontrol.go
@@ -605,7 +605,7 @@
 		}
 	}
 	for _, run := range core.unaccounted {
-		if now > run.stopDeadline {
+		if !run.ended && now > run.stopDeadline {
 			return true
 		}
 	}
@@ -705,7 +705,7 @@
 // demand may start.
 func (core *Core) mayStart(now ptid.Instant) bool {
 	core.stopOverdue = core.isStopOverdue(now) || now.Add(maxStartTime) > core.leaseLimit()
-	return core.known && core.reachable && !core.worker.Draining && core.clock > 0 && !core.fencePending && len(core.unaccounted) == 0 && !core.stopOverdue
+	return core.known && core.reachable && !core.worker.Draining && core.clock > 0 && !core.fencePending && core.UnaccountedRuns() == 0 && !core.stopOverdue
 }
 
 // canStart reports whether there is capacity for a waiting run.
--- a/ptruncontrol/takeover_test.go
+++ b/ptruncontrol/takeover_test.go
@@ -271,3 +271,24 @@
 	}
 	fixture.expect.Expect(lostAt).To(BeNumerically(">", 5000+milliseconds(ptruncontrol.SilentWorkerTimeout-ptruncontrol.UnreachableTimeout)))
 }
+
+// The worker lists the run no longer, and its end may follow on a later page.
+func TestUnaccountedRunThatHasEndedDoesNotHoldTheWorker(test *testing.T) {
+	fixture := newFixtureWithRun(test)
+	id := run(1, ptjobstore.RunNumberBase(4)+1)
+	fixture.list(1020, at(19), at(20), nil, run(0, 1), id)
+	fixture.expect.Expect(sentEnds(fixture.QueryRun(owner, id, at(21)))).To(BeEmpty())
+	page := ptrun.Listing{WorkerStartedAt: time.UnixMilli(5), EndsTruncated: true, Active: []ptrun.ListedRun{{Run: run(0, 1)}}}
+	for millis := 100; millis <= 3000; millis += 100 {
+		page.Clock = 1000 + ptrun.WorkerTime(millis)
+		fixture.OwnerConfirmed(owner, at(millis))
+		fixture.expect.Expect(sentEnds(fixture.HandleListing(page, at(millis-1), at(millis)))).To(BeEmpty())
+	}
+	fixture.expect.Expect(fixture.LeaseRenewal(at(3001)).ExpiresAt).To(BeNumerically(">", 4500))
+	fixture.expect.Expect(starts(fixture.order(run(2, 1), 1000, at(3002)))).To(HaveLen(1))
+	fixture.HandleStartResponse(run(2, 1), 4003, nil, at(3003))
+	ended := []ptrun.ListedEnd{{Sequence: 501, End: ptrun.End{Run: id, Result: ptrun.Done}}}
+	ends := sentEnds(fixture.list(4010, at(3009), at(3010), ended, run(0, 1), run(2, 1)))
+	fixture.expect.Expect(ends).NotTo(BeEmpty())
+	fixture.expect.Expect(ends[0].Result).To(Equal(ptrun.Done), "the entry that asked for the run gets its end")
+}
--- a/ptruncontrol/unaccounted.go
+++ b/ptruncontrol/unaccounted.go
@@ -13,6 +13,8 @@
 // of the worker was executed late, or its end was declared too early. Its demand is unknown, so
 // no run starts while the worker lists it.
 type unaccountedRun struct {
+	// ended means that a later listing did not contain the run, and its end may follow.
+	ended bool
 	// listedAt is when the latest listing that contains the run was processed.
 	listedAt ptid.Instant
 	// stopRetryAt is when the stop order is repeated, and stopDeadline when the run must have
@@ -74,7 +76,7 @@
 		run = &unaccountedRun{stopRetryAt: now, stopDeadline: now.Add(StopTimeout)}
 		core.unaccounted[id] = run
 	}
-	run.listedAt = now
+	run.listedAt, run.ended = now, false
 	if now >= run.stopRetryAt {
 		run.stopRetryAt = now.Add(StopRetryInterval)
 		core.emit(StopRun{Worker: core.worker.WorkerIdentity, Token: core.token, Run: id, Reason: ptrun.ReasonUnknownRun})
@@ -82,10 +84,15 @@
 }
 
 // pruneUnaccounted removes the unaccounted runs that have ended: a listing that was requested
-// after the run was last listed does not contain it.
+// after the run was last listed does not contain it. Runs whose end the worker may list later stay
+// until then for the entries that have asked for them.
 func (core *Core) pruneUnaccounted(listing ptrun.Listing, active map[ptrun.ID]bool, requestedAt, now ptid.Instant) {
 	for _, id := range slices.SortedFunc(maps.Keys(core.unaccounted), ptrun.Compare) {
-		if !active[id] && !mayHaveEnd(listing, id) && requestedAt > core.unaccounted[id].listedAt {
+		switch run := core.unaccounted[id]; {
+		case active[id] || requestedAt <= run.listedAt:
+		case mayHaveEnd(listing, id):
+			run.ended = true
+		default:
 			core.endUnaccounted(ptrun.End{Run: id, Result: ptrun.Stopped, Reason: ptrun.ReasonUnknownRun}, now)
 		}
 	}
@@ -93,7 +100,12 @@
 
 // reportUnaccounted reports a change of the set of unaccounted runs.
 func (core *Core) reportUnaccounted() {
-	ids := slices.SortedFunc(maps.Keys(core.unaccounted), ptrun.Compare)
+	var ids []ptrun.ID
+	for _, id := range slices.SortedFunc(maps.Keys(core.unaccounted), ptrun.Compare) {
+		if !core.unaccounted[id].ended {
+			ids = append(ids, id)
+		}
+	}
 	if slices.Equal(ids, core.reportedUnaccounted) {
 		return
 	}
@@ -109,4 +121,11 @@
 
 // UnaccountedRuns returns the number of active runs on the worker that are not in the records of
 // this agent.
-func (core *Core) UnaccountedRuns() int { return len(core.unaccounted) }
+func (core *Core) UnaccountedRuns() (count int) {
+	for _, run := range core.unaccounted {
+		if !run.ended {
+			count++
+		}
+	}
+	return count
+}
