--- a/ptruncontrol/ptruncontrol.go
+++ b/ptruncontrol/ptruncontrol.go
@@ -470,7 +470,7 @@
 	case worker.Sequence <= core.worker.Sequence:
 		return nil
 	}
-	core.worker, core.known, core.unannounced, core.reachable = worker, true, false, true
+	core.worker, core.known, core.unannounced = worker, true, false
 	core.updateClock(clock, now)
 	if worker.Draining {
 		core.refuseWaiting(ptrun.ReasonDraining, now)
@@ -486,7 +486,7 @@
 func (core *Core) replaceWorker(next ptrun.WorkerIdentity, now ptid.Instant) {
 	previous, lost := core.worker.WorkerIdentity, 0
 	core.highestEnd, core.leaseExpiresAt, core.clock, core.clockAt = 0, 0, 0, now
-	core.identifiedAt, core.listedAt, core.listCalledAt, core.silentSince = now, now, now, now
+	core.identifiedAt, core.listedAt, core.listCalledAt, core.silentSince, core.reachable = now, now, now, now, true
 	if next.ID == previous.ID {
 		core.fence(now)
 	} else {
@@ -521,9 +521,7 @@
 			core.finish(run, ptrun.End{Run: run.Run, Result: ptrun.Lost, Reason: ptrun.ReasonRestarted}, now)
 		}
 	}
-	for _, id := range slices.SortedFunc(maps.Keys(core.unaccounted), ptrun.Compare) {
-		core.endUnaccounted(ptrun.End{Run: id, Result: ptrun.Lost, Reason: ptrun.ReasonRestarted}, now)
-	}
+	core.loseUnaccounted(ptrun.ReasonRestarted, now)
 	return lost
 }
 
@@ -607,7 +605,7 @@
 		}
 	}
 	for _, run := range core.unaccounted {
-		if now > run.stopDeadline {
+		if !run.ended && now > run.stopDeadline {
 			return true
 		}
 	}
@@ -707,7 +705,7 @@
 // demand may start.
 func (core *Core) mayStart(now ptid.Instant) bool {
 	core.stopOverdue = core.isStopOverdue(now) || now.Add(maxStartTime) > core.leaseLimit()
-	return core.known && core.reachable && !core.worker.Draining && core.clock > 0 && !core.fencePending && len(core.unaccounted) == 0 && !core.stopOverdue
+	return core.known && core.reachable && !core.worker.Draining && core.clock > 0 && !core.fencePending && core.UnaccountedRuns() == 0 && !core.stopOverdue
 }
 
 // canStart reports whether there is capacity for a waiting run.
--- a/ptruncontrol/responses.go
+++ b/ptruncontrol/responses.go
@@ -212,6 +212,7 @@
 			core.finish(run, ptrun.End{Run: run.Run, Result: ptrun.Lost, Reason: ptrun.ReasonLeaseExpired}, now)
 		}
 	}
+	core.loseUnaccounted(ptrun.ReasonLeaseExpired, now)
 	if lost > 0 {
 		core.emit(LeaseExpired{Worker: core.worker.WorkerIdentity, ListedAt: core.listedAt, ExpiredAt: core.leasesExpireBy(), Lost: lost})
 	}
@@ -335,6 +336,9 @@
 	Held   ptrun.Demand
 	Own    ptrun.Demand
 	Labels []string
+	// HasRuns is true while a run that the entry has ordered has not ended. Another entry may have
+	// ordered it first.
+	HasRuns bool
 	// Unusable is true while the worker takes no orders.
 	Unusable bool
 	// RequestedByOthers is the rate at which the other entries request capacity.
@@ -357,12 +361,13 @@
 	}
 	for _, run := range core.runs {
 		report.Held = report.Held.Plus(run.Demand)
+		report.HasRuns = report.HasRuns || run.isOwnedBy(entry)
 		if run.Owner.Entry == entry {
 			report.Own = report.Own.Plus(run.Demand)
 		}
 	}
 	report.Held = report.Held.Plus(core.offeredToOthers(entry))
-	if len(core.unaccounted) > 0 || core.stopOverdue || core.fencePending {
+	if core.UnaccountedRuns() > 0 || core.stopOverdue || core.fencePending {
 		report.Held = report.Held.Max(report.Capacity)
 	}
 	return report
