ptbroker: frames are handled at the instant at which the lock is held

What callers would see: tasks of a starved entry that are refused at once by their agents and placed again, late.

Cause: the entry read the clock when a frame arrived and then waited for the lock. Where it was paused or waited for long in between, it placed tasks at an instant that was over: with start deadlines that had passed, and before what other goroutines had done meanwhile. The same with the advisor's responses. No run starts by that, since such deadlines come early; nothing was wrongly taken for ended.

Found by reading.

Why this works: the sample of the agent's clock is still taken on arrival, all decisions use a reading under the lock.

--- a/ptbroker/ptbroker.go
+++ b/ptbroker/ptbroker.go
@@ -104,12 +104,12 @@
 	if broker.deps.Advisor != nil {
 		tickets, err = broker.deps.Advisor.Advise(ctx, effect.Job.ID, effect.Job.Occurrence, effect.Step, effect.Workers)
 	}
-	now := broker.deps.Clock.Now()
+	took := broker.deps.Clock.Now().Sub(requestedAt)
 	broker.deps.Log.Info("advice", "job", effect.Job.ID, "step", effect.Step, "workers", len(effect.Workers), "allowed", len(tickets),
-		"took", now.Sub(requestedAt).String(), "error", errorText(err))
+		"took", took.String(), "error", errorText(err))
 	broker.mu.Lock()
 	defer broker.mu.Unlock()
-	broker.execute(broker.core.AdviceReceived(effect, tickets, err != nil, requestedAt, now))
+	broker.execute(broker.core.AdviceReceived(effect, tickets, err != nil, requestedAt, broker.deps.Clock.Now()))
 }
 
 // counters holds the metrics that the broker updates often.
--- a/ptbroker/session.go
+++ b/ptbroker/session.go
@@ -104,13 +104,13 @@
 // Receive implements [ptsession.Handler].
 func (agent *agentSession) Receive(_ *ptsession.Session, frame *ptwire.Frame) {
 	broker := agent.broker
-	now := broker.deps.Clock.Now()
-	agent.clock.AddSample(frame.AgentClockNanos, now)
+	agent.clock.AddSample(frame.AgentClockNanos, broker.deps.Clock.Now())
 	broker.mu.Lock()
 	defer broker.mu.Unlock()
 	if broker.agentSessions[agent.name()] != agent {
 		return
 	}
+	now := broker.deps.Clock.Now()
 	broker.handleReport(agent, frame.Room, now)
 	for _, message := range frame.RunEnds {
 		end := ptrun.EndFromMessage(message)
