ptbroker: a later owner waits for all agents without a session, however long ago they lost it

Callers of durable jobs would see a task run twice at once, or again after it was done, where an entry that was cut off from its agents for more than 4.5 s (node_cut) becomes the owner of partitions: as soon as it reaches the log again, its first agents are back and the others are not. The live owner hands the partitions over, and the runs at the agents that aren't back go on.

Cause: recovery waited for agents that had lost their session with the later owner less than ptassign.DurableRunLossTimeout ago. That bound proves something about the runs of the entry that lost the session. The runs of a partition that moves are those of the earlier owner, which may have had a session with the agent until the partition moved.

Why this works: any known agent without a session is waited for until it confirms or the bound since the acquisition has passed, which counts from the last instant at which the earlier owner may order. So that machines that were removed don't delay every later recovery, an agent that was away for a minute in which another session was open all the while is no longer waited for; an entry that was cut off itself has no such session. Cost: where an agent is missing, tasks that are not running are placed up to 4.5 s after the partition moved.

The drill's model of the owners follows.

--- a/ptbroker/durable.go
+++ b/ptbroker/durable.go
@@ -37,6 +37,9 @@
 	// maxOrphanLookups limits how many jobs with orphan progress, which is progress without a
 	// spec, are looked up in one cleanup. Each lookup takes two calls to the log.
 	maxOrphanLookups = 8
+	// removedAgentTimeout is how long an agent may have no session, while others have one, before
+	// recoveries of partitions no longer wait for it. Its machine has probably been removed.
+	removedAgentTimeout = time.Minute
 	// cleanupsPerRetention is how many times expired jobs are searched for and deleted within
 	// one period of Setting.EndedJobRetention.
 	cleanupsPerRetention = 30
@@ -572,8 +575,9 @@
 
 // isRecovered reports whether every run of the earlier owner has been adopted or is known to
 // have ended. The runs of an agent without a session are known to have ended once
-// ptassign.DurableRunLossTimeout has passed since this entry acquired the partition. An entry that
-// had started only shortly before may not know all agents.
+// ptassign.DurableRunLossTimeout has passed since this entry acquired the partition: until then, the
+// earlier owner may have had a session with the agent, however long ago this entry lost its own. An
+// entry that had started only shortly before may not know all agents.
 func (broker *Broker) isRecovered(partition *ownedPartition, now ptid.Instant) bool {
 	for name := range partition.unconfirmedAgents {
 		if broker.agentSessions[name] != nil {
@@ -586,8 +590,12 @@
 	if partition.acquiredAt.Sub(broker.ownership.startedAt) < ptassign.DurableRunLossTimeout || len(broker.agentSessions) == 0 {
 		return false
 	}
+	connectedSince := now
+	for _, agent := range broker.agentSessions {
+		connectedSince = min(connectedSince, agent.openedAt)
+	}
 	for _, lostAt := range broker.core.DisconnectedAgents() {
-		if now.Sub(lostAt) < ptassign.DurableRunLossTimeout {
+		if now.Sub(max(lostAt, connectedSince)) < removedAgentTimeout {
 			return false
 		}
 	}
--- a/ptbroker/session.go
+++ b/ptbroker/session.go
@@ -43,6 +43,7 @@
 	greeting *ptwire.Greeting
 	session  *ptsession.Session
 	clock    ptlink.ClockOffset
+	openedAt ptid.Instant
 	// lastSentAt is when the latest frame was sent.
 	lastSentAt atomic.Int64
 }
@@ -245,6 +246,7 @@
 	broker.agentSessions[agent.name()] = agent
 	broker.sessions.Store(int64(len(broker.agentSessions)))
 	greeting, now := agent.greeting, broker.deps.Clock.Now()
+	agent.openedAt = now
 	broker.execute(broker.core.AgentConnected(agent.name(), ptid.Incarnation(greeting.Incarnation), ptid.ServiceName(greeting.Service),
 		ptid.Zone(greeting.AvailabilityZone) == broker.setting.Zone, now))
 	broker.handleReport(agent, report, now)
--- a/ptdrill/durable.go
+++ b/ptdrill/durable.go
@@ -368,12 +368,7 @@
 	if partition.acquiredAt.Sub(ownership.startedAt) < ptassign.DurableRunLossTimeout || sessions == 0 {
 		return false
 	}
-	for _, lostAt := range ownership.entry.core.DisconnectedAgents() {
-		if now.Sub(lostAt) < ptassign.DurableRunLossTimeout {
-			return false
-		}
-	}
-	return true
+	return len(ownership.entry.core.DisconnectedAgents()) == 0
 }
 
 // save writes the progress of the changed jobs, and acknowledges the ends that it contains.
