--- a/ptbroker/session.go
+++ b/ptbroker/session.go
@@ -43,6 +43,7 @@
 	greeting *ptwire.Greeting
 	session  *ptsession.Session
 	clock    ptlink.ClockOffset
+	openedAt ptid.Instant
 	// lastSentAt is when the latest frame was sent.
 	lastSentAt atomic.Int64
 }
@@ -104,13 +105,13 @@
 // Receive implements [ptsession.Handler].
 func (agent *agentSession) Receive(_ *ptsession.Session, frame *ptwire.Frame) {
 	broker := agent.broker
-	now := broker.deps.Clock.Now()
-	agent.clock.AddSample(frame.AgentClockNanos, now)
+	agent.clock.AddSample(frame.AgentClockNanos, broker.deps.Clock.Now())
 	broker.mu.Lock()
 	defer broker.mu.Unlock()
 	if broker.agentSessions[agent.name()] != agent {
 		return
 	}
+	now := broker.deps.Clock.Now()
 	broker.handleReport(agent, frame.Room, now)
 	for _, message := range frame.RunEnds {
 		end := ptrun.EndFromMessage(message)
@@ -245,6 +246,7 @@
 	broker.agentSessions[agent.name()] = agent
 	broker.sessions.Store(int64(len(broker.agentSessions)))
 	greeting, now := agent.greeting, broker.deps.Clock.Now()
+	agent.openedAt = now
 	broker.execute(broker.core.AgentConnected(agent.name(), ptid.Incarnation(greeting.Incarnation), ptid.ServiceName(greeting.Service),
 		ptid.Zone(greeting.AvailabilityZone) == broker.setting.Zone, now))
 	broker.handleReport(agent, report, now)
