ptdrill: machines short of processor time, whose calls and responses overtake each other

The drill played no late responses: every response arrived within 0.2 ms or counted as lost, so of several listings in flight the later one was never handled first, and a start order was carried out late only after 100 ms to 6 s, mostly past its deadline of 300 ms.

New kind of fault, StarvedMachines: for 0.3 to 3 s, half of the calls of one agent (or of all) reach the worker 20 to 500 ms late, and half of the responses and timeouts are handled as late, each by its own draw.

That the users' machines had this is fitting, not shown.

The histories of the other tests don't change.

--- a/ptdrill/agent.go
+++ b/ptdrill/agent.go
@@ -41,6 +41,22 @@
 	reportedAt  [entries]ptid.Instant
 	// backupListUntil is the time until which the backup loop requests listings.
 	backupListUntil ptid.Instant
+	// starvedUntil is the time until which calls and their outcomes are late.
+	starvedUntil ptid.Instant
+}
+
+// minStarvation and maxStarvation bound how late a starved machine is.
+const (
+	minStarvation = 20 * time.Millisecond
+	maxStarvation = 500 * time.Millisecond
+)
+
+// starvation draws how late a call or its outcome is.
+func (agent *agent) starvation() time.Duration {
+	if simulation := agent.simulation; agent.starvedUntil > simulation.Now() && simulation.happens(50) {
+		return simulation.between(minStarvation, maxStarvation)
+	}
+	return 0
 }
 
 // maxClockSkew is how far the wall clock of an agent process, which is its first fence token, may
@@ -303,15 +319,20 @@
 	simulation := agent.simulation
 	settled := false
 	settle := func(clock ptrun.WorkerTime, err error) {
-		agent.handle(func() {
+		handle := func() {
 			if !settled {
 				settled = true
 				onResponse(clock, err)
 			}
-		})
+		}
+		if late := agent.starvation(); late > 0 {
+			agent.after(late, handle)
+			return
+		}
+		agent.handle(handle)
 	}
 	simulation.After(timeout, func() { settle(0, ptrun.ErrUnanswered) })
-	simulation.After(simulation.delay()/10, func() {
+	simulation.After(simulation.delay()/10+agent.starvation(), func() {
 		target := simulation.workers[agent.index]
 		answer := func(err error) {
 			clock := target.clock()
--- a/ptdrill/faults.go
+++ b/ptdrill/faults.go
@@ -46,6 +46,14 @@
 			simulation.trace("%s does not respond for %s", workerName(worker.identity), duration)
 		}
 	})
+	schedule(faults.StarvedMachines, time.Second, func() {
+		duration := simulation.between(300*time.Millisecond, 3*time.Second)
+		for _, index := range simulation.someAgents() {
+			agent := simulation.agents[index]
+			agent.starvedUntil = max(agent.starvedUntil, simulation.Now().Add(duration))
+			simulation.trace("the machine of %s is starved for %s", agent.name(), duration)
+		}
+	})
 	schedule(faults.Mismatches, 2*time.Second, func() {
 		simulation.crashWorker(simulation.random.IntN(agents), simulation.between(time.Millisecond, 200*time.Millisecond))
 	})
--- a/ptdrill/ptdrill.go
+++ b/ptdrill/ptdrill.go
@@ -82,6 +82,9 @@
 	CallerBreaks bool
 	// LateNotice: the entry of a caller that lost its connection notices the loss up to 4 s late.
 	LateNotice bool
+	// StarvedMachines: for seconds, half of the calls of an agent reach its worker up to 500 ms late,
+	// and it handles half of the responses and timeouts as late. They overtake each other.
+	StarvedMachines bool
 	// RepeatedAnnouncements: a worker is reported as replaced although it is not, and announces
 	// itself again.
 	RepeatedAnnouncements bool
--- a/ptdrill/ptdrill_test.go
+++ b/ptdrill/ptdrill_test.go
@@ -55,6 +55,10 @@
 	play(test, ptdrill.Setting{Faults: ptdrill.Faults{Single: true, Mass: true, Stalls: true}})
 }
 
+func TestSeedsWithStarvedMachines(test *testing.T) {
+	play(test, ptdrill.Setting{Faults: ptdrill.Faults{Single: true, Mass: true, StarvedMachines: true}})
+}
+
 func TestSeedsWithMismatches(test *testing.T) {
 	play(test, ptdrill.Setting{Faults: ptdrill.Faults{Single: true, Mass: true, Mismatches: true}})
 }
