--- a/ptruncontrol/responses.go
+++ b/ptruncontrol/responses.go
@@ -71,8 +71,8 @@
 		// An earlier incarnation has responded.
 		return nil
 	default:
-		// The worker has restarted, with its wall clock set back if the start time is earlier. Its capacity may differ, so it is not used before it is
-		// announced.
+		// The worker has restarted, with its wall clock set back if the start time is earlier. Its
+		// capacity may differ, so it is not used before it is announced.
 		next := ptrun.WorkerIdentity{ID: core.worker.ID, StartedAt: listing.WorkerStartedAt}
 		core.replaceWorker(next, now)
 		core.worker.WorkerIdentity, core.worker.Sequence, core.known, core.unannounced = next, 0, false, true
