ptruncontrol: an order of a negative demand is refused

What callers would see: more runs on a worker than it has capacity for (LIMIT), after an order of an entry with an invalid demand. Found by a test; no entry sends such orders.

Cause: a demand below zero is covered by any capacity, and the run that holds it adds to what is free.

--- a/ptruncontrol/ptruncontrol.go
+++ b/ptruncontrol/ptruncontrol.go
@@ -638,7 +638,7 @@
 		core.finishUnstarted(ordered, ptrun.ReasonDraining, now)
 	case !core.known || !core.reachable:
 		core.finishUnstarted(ordered, ptrun.ReasonWorkerAbsent, now)
-	case !core.worker.Capacity.Covers(order.Demand):
+	case !core.worker.Capacity.Covers(order.Demand) || !order.Demand.Covers(ptrun.Demand{}):
 		core.finishUnstarted(ordered, ptrun.ReasonNoCapacity, now)
 	default:
 		if offered && core.mayStart(now) && core.canStart(ordered) {
