The end of a durable run whose task has started again is not acknowledged

Callers of durable jobs would see a task start after it was done, with that end taken note of later (rule TWICE): an agent is cut from the later owner alone for longer than the bound, and holds an end as done that no entry that it reaches may store.

Cause: the owner starts the task again 4.5 s after its acquisition, since the agent may be dead. The agent lets the lease expire only if it reaches no entry at all. When it reached the owner again, the end was acknowledged although a later run had started.

Fix: the owner knows which of its runs started after an earlier one. It answers an end as done that comes after such a start with a rejection (a new field of frames). An acknowledgement by another owner doesn't undo this. Ends that come in time are stored as before, and repeated ends are acknowledged. The price is the lease of one worker where a task was in fact run twice.

Ruled out: to let the lease expire when only the owner of an end is silent for 2.5 s: it would end the runs of a worker for each cut of a link that is over before the bound; and to acknowledge and forget the later run, which is the violation.

--- a/ptassign/durable.go
+++ b/ptassign/durable.go
@@ -96,12 +96,17 @@
 }
 
 // AdoptEnd processes the end of a run of a durable job. The run was started by an earlier
-// owner of the job. found is false if the job is not open at this entry.
+// owner of the job, or this entry has declared it lost. found is false if the job is not open at this
+// entry.
 func (core *Core) AdoptEnd(name ptid.AgentName, end ptrun.End, now ptid.Instant) (effects []Effect, found bool) {
 	job := core.jobs[keyOf(end.Run.Task)]
 	if job == nil {
 		return nil, false
 	}
+	if job.IsSuperseded(end) {
+		core.emit(RejectEnd{Agent: name, Run: end.Run})
+		return core.takeEffects(), true
+	}
 	change := job.AdoptEnd(end)
 	job.readyCPU = -1
 	core.emit(SaveProgress{Job: job, Agent: name, Run: end.Run})
--- a/ptassign/ptassign.go
+++ b/ptassign/ptassign.go
@@ -212,6 +212,13 @@
 	Run   ptrun.ID
 }
 
+// RejectEnd tells an agent that a task has started again after the end of the given run as done. The
+// agent must not acknowledge this end to its worker.
+type RejectEnd struct {
+	Agent ptid.AgentName
+	Run   ptrun.ID
+}
+
 // SaveProgress asks to store the progress of a durable job after the end of a run.
 // Acknowledge the end to the agent once the progress is stored.
 type SaveProgress struct {
@@ -240,6 +247,7 @@
 func (SendStop) isEffect()     {}
 func (SendQuery) isEffect()    {}
 func (SaveProgress) isEffect() {}
+func (RejectEnd) isEffect()    {}
 func (JobEnded) isEffect()     {}
 func (RunsLost) isEffect()     {}
 
--- a/ptbroker/ptbroker.go
+++ b/ptbroker/ptbroker.go
@@ -311,6 +311,12 @@
 		case ptassign.RunsLost:
 			broker.deps.Log.Info("runs declared lost", "agent", effect.Agent, "reason", effect.Reason, "runs", effect.Runs,
 				"disconnectedFor", broker.deps.Clock.Now().Sub(effect.DisconnectedAt).String())
+		case ptassign.RejectEnd:
+			if agent := broker.agentSessions[effect.Agent]; agent != nil {
+				broker.deps.Log.Info("end rejected, the task has started again", "job", effect.Run.Task.Job, "step", effect.Run.Task.Step,
+					"task", effect.Run.Task.Index, "run", effect.Run.Number, "agent", effect.Agent)
+				agent.postRejection(effect.Run)
+			}
 		case ptassign.SaveProgress:
 			broker.handleProgress(effect)
 		case ptassign.JobEnded:
--- a/ptbroker/session.go
+++ b/ptbroker/session.go
@@ -81,6 +81,10 @@
 	agent.session.Post(func(frame *ptwire.Frame) { frame.RunAcks = append(frame.RunAcks, run.Ref()) })
 }
 
+func (agent *agentSession) postRejection(run ptrun.ID) {
+	agent.session.Post(func(frame *ptwire.Frame) { frame.RunRejections = append(frame.RunRejections, run.Ref()) })
+}
+
 func (agent *agentSession) postAdoption(partition *ownedPartition, partitions int) {
 	adoption := &ptwire.Adoption{Partition: uint32(partition.number), Epoch: uint64(partition.epoch), Partitions: uint32(partitions)}
 	agent.session.Post(func(frame *ptwire.Frame) { frame.Adoptions = append(frame.Adoptions, adoption) })
--- a/ptdrill/worker.go
+++ b/ptdrill/worker.go
@@ -288,6 +288,9 @@
 
 // extendLease extends the lease to the requested time, but at most to maxLease from now.
 func (worker *worker) extendLease(requested ptrun.WorkerTime) {
+	if worker.clock() > worker.leaseExpiry {
+		worker.lapsedEnds = worker.sequence
+	}
 	limit := worker.clock() + ptrun.WorkerTime(maxLease.Milliseconds())
 	worker.leaseExpiry = max(worker.leaseExpiry, min(requested, limit))
 }
@@ -299,9 +302,6 @@
 		respond(ptrun.Listing{}, err)
 		return
 	}
-	if worker.clock() > worker.leaseExpiry {
-		worker.lapsedEnds = worker.sequence
-	}
 	worker.extendLease(renewal.ExpiresAt)
 	for _, listed := range worker.ends {
 		if listed.Sequence <= renewal.Acknowledged && listed.Sequence > worker.lapsedEnds && listed.End.Result == ptrun.Done {
--- a/ptgraph/ptgraph.go
+++ b/ptgraph/ptgraph.go
@@ -135,6 +135,8 @@
 	// runNumber is the number of the current run, or of the latest one. It may be lower than
 	// highestRun, the highest number of any run, if an older run was adopted.
 	runNumber, highestRun ptrun.Number
+	// highestStarted is the highest number of the runs that have ended and may have started.
+	highestStarted ptrun.Number
 	// failures counts the failed runs. failedRun is the highest number of these runs.
 	failures  int
 	failedRun ptrun.Number
@@ -308,6 +310,16 @@
 	return job.RunEnded(end)
 }
 
+// IsSuperseded reports whether the end is that of a run that has ended as done, after which another
+// run of the task may have started.
+func (job *Job) IsSuperseded(end ptrun.End) bool {
+	task := job.Task(end.Run.Task)
+	if task == nil || end.Result != ptrun.Done || task.Step.LongRunning || task.Step.Speculative {
+		return false
+	}
+	return task.placed && task.runNumber > end.Run.Number || task.highestStarted > end.Run.Number
+}
+
 func (job *Job) markRunning() {
 	if job.state == Pending {
 		job.state = Running
@@ -345,6 +357,7 @@
 	if end.Result != ptrun.NeverStarted {
 		job.started = true
 		job.markRunning()
+		task.highestStarted = max(task.highestStarted, end.Run.Number)
 	}
 	if end.Checkpoint != "" {
 		task.Checkpoint = end.Checkpoint
--- a/ptruncontrol/durable.go
+++ b/ptruncontrol/durable.go
@@ -17,6 +17,9 @@
 	end             ptrun.End
 	listedAt        ptid.Instant
 	nextBroadcastAt ptid.Instant
+	// rejected means that the task has started again since. The end must not be acknowledged unless
+	// the lease of the worker has expired in between.
+	rejected bool
 }
 
 func (run *run) orphanTimeout() time.Duration {
@@ -60,8 +63,21 @@
 // therefore responds to each listing call at once, without waiting for another run to end.
 func (core *Core) HasUnacknowledgedEnds() bool { return len(core.unacked) > 0 }
 
-// AcknowledgeEnd records that the owner of a run has stored its end.
-func (core *Core) AcknowledgeEnd(id ptrun.ID) { delete(core.unacked, id) }
+// AcknowledgeEnd records that the owner of a run has stored its end. A rejection holds: a later owner
+// does not know that the task has started again.
+func (core *Core) AcknowledgeEnd(id ptrun.ID) {
+	if end := core.unacked[id]; end != nil && !end.rejected {
+		delete(core.unacked, id)
+	}
+}
+
+// RejectEnd records that a task has started again after the end of a run as done. The agent lets the
+// lease of the worker expire, which voids the end.
+func (core *Core) RejectEnd(id ptrun.ID) {
+	if end := core.unacked[id]; end != nil {
+		end.rejected = true
+	}
+}
 
 // AdoptPartition assigns the runs of a partition that hold capacity to a later owner, and sends
 // the later owner these runs and the ends that have not been stored. The runs of the partition
@@ -84,8 +100,8 @@
 		adopted.Runs = append(adopted.Runs, run.Run)
 	}
 	for _, id := range slices.SortedFunc(maps.Keys(core.unacked), ptrun.Compare) {
-		if ptjobstore.PartitionOf(id.Task.Job, partitions) == partition {
-			core.emit(SendEnd{Owner: owner, End: core.unacked[id].end})
+		if end := core.unacked[id]; ptjobstore.PartitionOf(id.Task.Job, partitions) == partition && !end.rejected {
+			core.emit(SendEnd{Owner: owner, End: end.end})
 		}
 	}
 	core.emit(adopted)
@@ -96,7 +112,7 @@
 // ends if the worker's lease has expired.
 func (core *Core) rebroadcastEnds(now ptid.Instant) {
 	for _, id := range slices.SortedFunc(maps.Keys(core.unacked), ptrun.Compare) {
-		if end := core.unacked[id]; now >= end.nextBroadcastAt {
+		if end := core.unacked[id]; now >= end.nextBroadcastAt && !end.rejected {
 			end.nextBroadcastAt = now.Add(rebroadcastInterval)
 			core.emit(BroadcastEnd{End: end.end})
 		}
@@ -104,20 +120,29 @@
 	if core.clock > 0 && core.mustLetLeaseExpire(now) && now > core.leasesExpireBy() {
 		// The ends are obsolete, because the lease has expired since these runs ended. An owner
 		// that has not received the end of a run by the expiry starts the task again.
-		clear(core.unacked)
+		reachable := core.mayReachOwners(now)
+		maps.DeleteFunc(core.unacked, func(_ ptrun.ID, end *unackedEnd) bool { return end.rejected || !reachable })
 	}
 }
 
-// mustLetLeaseExpire reports whether the lease must not be renewed, because ends of runs of
-// durable jobs are unacknowledged and no entry has had a session for [DurableOrphanTimeout].
+// mustLetLeaseExpire reports whether the lease must not be extended, because ends of runs of durable
+// jobs are unacknowledged and either rejected, or no entry can be reached to store them.
 func (core *Core) mustLetLeaseExpire(now ptid.Instant) bool {
-	if len(core.unacked) == 0 {
-		return false
+	for _, end := range core.unacked {
+		if end.rejected {
+			return true
+		}
 	}
+	return len(core.unacked) > 0 && !core.mayReachOwners(now)
+}
+
+// mayReachOwners reports whether an entry has had a session within [DurableOrphanTimeout], or none has
+// had a session yet.
+func (core *Core) mayReachOwners(now ptid.Instant) bool {
 	for _, owner := range core.owners {
 		if owner.connected || now.Sub(owner.disconnectedAt) <= DurableOrphanTimeout {
-			return false
+			return true
 		}
 	}
-	return len(core.owners) > 0
+	return len(core.owners) == 0
 }
--- a/ptruncontrol/ptruncontrol.go
+++ b/ptruncontrol/ptruncontrol.go
@@ -43,7 +43,9 @@
 //  8. If no entry can be reached to store durable ends, the agent lets the worker's lease
 //     expire. An owner that cannot reach the agent waits for
 //     ptassign.DurableRunLossTimeout before it starts the tasks of these runs again. The
-//     lease expires before that.
+//     lease expires before that. If only their owner cannot be reached, and it has started a task
+//     again when the end of an earlier run as done arrives, it rejects that end ([Core.RejectEnd]).
+//     The agent then lets the lease expire as well.
 //  9. The health of the worker is assessed from the runs of all entries (package
 //     ptfitness). Every frame carries the assessment. A change of its severity is sent to
 //     each entry immediately, and one entry at a time may place a probe run on a suspect
@@ -398,8 +400,9 @@
 	draining         bool
 	// held is the sum of the demands of the runs that hold capacity.
 	held ptrun.Demand
-	// stopOverdue is true while a run that is to be stopped is active after its stop deadline, or
-	// so close to mustEndBy that a start order would extend the lease beyond it.
+	// stopOverdue is true while the lease must expire, since a run that is to be stopped is active
+	// after its stop deadline or an end was rejected, or while a start order would extend the lease
+	// beyond mustEndBy of such a run.
 	stopOverdue bool
 
 	effects []Effect
@@ -692,7 +695,7 @@
 // there, so none is sent while the lease must expire. While the fence is pending, runs of unknown
 // demand may start.
 func (core *Core) mayStart(now ptid.Instant) bool {
-	core.stopOverdue = core.isStopOverdue(now) || now.Add(maxStartTime) > core.leaseLimit()
+	core.stopOverdue = core.isStopOverdue(now) || core.mustLetLeaseExpire(now) || now.Add(maxStartTime) > core.leaseLimit()
 	return core.known && core.reachable && !core.worker.Draining && core.clock > 0 && !core.fencePending && len(core.unaccounted) == 0 && !core.stopOverdue
 }
 
--- a/ptrunner/session.go
+++ b/ptrunner/session.go
@@ -109,6 +109,9 @@
 	for _, ref := range frame.RunAcks {
 		runner.core.AcknowledgeEnd(ptrun.IDFromRef(ref))
 	}
+	for _, ref := range frame.RunRejections {
+		runner.core.RejectEnd(ptrun.IDFromRef(ref))
+	}
 	for _, adoption := range frame.Adoptions {
 		runner.execute(runner.core.AdoptPartition(peer.owner, ptjobstore.Partition(adoption.Partition), int(adoption.Partitions), ptjobstore.Epoch(adoption.Epoch), now))
 	}
