ptbroker: the test of a cut owner counts an end as taken note of only within one lease

The test asked that the end is never acknowledged, lapsed lease or not, so it stayed red on for a case that the rule allows. The stand-in of the worker now has a lease, and NotedEnds counts the acknowledgements that the rule counts.

--- a/ptstandin/worker.go
+++ b/ptstandin/worker.go
@@ -24,8 +24,13 @@
 	ends         []ptrun.ListedEnd
 	sequence     ptrun.EndSequence
 	acknowledged ptrun.EndSequence
-	starts       map[ptrun.TaskID][]ptrun.Number
-	runEnded     chan struct{}
+	leaseUntil   ptrun.WorkerTime
+	// voided is the latest end before the lease expired last, and noted counts the ends that were
+	// acknowledged before the lease expired.
+	voided   ptrun.EndSequence
+	noted    int
+	starts   map[ptrun.TaskID][]ptrun.Number
+	runEnded chan struct{}
 }
 
 // NewWorker returns a worker without runs.
@@ -67,6 +72,22 @@
 	return worker.acknowledged >= worker.sequence
 }
 
+// NotedEnds returns how many ends were acknowledged although the lease had not expired since.
+func (worker *Worker) NotedEnds() int {
+	worker.mu.Lock()
+	defer worker.mu.Unlock()
+	return worker.noted
+}
+
+// extendLease extends the lease. The ends before an expiry of the lease are void. The caller holds
+// the lock.
+func (worker *Worker) extendLease(until ptrun.WorkerTime) {
+	if worker.Clock() > worker.leaseUntil {
+		worker.voided = worker.sequence
+	}
+	worker.leaseUntil = max(worker.leaseUntil, until)
+}
+
 // EndRun ends a run with a result.
 func (worker *Worker) EndRun(id ptrun.ID, result ptrun.Result) {
 	worker.mu.Lock()
@@ -104,6 +125,7 @@
 	if err := worker.checkOrder(to, token); err != nil {
 		return worker.Clock(), err
 	}
+	worker.extendLease(start.StartBy)
 	if !slices.Contains(worker.active, start.Run) {
 		worker.active = append(worker.active, start.Run)
 		worker.starts[start.Run.Task] = append(worker.starts[start.Run.Task], start.Run.Number)
@@ -137,6 +159,12 @@
 	if err := worker.checkOrder(to, token); err != nil {
 		return listing, err
 	}
+	worker.extendLease(renewal.ExpiresAt)
+	for _, listed := range worker.ends {
+		if listed.Sequence <= renewal.Acknowledged && listed.Sequence > worker.voided {
+			worker.noted++
+		}
+	}
 	worker.acknowledged = max(worker.acknowledged, renewal.Acknowledged)
 	worker.ends = slices.DeleteFunc(worker.ends, func(listed ptrun.ListedEnd) bool { return listed.Sequence <= renewal.Acknowledged })
 	if len(worker.ends) == 0 && renewal.PollTimeout > 0 {
