--- a/ptstandin/relay.go
+++ b/ptstandin/relay.go
@@ -34,6 +34,7 @@
 	delay    atomic.Int64
 	mu       sync.Mutex
 	conns    []*relayedConn
+	down     bool
 }
 
 // NewRelay returns a relay on a free loopback port that forwards connections to target.
@@ -86,6 +87,16 @@
 	}
 }
 
+// SetDown resets the open connections and refuses new ones while down is true.
+func (relay *Relay) SetDown(down bool) {
+	relay.mu.Lock()
+	relay.down = down
+	relay.mu.Unlock()
+	if down {
+		relay.ResetConnections()
+	}
+}
+
 // ConnectionCount returns the number of connections forwarded since the last reset.
 func (relay *Relay) ConnectionCount() int {
 	relay.mu.Lock()
@@ -105,14 +116,26 @@
 			continue
 		}
 		conn := &relayedConn{client: client, server: server}
-		relay.mu.Lock()
-		relay.conns = append(relay.conns, conn)
-		relay.mu.Unlock()
+		if !relay.add(conn) {
+			_, _ = client.Close(), server.Close()
+			continue
+		}
 		go conn.copy(server, client, ToServer, &relay.delay)
 		go conn.copy(client, server, ToClient, &relay.delay)
 	}
 }
 
+// add registers a connection, unless the relay is down.
+func (relay *Relay) add(conn *relayedConn) (added bool) {
+	relay.mu.Lock()
+	defer relay.mu.Unlock()
+	if relay.down {
+		return false
+	}
+	relay.conns = append(relay.conns, conn)
+	return true
+}
+
 const relayBuffer = 16 << 10
 
 func (conn *relayedConn) copy(target, source net.Conn, direction Direction, delay *atomic.Int64) {
