--- a/ptruncontrol/ptruncontrol.go
+++ b/ptruncontrol/ptruncontrol.go
@@ -407,10 +407,10 @@
 	draining         bool
 	// held is the sum of the demands of the runs that hold capacity.
 	held ptrun.Demand
-	// stopOverdue is true while the lease must expire, since a run that is to be stopped is active
+	// leaseMustExpire is true while the lease must expire, since a run that is to be stopped is active
 	// after its stop deadline or an end was rejected, or while a start order would extend the lease
 	// beyond mustEndBy of such a run.
-	stopOverdue bool
+	leaseMustExpire bool
 
 	effects []Effect
 }
@@ -707,8 +707,8 @@
 // there, so none is sent while the lease must expire. While the fence is pending, runs of unknown
 // demand may start.
 func (core *Core) mayStart(now ptid.Instant) bool {
-	core.stopOverdue = core.isStopOverdue(now) || core.mustLetLeaseExpire(now) || now.Add(maxStartTime) > core.leaseLimit()
-	return core.known && core.reachable && !core.worker.Draining && core.clock > 0 && !core.fencePending && core.UnaccountedRuns() == 0 && !core.stopOverdue
+	core.leaseMustExpire = core.isStopOverdue(now) || core.mustLetLeaseExpire(now) || now.Add(maxStartTime) > core.leaseLimit()
+	return core.known && core.reachable && !core.worker.Draining && core.clock > 0 && !core.fencePending && core.UnaccountedRuns() == 0 && !core.leaseMustExpire
 }
 
 // canStart reports whether there is capacity for a waiting run.
--- a/ptruncontrol/responses.go
+++ b/ptruncontrol/responses.go
@@ -367,7 +367,7 @@
 		}
 	}
 	report.Held = report.Held.Plus(core.offeredToOthers(entry))
-	if core.UnaccountedRuns() > 0 || core.stopOverdue || core.fencePending {
+	if core.UnaccountedRuns() > 0 || core.leaseMustExpire || core.fencePending {
 		report.Held = report.Held.Max(report.Capacity)
 	}
 	return report
