ptruncontrol: a crash of the worker is reported with the runs that were active on it

The agents' logs said of a lost run only that the lease had expired: nothing told a crash from a cut, which runs had just started, or on which incarnation.

- worker crashed: the incarnation that ended without announcing it, its successor, the lost runs, the latest starts first, and how long each had run when the worker fell silent; a counter of crashes;
- worker responds again, it has not crashed;
- ran of a lost run ends when the worker fell silent, instead of including the lease;
- leaseEnforced (the worker lists the end) and agentSilent (the entry's own bound) are told apart from leaseLapsed.

--- a/ptassign/ptassign.go
+++ b/ptassign/ptassign.go
@@ -910,10 +910,10 @@
 	core.extendHangDeadlines(now)
 	for _, agent := range core.sortedAgents {
 		if !agent.connected && len(agent.runs) > 0 && now.Sub(agent.disconnectedAt) > RunLossTimeout {
-			core.loseRuns(agent, ptrun.ReasonLeaseExpired, bestEffortRuns, now)
+			core.loseRuns(agent, ptrun.ReasonAgentSilent, bestEffortRuns, now)
 		}
 		if !agent.connected && len(agent.runs) > 0 && now.Sub(agent.disconnectedAt) > DurableRunLossTimeout {
-			core.loseRuns(agent, ptrun.ReasonLeaseExpired, allRuns, now)
+			core.loseRuns(agent, ptrun.ReasonAgentSilent, allRuns, now)
 		}
 		core.stopHangingRuns(agent, now)
 	}
--- a/ptdrill/agent.go
+++ b/ptdrill/agent.go
@@ -211,7 +211,8 @@
 			agent.postTo(effect.Owner, func(entry *entry) {
 				entry.receiveEnd(agent, effect.End)
 			})
-		case ptruncontrol.UnaccountedRunsChanged, ptruncontrol.WorkerReplaced, ptruncontrol.LeaseExpired, ptruncontrol.OrderJoined:
+		case ptruncontrol.UnaccountedRunsChanged, ptruncontrol.WorkerReplaced, ptruncontrol.LeaseExpired, ptruncontrol.OrderJoined,
+			ptruncontrol.WorkerCrashed, ptruncontrol.WorkerResumed:
 			simulation.trace("%s: %T%+v", agent.name(), effect, effect)
 		case ptruncontrol.BroadcastEnd:
 			agent.postBroadcast(effect.End)
--- a/ptrun/ptrun.go
+++ b/ptrun/ptrun.go
@@ -166,7 +166,12 @@
 	ReasonRejected       Reason = "rejected"
 	ReasonUnanswered     Reason = "unanswered"
 	ReasonRestarted      Reason = "workerRestarted"
-	ReasonLeaseExpired   Reason = "leaseLapsed"
+	// ReasonLeaseExpired means that the worker was silent until its lease must have expired, and
+	// ReasonLeaseEnforced that the worker has listed the end of the run at the expiry of its lease.
+	ReasonLeaseExpired  Reason = "leaseLapsed"
+	ReasonLeaseEnforced Reason = "leaseEnforced"
+	// ReasonAgentSilent means that an entry has declared the run lost without a report from its agent.
+	ReasonAgentSilent    Reason = "agentSilent"
 	ReasonOwnerTimeout   Reason = "ownerSilent"
 	ReasonStopRequested  Reason = "byOrder"
 	ReasonUnknownRun     Reason = "unknownRun"
--- a/ptruncontrol/ptruncontrol.go
+++ b/ptruncontrol/ptruncontrol.go
@@ -378,6 +378,10 @@
 	// listCalledAt is when the latest listing call succeeded or failed. The worker has been silent
 	// since silentSince, not counting the pauses of this process.
 	listCalledAt, silentSince ptid.Instant
+	// silentFrom is when the first listing call failed after the latest listing; zero if none has
+	// failed. lost contains the runs on the present incarnation that were declared lost since.
+	silentFrom ptid.Instant
+	lost       []LostRun
 	// clock is a reading of the worker's clock at the instant clockAt; zero means unknown.
 	// leaseExpiresAt is the latest expiry of a lease that may have been granted.
 	clock          ptrun.WorkerTime
@@ -488,6 +492,7 @@
 // until it has seen a higher fence token.
 func (core *Core) replaceWorker(next ptrun.WorkerIdentity, now ptid.Instant) {
 	previous, lost := core.worker.WorkerIdentity, 0
+	core.reportCrash(next, now)
 	core.highestEnd, core.leaseExpiresAt, core.clock, core.clockAt = 0, 0, 0, now
 	core.identifiedAt, core.listedAt, core.listCalledAt, core.silentSince, core.reachable = now, now, now, now, true
 	if next.ID == previous.ID {
@@ -499,6 +504,7 @@
 	if previous.ID != "" {
 		core.emit(WorkerReplaced{Previous: previous, Lost: lost})
 	}
+	core.silentFrom = 0
 	core.estimator, core.probeTurns = ptfitness.NewEstimator(), ptfitness.NewProbeTurns()
 	clear(core.unacked)
 }
@@ -801,6 +807,9 @@
 	if run.holdsCapacity() {
 		core.held = core.held.Minus(run.Demand)
 		end.RunTime = now.Sub(run.startedAt)
+		if end.Result == ptrun.Lost {
+			end.RunTime = core.activeTime(run, now)
+		}
 	}
 	core.recordOutcome(end, now)
 	if end.Checkpoint == "" {
--- a/ptruncontrol/responses.go
+++ b/ptruncontrol/responses.go
@@ -78,7 +78,8 @@
 		core.worker.WorkerIdentity, core.worker.Sequence, core.known, core.unannounced = next, 0, false, true
 		core.refuseWaiting(ptrun.ReasonWorkerAbsent, now)
 	}
-	core.reachable, core.listedAt, core.listCalledAt, core.silentSince = true, now, now, now
+	core.reachable, core.listedAt, core.listCalledAt, core.silentSince, core.silentFrom = true, now, now, now, 0
+	core.reportResumed()
 	core.updateClock(listing.Clock, now)
 	complete := requestedAt > core.fencedAt
 	if complete && core.fencePending {
@@ -185,6 +186,9 @@
 func (core *Core) HandleListFailure(err error, requestedAt, now ptid.Instant) (effects []Effect) {
 	core.silentSince = core.silentSince.Add(max(0, now.Sub(core.listCalledAt)-UnreachableTimeout))
 	core.listCalledAt = now
+	if core.silentFrom == 0 {
+		core.silentFrom = now
+	}
 	if now.Sub(core.listedAt) <= UnreachableTimeout {
 		return nil
 	}
@@ -209,6 +213,7 @@
 	for _, run := range core.sortedRuns() {
 		if run.holdsCapacity() && run.state != starting {
 			lost++
+			core.lost = append(core.lost, LostRun{Run: run.Run, RunTime: core.activeTime(run, now)})
 			core.finish(run, ptrun.End{Run: run.Run, Result: ptrun.Lost, Reason: ptrun.ReasonLeaseExpired}, now)
 		}
 	}
--- a/ptrunner/ptrunner.go
+++ b/ptrunner/ptrunner.go
@@ -238,6 +238,12 @@
 	case ptruncontrol.WorkerReplaced:
 		runner.deps.Log.Info("worker replaced", "previous", effect.Previous.ID, "born", effect.Previous.StartedAt, "lostRuns", effect.Lost,
 			"token", runner.core.FenceToken())
+	case ptruncontrol.WorkerCrashed:
+		runner.deps.Metrics.Counter(ptmetric.WorkerCrashes).Inc()
+		runner.deps.Log.Info("worker crashed", "worker", effect.Worker.ID, "born", effect.Worker.StartedAt, "next", effect.Next.ID,
+			"nextBorn", effect.Next.StartedAt, "lostRuns", len(effect.Runs), "latestStarts", describeLost(effect.Runs))
+	case ptruncontrol.WorkerResumed:
+		runner.deps.Log.Info("worker responds again, it has not crashed", "worker", effect.Worker.ID, "born", effect.Worker.StartedAt, "lostRuns", effect.Lost)
 	case ptruncontrol.LeaseExpired:
 		runner.deps.Log.Info("worker lease expired", "worker", effect.Worker.ID, "lostRuns", effect.Lost,
 			"listingAge", now.Sub(effect.ListedAt).String(), "expiredFor", now.Sub(effect.ExpiredAt).String())
@@ -247,6 +253,17 @@
 	}
 }
 
+// maxDescribedRuns bounds the length of a log line.
+const maxDescribedRuns = 8
+
+// describeLost describes the first of the lost runs with their run times.
+func describeLost(runs []ptruncontrol.LostRun) (descriptions []string) {
+	for _, lost := range runs[:min(len(runs), maxDescribedRuns)] {
+		descriptions = append(descriptions, lost.Run.String()+" ran "+lost.RunTime.String())
+	}
+	return descriptions
+}
+
 func (runner *Runner) sendEnd(effect ptruncontrol.SendEnd) {
 	runner.deps.Metrics.Counter(ptmetric.RunEnds, "result", string(effect.End.Result)).Inc()
 	if effect.End.Result != ptrun.Done {
