Failing test: a task that crashes its workers is started again and again

ptdrill gains tasks that crash each worker that starts them: a task of 3 % of the jobs, mostly some milliseconds after its start. The monitor checks BUDGET for durable jobs (no third start after the third crash), and that a durable job fails only with a cause: a task with all attempts used up, or with two runs lost in crashes.

--- a/ptdrill/entry.go
+++ b/ptdrill/entry.go
@@ -140,6 +140,9 @@
 	report := &entry.simulation.report
 	entry.simulation.trace("%s ends job %s: %v", entry.name(), effect.Job.ID, effect.Job.State())
 	delete(entry.callers, effect.Job.ID)
+	if effect.Job.Durable && effect.Job.State() == ptgraph.Failed {
+		entry.simulation.monitor.jobFailed(effect.Job.Spec)
+	}
 	switch {
 	case effect.Refusal != nil:
 		report.Refused++
@@ -181,6 +184,9 @@
 			}
 		}
 	}
+	if simulation.setting.Faults.CrashingTasks && simulation.happens(3) {
+		simulation.makeCrashing(spec)
+	}
 	if simulation.setting.Durable && simulation.happens(12) {
 		simulation.submitDurable(spec)
 		return
@@ -188,6 +194,19 @@
 	simulation.submit(spec, random.IntN(entries))
 }
 
+// makeCrashing makes a random task of the job crash its workers.
+func (simulation *simulation) makeCrashing(spec ptgraph.Spec) {
+	step := simulation.random.IntN(len(spec.Steps))
+	id := ptrun.TaskID{Job: spec.ID, Step: ptrun.StepIndex(step), Index: ptid.TaskIndex(simulation.random.IntN(spec.Steps[step].Count))}
+	task := simulation.tasks[id]
+	task.crashesAfter = simulation.between(time.Millisecond, 30*time.Millisecond)
+	if simulation.happens(30) {
+		task.crashesAfter = simulation.between(time.Millisecond, task.runTime)
+	}
+	simulation.tasks[id] = task
+	simulation.trace("task %v crashes its workers after %s", ptrun.ID{Task: id}, task.crashesAfter)
+}
+
 // submit submits a job to an entry. The caller of an entry that is down submits the job again.
 func (simulation *simulation) submit(spec ptgraph.Spec, index int) {
 	target := simulation.entries[index]
--- a/ptdrill/monitor.go
+++ b/ptdrill/monitor.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/pkg/errors"
 
+	"github.com/primrosetiller/primrosetiller/ptgraph"
 	"github.com/primrosetiller/primrosetiller/ptjobstore"
 	"github.com/primrosetiller/primrosetiller/ptrun"
 )
@@ -19,8 +20,30 @@
 	ErrDoneAgain = errors.New("a done task started again")
 	// ErrCapacity means that the runs of a worker exceeded its capacity.
 	ErrCapacity = errors.New("capacity exceeded")
+	// ErrCrashBudget means that a task of a durable job was started maxStartsAfterCrashes times
+	// after it had crashed maxCrashes workers.
+	ErrCrashBudget = errors.New("a task that crashes its workers was started again")
+	// ErrFailedWithoutCause means that a durable job failed, though none of its tasks had used up
+	// its attempts or had lost two runs in crashes.
+	ErrFailedWithoutCause = errors.New("a job failed without cause")
 )
 
+const (
+	maxCrashes            = 3
+	maxStartsAfterCrashes = 3
+	// minCrashesToFail is how many crashes under a task allow its job to fail.
+	minCrashesToFail = 2
+)
+
+// taskRecord counts what has happened to the runs of a task.
+type taskRecord struct {
+	// crashes counts the workers that the task has crashed, and startsAfterCrashes its starts after
+	// maxCrashes of them.
+	crashes, startsAfterCrashes int
+	// lostRuns counts the runs that were active in a crash, whatever its cause.
+	lostRuns, failedRuns int
+}
+
 // activeRun is a run that is active on a worker.
 type activeRun struct {
 	run    ptrun.ID
@@ -32,6 +55,7 @@
 	active map[ptrun.TaskID][]activeRun
 	// done contains the runs of durable jobs that have ended as done.
 	done      map[ptrun.TaskID][]*doneRun
+	tasks     map[ptrun.TaskID]*taskRecord
 	violation error
 }
 
@@ -46,7 +70,42 @@
 }
 
 func newMonitor() *monitor {
-	return &monitor{active: make(map[ptrun.TaskID][]activeRun), done: make(map[ptrun.TaskID][]*doneRun)}
+	return &monitor{active: make(map[ptrun.TaskID][]activeRun), done: make(map[ptrun.TaskID][]*doneRun), tasks: make(map[ptrun.TaskID]*taskRecord)}
+}
+
+func (monitor *monitor) task(id ptrun.TaskID) *taskRecord {
+	if monitor.tasks[id] == nil {
+		monitor.tasks[id] = &taskRecord{}
+	}
+	return monitor.tasks[id]
+}
+
+// crashedBy records that a run has crashed its worker, and runCrashed that a run was active in a crash.
+func (monitor *monitor) crashedBy(id ptrun.ID) { monitor.task(id.Task).crashes++ }
+
+func (monitor *monitor) runCrashed(id ptrun.ID) { monitor.task(id.Task).lostRuns++ }
+
+func (monitor *monitor) runFailed(id ptrun.ID) { monitor.task(id.Task).failedRuns++ }
+
+// checkCrashBudget counts the start of a run of a task that has crashed its workers.
+func (monitor *monitor) checkCrashBudget(id ptrun.ID) {
+	record := monitor.tasks[id.Task]
+	if record == nil || record.crashes < maxCrashes || !ptjobstore.IsDurable(id.Number) {
+		return
+	}
+	if record.startsAfterCrashes++; record.startsAfterCrashes >= maxStartsAfterCrashes {
+		monitor.fail(errors.Wrapf(ErrCrashBudget, "run %v after %d crashes", id, record.crashes))
+	}
+}
+
+// jobFailed checks that a task of the job gives it a cause to fail.
+func (monitor *monitor) jobFailed(spec ptgraph.Spec) {
+	for id, record := range monitor.tasks {
+		if id.Job == spec.ID && (record.failedRuns >= spec.MaxAttempts || record.lostRuns >= minCrashesToFail) {
+			return
+		}
+	}
+	monitor.fail(errors.Wrapf(ErrFailedWithoutCause, "job %s", spec.ID))
 }
 
 func (monitor *monitor) runDone(id ptrun.ID, host *worker) {
@@ -79,6 +138,7 @@
 
 func (monitor *monitor) runStarted(id ptrun.ID, host *worker) {
 	host.simulation.report.Starts++
+	monitor.checkCrashBudget(id)
 	for _, other := range append([]activeRun(nil), monitor.active[id.Task]...) {
 		other.worker.advance()
 	}
--- a/ptdrill/ptdrill.go
+++ b/ptdrill/ptdrill.go
@@ -23,8 +23,10 @@
 //     and acknowledge the ends, as in package ptbroker.
 //  9. The monitor checks that no task has two active runs at the same time, that no task of a
 //     durable job starts after the end of a run as done that is acknowledged then or later, that
-//     no worker exceeds its capacity, and that all jobs and runs end once faults and load have
-//     ended.
+//     no worker exceeds its capacity, that a task of a durable job which crashes its workers is
+//     started at most twice after its third crash, that a durable job fails only if a task has
+//     used up its attempts or has lost two runs in crashes, and that all jobs and runs end once
+//     faults and load have ended.
 //
 // # Usage
 //
@@ -88,6 +90,9 @@
 	// RepeatedAnnouncements: a worker is reported as replaced although it is not, and announces
 	// itself again.
 	RepeatedAnnouncements bool
+	// CrashingTasks: a task of 3 % of the jobs crashes each worker that starts it, mostly some
+	// milliseconds after its start. The worker is back after 1 to 4 s.
+	CrashingTasks bool
 
 	// The following faults break the contract of the workers.
 
@@ -153,6 +158,8 @@
 type taskProperties struct {
 	demand  ptrun.Demand
 	runTime time.Duration
+	// crashesAfter is how long after its start the task crashes its worker; zero means never.
+	crashesAfter time.Duration
 }
 
 // Run simulates the given number of events and returns the report. err describes the first
--- a/ptdrill/ptdrill_test.go
+++ b/ptdrill/ptdrill_test.go
@@ -95,6 +95,14 @@
 	play(test, ptdrill.Setting{Durable: true, Faults: ptdrill.Faults{Single: true, Mass: true, UnansweredOrders: true}})
 }
 
+func TestSeedsWithTasksThatCrashTheirWorkers(test *testing.T) {
+	play(test, ptdrill.Setting{Durable: true, Faults: ptdrill.Faults{CrashingTasks: true}})
+}
+
+func TestSeedsWithTasksThatCrashTheirWorkersBesideFaults(test *testing.T) {
+	play(test, ptdrill.Setting{Durable: true, Faults: ptdrill.Faults{Single: true, Mass: true, CrashingTasks: true}})
+}
+
 func environment(name string, defaultValue int) int {
 	if value, err := strconv.Atoi(os.Getenv(name)); err == nil {
 		return value
--- a/ptdrill/worker.go
+++ b/ptdrill/worker.go
@@ -172,6 +172,9 @@
 		simulation.report.Done++
 		simulation.monitor.runDone(id, worker)
 	}
+	if result == ptrun.Failed {
+		simulation.monitor.runFailed(id)
+	}
 	delete(worker.runs, id)
 	worker.recordEnded(id)
 	worker.sequence++
@@ -242,6 +245,16 @@
 	simulation.trace("%s started %v", workerName(worker.identity), start.Run)
 	simulation.monitor.runStarted(start.Run, worker)
 	worker.watch(started)
+	if task.crashesAfter > 0 {
+		simulation.After(task.crashesAfter, func() {
+			worker.receiveSilently(func() {
+				if worker.runs[start.Run] == started {
+					simulation.monitor.crashedBy(start.Run)
+					simulation.crashWorker(worker.index, simulation.between(time.Second, 4*time.Second))
+				}
+			})
+		})
+	}
 	return nil
 }
 
@@ -374,6 +387,7 @@
 	worker.simulation.trace("%s crashes", workerName(worker.identity))
 	for _, id := range slices.SortedFunc(maps.Keys(worker.runs), ptrun.Compare) {
 		worker.simulation.monitor.runEnded(id, worker)
+		worker.simulation.monitor.runCrashed(id)
 	}
 	worker.runs, worker.alive = nil, false
 }
