Tasks that crash their workers run in isolation and are given up

Cause: nothing counts the runs of a task that are lost with their workers. A lost run doesn't use up an attempt (ptgraph), so the task is placed on the next worker 10 ms after its loss is known. Some twelve runs are lost with each crash, and all of them were placed anew at once beside others. Class of fault: a retry without a limit, of a request that may itself be the cause of the failure.

Change: - ptgraph counts the runs of a task that were lost with their workers, and stores them with the progress, so the count survives its owner. A task is given up after two known crashes, one of them in isolation, or after four losses. A task that merely ran beside is not given up. - A suspect (a run lost within 100 ms of its start, or two lost runs) is isolated: its agent starts it once no other run is active, and starts none beside it until a listing proves that the worker has outlived it (ptruncontrol). Entries isolate one task of a job at a time, and use half of the workers at most (ptassign). - The agent reports the end of an isolated durable run only when the worker is back, so the end says whether the run has crashed it. It repeats the crashes under durable runs until their owner has stored them, and gives them to later owners. - explain crashesWorkers, a log line "task given up" with the losses, counters of crashes and of tasks given up.

Why it works: after its first loss a suspect shares a worker with nobody, so a further crash is its own, and the first one is told to its owner as well.

Ruled out: giving up after two crashes without isolation (at 12 runs a crash, the neighbours would fail without cause); a count at the agent (it begins anew with each restart); a marker before each start of a suspect (a write to the log for each).

--- a/ptassign/durable.go
+++ b/ptassign/durable.go
@@ -90,7 +90,7 @@
 		core.emit(SendStop{Agent: name, Run: run, Reason: ptrun.ReasonUnknownRun})
 		return core.takeEffects()
 	}
-	core.reserve(agent, job, job.Task(run.Task), run, now)
+	core.reserve(agent, job, job.Task(run.Task), run, false, now)
 	job.readyCPU = -1
 	return core.takeEffects()
 }
@@ -110,6 +110,9 @@
 	change := job.AdoptEnd(end)
 	job.readyCPU = -1
 	core.emit(SaveProgress{Job: job, Agent: name, Run: end.Run})
+	if change.GivenUp {
+		core.emit(TaskGivenUp{Agent: name, Run: end.Run, Losses: job.Task(end.Run.Task).Losses()})
+	}
 	if change.JobEnded {
 		core.closeJob(job, nil, now)
 	}
--- a/ptassign/fitness.go
+++ b/ptassign/fitness.go
@@ -221,11 +221,16 @@
 	}
 }
 
+// awaitsVerdict reports whether the agent waits for its worker, to know whether the run has crashed it.
+func (agent *agentRecord) awaitsVerdict(run *placedRun) bool {
+	return run.isolated && agent.state.Unusable
+}
+
 // stopHangingRuns starts a backoff for a worker on which runs hang, and stops these runs.
 func (core *Core) stopHangingRuns(agent *agentRecord, now ptid.Instant) {
 	hanging := 0
 	for _, run := range agent.runs {
-		if !run.stopped && !run.task.Step.LongRunning && run.placedAt > agent.observed.lastEndAt && now > run.hangsAt {
+		if !run.stopped && !run.task.Step.LongRunning && run.placedAt > agent.observed.lastEndAt && now > run.hangsAt && !agent.awaitsVerdict(run) {
 			hanging++
 		}
 	}
@@ -234,7 +239,7 @@
 	}
 	agent.observed.startBackoff(now)
 	for _, id := range sortedRuns(agent.runs) {
-		if run := agent.runs[id]; !run.stopped && !run.task.Step.LongRunning && now > run.hangsAt {
+		if run := agent.runs[id]; !run.stopped && !run.task.Step.LongRunning && now > run.hangsAt && !agent.awaitsVerdict(run) {
 			run.task.TimedOutRuns++
 			core.stopRun(agent, id, run, ptrun.ReasonUnanswered)
 		}
--- a/ptassign/forecast.go
+++ b/ptassign/forecast.go
@@ -194,17 +194,22 @@
 	return time.Duration(float64(missing) / float64(rate) * float64(time.Second))
 }
 
-// readyDemand returns the CPU demand of the job's ready tasks. Each task counts as at least
-// one millicore. The sum is cached in the job.
+// readyDemand returns the CPU demand of the job's ready tasks, without suspects: these don't wait for
+// free capacity. Each task counts as at least one millicore. The sum is cached in the job.
 func (core *Core) readyDemand(job *Job) (cpu ptrun.Millicores) {
 	if job.readyCPU >= 0 {
 		return job.readyCPU
 	}
-	for index, task := range job.Ready() {
-		cpu += max(1, task.Step.Demand.CPU)
-		if index == 0 {
+	job.waitingSuspects = 0
+	for _, task := range job.Ready() {
+		if job.needsIsolation(task) {
+			job.waitingSuspects++
+			continue
+		}
+		if cpu == 0 {
 			job.minDemand = task.Step.Reservation()
 		}
+		cpu += max(1, task.Step.Demand.CPU)
 		job.minDemand = job.minDemand.Min(task.Step.Reservation())
 	}
 	job.readyCPU = cpu
--- a/ptassign/gang.go
+++ b/ptassign/gang.go
@@ -25,7 +25,7 @@
 		checkpoint := job.GangCheckpoint(step)
 		runs := job.PlaceGang(step)
 		for i, task := range tasks {
-			core.sendOrder(chosen[i], job, task, runs[i], checkpoint, now)
+			core.sendOrder(chosen[i], job, task, runs[i], placement{checkpoint: checkpoint}, now)
 		}
 		return true
 	}
--- a/ptassign/ptassign.go
+++ b/ptassign/ptassign.go
@@ -167,6 +167,11 @@
 	readyCPU     ptrun.Millicores
 	minDemand    ptrun.Demand
 	adviceByStep map[ptrun.StepIndex]*stepAdvice
+	// suspects contains the tasks of which a run was lost. waitingSuspects is the number of ready
+	// tasks that must be isolated; it is valid with readyCPU, which does not include them.
+	suspects        map[ptrun.TaskID]*suspect
+	waitingSuspects int
+	isolatedRuns    int
 }
 
 // Key returns the key of the job.
@@ -197,6 +202,9 @@
 	// Checkpoint is the state from which the run resumes.
 	Checkpoint ptrun.Checkpoint
 	Ticket     string
+	// Isolation is how long the run must be the only active run on its worker; zero if others may be
+	// active beside it.
+	Isolation time.Duration
 }
 
 // SendStop asks an agent to stop a run.
@@ -259,8 +267,9 @@
 	placedAt        ptid.Instant
 	expectedRunTime time.Duration
 	// hangsAt is when the run counts as hanging.
-	hangsAt ptid.Instant
-	stopped bool
+	hangsAt  ptid.Instant
+	stopped  bool
+	isolated bool
 	// incarnation is the incarnation of the agent that was asked to start the run.
 	incarnation ptid.Incarnation
 }
@@ -281,6 +290,8 @@
 	// MayProbe allows this entry to send one probe task to a quarantined worker.
 	Assessment ptfitness.Assessment
 	MayProbe   bool
+	// Isolating is true while a run is active in isolation, or waits for that.
+	Isolating bool
 }
 
 // agentRecord is what the core knows about one agent and its worker.
@@ -300,6 +311,7 @@
 	heldByOthers         ptrun.Demand
 	reserved             ptrun.Demand
 	runs                 map[ptrun.ID]*placedRun
+	isolatedRuns         int
 	observed             observations
 	// quarantined is true if the worker gets only probe tasks, because its assessment is bad
 	// compared with the assessments of the other workers of the service.
@@ -525,7 +537,7 @@
 		case !core.placeJob(job, now):
 			blocked++
 		}
-		if core.readyDemand(job) == 0 && len(job.PlacedRuns()) > 0 {
+		if core.readyDemand(job) == 0 && job.waitingSuspects == 0 && len(job.PlacedRuns()) > 0 {
 			job.inQueue = false
 			continue
 		}
@@ -557,8 +569,12 @@
 	}
 }
 
-// placeJob places the ready tasks of a job and reports whether all of them were placed.
+// placeJob places the ready tasks of a job and reports whether all of them were placed. Suspects that
+// wait for isolation don't count: the jobs behind may find capacity.
 func (core *Core) placeJob(job *Job, now ptid.Instant) (all bool) {
+	if core.readyDemand(job); job.waitingSuspects > 0 {
+		core.placeSuspects(job, now)
+	}
 	if core.readyDemand(job) > 0 && job.Queue.Advice == nil && !core.maxFree.Covers(job.minDemand) && !core.mayUseQuarantined(job, now) {
 		return false
 	}
@@ -574,19 +590,28 @@
 			continue
 		}
 		ready = ready[1:]
+		if !task.Pending() || job.needsIsolation(task) {
+			continue
+		}
 		chosen := core.choose(job, task, now)
 		if chosen == nil {
 			core.requestAdvice(job, task, now)
 			return false
 		}
-		core.sendOrder(chosen, job, task, job.Place(task), task.Checkpoint, now)
+		core.sendOrder(chosen, job, task, job.Place(task), placement{checkpoint: task.Checkpoint}, now)
 	}
 	return true
 }
 
+// placement describes how a run is started.
+type placement struct {
+	checkpoint ptrun.Checkpoint
+	isolation  time.Duration
+}
+
 // sendOrder reserves capacity for a run at an agent and emits its start order.
-func (core *Core) sendOrder(chosen *agentRecord, job *Job, task *ptgraph.Task, run ptrun.ID, checkpoint ptrun.Checkpoint, now ptid.Instant) {
-	core.reserve(chosen, job, task, run, now)
+func (core *Core) sendOrder(chosen *agentRecord, job *Job, task *ptgraph.Task, run ptrun.ID, placement placement, now ptid.Instant) {
+	core.reserve(chosen, job, task, run, placement.isolation > 0, now)
 	core.updateMaxFree()
 	job.readyCPU = -1
 	chosen.taskPlaced()
@@ -598,6 +623,9 @@
 	if task.Step.Gang {
 		wait = GangWaitAtAgent
 	}
+	if placement.isolation > 0 {
+		startBy, wait = now.Add(IsolationWait+OrderTTL), IsolationWait
+	}
 	if job.Durable {
 		startBy = min(startBy, core.ownershipExpiresAt)
 	} else {
@@ -605,17 +633,23 @@
 	}
 	ticket, _ := ticketFor(chosen, job, task, now)
 	core.emit(SendOrder{
-		Agent: chosen.name, Ticket: ticket, Run: run, Job: job, Demand: task.Step.Reservation(), StartBy: startBy, MaxWait: wait, QueueKey: job.queueKey(now), Checkpoint: checkpoint,
+		Agent: chosen.name, Ticket: ticket, Run: run, Job: job, Demand: task.Step.Reservation(), StartBy: startBy, MaxWait: wait, QueueKey: job.queueKey(now), Checkpoint: placement.checkpoint, Isolation: placement.isolation,
 		ExpectedRunTime: core.assessableRunTime(chosen, job, task.Step),
 	})
 }
 
-// reserve adds a run to the agent's list and reserves the run's capacity.
-func (core *Core) reserve(chosen *agentRecord, job *Job, task *ptgraph.Task, run ptrun.ID, now ptid.Instant) {
+// reserve adds a run to the agent's list and reserves the run's capacity; for an isolated run, that is
+// the whole worker.
+func (core *Core) reserve(chosen *agentRecord, job *Job, task *ptgraph.Task, run ptrun.ID, isolated bool, now ptid.Instant) {
 	expected := core.expectedRunTime(job.Queue.Name, task.Step)
 	placed := &placedRun{
 		job: job, task: task, reservation: task.Step.Reservation(), placedAt: now, expectedRunTime: expected,
-		hangsAt: now.Add(hangTimeout(task, expected)), incarnation: chosen.connectedIncarnation,
+		hangsAt: now.Add(hangTimeout(task, expected)), incarnation: chosen.connectedIncarnation, isolated: isolated,
+	}
+	if isolated {
+		placed.reservation = chosen.state.Capacity
+		chosen.isolatedRuns++
+		job.isolatedRuns++
 	}
 	chosen.runs[run] = placed
 	chosen.reserved = chosen.reserved.Plus(placed.reservation)
@@ -625,6 +659,10 @@
 // release removes a run from the agent's list and frees its reservation.
 func (agent *agentRecord) release(id ptrun.ID, run *placedRun) {
 	delete(agent.runs, id)
+	if run.isolated {
+		agent.isolatedRuns--
+		run.job.isolatedRuns--
+	}
 	agent.reserved = agent.reserved.Minus(run.reservation)
 	agent.expectedWork -= run.work()
 }
@@ -818,7 +856,11 @@
 	core.learn(agent, run, end, now)
 	core.dropRejectedTicket(agent, run, end)
 	job := run.job
+	job.recordSuspect(agent.name, run, end, now)
 	change := job.RunEnded(end)
+	if change.GivenUp {
+		core.emit(TaskGivenUp{Agent: agent.name, Run: end.Run, Losses: run.task.Losses()})
+	}
 	if core.stopping[job.Key()] == job && len(job.PlacedRuns()) == 0 {
 		delete(core.stopping, job.Key())
 	}
--- a/ptbroker/ptbroker.go
+++ b/ptbroker/ptbroker.go
@@ -38,6 +38,7 @@
 	"github.com/primrosetiller/primrosetiller/ptjobstore"
 	"github.com/primrosetiller/primrosetiller/ptmetric"
 	"github.com/primrosetiller/primrosetiller/ptqueue"
+	"github.com/primrosetiller/primrosetiller/ptreason"
 	"github.com/primrosetiller/primrosetiller/ptrun"
 	"github.com/primrosetiller/primrosetiller/ptsession"
 )
@@ -312,6 +313,10 @@
 		case ptassign.RunsLost:
 			broker.deps.Log.Info("runs declared lost", "agent", effect.Agent, "reason", effect.Reason, "runs", effect.Runs,
 				"disconnectedFor", broker.deps.Clock.Now().Sub(effect.DisconnectedAt).String())
+		case ptassign.TaskGivenUp:
+			broker.deps.Metrics.Counter(ptmetric.TasksGivenUp).Inc()
+			broker.deps.Log.Info("task given up", "reason", ptreason.CrashesWorkers, "job", effect.Run.Task.Job, "step", effect.Run.Task.Step,
+				"task", effect.Run.Task.Index, "run", effect.Run.Number, "agent", effect.Agent, "losses", effect.Losses)
 		case ptassign.RejectEnd:
 			if agent := broker.agentSessions[effect.Agent]; agent != nil {
 				broker.deps.Log.Info("end rejected, the task has started again", "job", effect.Run.Task.Job, "step", effect.Run.Task.Step,
--- a/ptdrill/agent.go
+++ b/ptdrill/agent.go
@@ -129,7 +129,7 @@
 }
 
 func sameReport(left, right ptruncontrol.CapacityReport) bool {
-	return left.Worker == right.Worker && left.Capacity == right.Capacity && left.Unusable == right.Unusable &&
+	return left.Worker == right.Worker && left.Capacity == right.Capacity && left.Unusable == right.Unusable && left.Isolating == right.Isolating &&
 		left.Held.Minus(left.Own) == right.Held.Minus(right.Own)
 }
 
@@ -162,7 +162,7 @@
 		}
 		target.applyEffects(target.core.AgentReported(agent.name(), ptassign.AgentState{
 			Worker: report.Worker, Capacity: report.Capacity, Held: report.Held, Own: report.Own, Unusable: report.Unusable,
-			RequestedByOthers: report.RequestedByOthers, Assessment: report.Assessment, MayProbe: report.MayProbe,
+			RequestedByOthers: report.RequestedByOthers, Assessment: report.Assessment, MayProbe: report.MayProbe, Isolating: report.Isolating,
 		}, target.simulation.Now()))
 		if receive != nil {
 			receive(target)
--- a/ptdrill/entry.go
+++ b/ptdrill/entry.go
@@ -111,7 +111,7 @@
 				agent.simulation.owners[agent.index][effect.Run] = entry.owner()
 				agent.applyEffects(agent.core.Order(ptruncontrol.Order{
 					Run: effect.Run, Owner: entry.owner(), Demand: effect.Demand, SentAt: sentAt, StartBy: effect.StartBy, WaitUntil: now.Add(effect.MaxWait),
-					QueueKey: effect.QueueKey, ExpectedRunTime: effect.ExpectedRunTime, Partition: number, Epoch: epoch,
+					QueueKey: effect.QueueKey, ExpectedRunTime: effect.ExpectedRunTime, Isolation: effect.Isolation, Partition: number, Epoch: epoch,
 				}, now))
 			})
 		case ptassign.SendStop:
@@ -131,6 +131,8 @@
 			entry.post(agentIndex(effect.Agent), func(agent *agent) { agent.core.RejectEnd(effect.Run) })
 		case ptassign.SaveProgress:
 			entry.ownership.progressMade(effect)
+		case ptassign.TaskGivenUp:
+			entry.simulation.trace("%s gives up %v: %+v", entry.name(), effect.Run, effect.Losses)
 		case ptassign.RequestAdvice, ptassign.WorkerQuarantined:
 		}
 	}
--- a/ptgraph/progress.go
+++ b/ptgraph/progress.go
@@ -1,6 +1,10 @@
 package ptgraph
 
-import "github.com/primrosetiller/primrosetiller/ptrun"
+import (
+	"slices"
+
+	"github.com/primrosetiller/primrosetiller/ptrun"
+)
 
 // Progress is the part of a job's state that must survive its owner: which tasks are done,
 // and the failures and checkpoints of the other tasks. Except for the number of the latest failed
@@ -10,7 +14,8 @@
 	State State `json:"state"`
 	// Done contains one bit for each task of each step.
 	Done [][]byte `json:"done,omitempty"`
-	// Tasks lists the unfinished tasks that have failed or left a checkpoint.
+	// Tasks lists the unfinished tasks that have failed, left a checkpoint, or lost a run with its
+	// worker.
 	Tasks []TaskProgress `json:"tasks,omitempty"`
 }
 
@@ -22,6 +27,7 @@
 	Failures   int              `json:"fails,omitempty"`
 	FailedRun  ptrun.Number     `json:"failedRun,omitempty"`
 	Checkpoint ptrun.Checkpoint `json:"checkpoint,omitempty"`
+	Losses     []RunLoss        `json:"losses,omitempty"`
 }
 
 const bitsPerByte = 8
@@ -40,9 +46,10 @@
 			switch {
 			case task.done:
 				progress.Done[step][index/bitsPerByte] |= 1 << (index % bitsPerByte)
-			case task.failures > 0 || task.Checkpoint != "":
+			case task.failures > 0 || task.Checkpoint != "" || len(task.losses) > 0:
 				progress.Tasks = append(progress.Tasks, TaskProgress{
 					Step: ptrun.StepIndex(step), Index: index, Failures: task.failures, FailedRun: task.failedRun, Checkpoint: task.Checkpoint,
+					Losses: slices.Clone(task.losses),
 				})
 			}
 		}
@@ -70,6 +77,8 @@
 		if int(entry.Step) < len(job.tasks) && entry.Index >= 0 && entry.Index < len(job.tasks[entry.Step]) {
 			task := &job.tasks[entry.Step][entry.Index]
 			task.failures, task.failedRun, task.Checkpoint = entry.Failures, entry.FailedRun, entry.Checkpoint
+			task.losses = slices.Clone(entry.Losses)
+			job.hasLosses = job.hasLosses || len(task.losses) > 0
 		}
 	}
 	job.state = progress.State
--- a/ptgraph/ptgraph.go
+++ b/ptgraph/ptgraph.go
@@ -7,7 +7,8 @@
 //  2. A task is pending, then placed under a rising run number, then done. After a run
 //     that did not complete the task, the task is pending again. Only a failed run uses up
 //     an attempt; a run that was stopped, lost or never started does not.
-//  3. A task that has failed as often as its queue allows fails the job.
+//  3. A task that has failed as often as its queue allows fails the job. So does a task that
+//     crashes its workers (crash.go).
 //  4. A job ends when all of its tasks are done, when it fails, or when it is given up. The
 //     owner must then stop the runs that are still placed.
 //  5. A refusal states that no run of the job has started or will start. A job can
@@ -140,6 +141,8 @@
 	// failures counts the failed runs. failedRun is the highest number of these runs.
 	failures  int
 	failedRun ptrun.Number
+	// losses contains the runs that were lost with their workers.
+	losses []RunLoss
 	// TimedOutRuns counts the runs that were stopped because they took far longer than expected.
 	// The timeout of the next run grows with this count.
 	TimedOutRuns int
@@ -165,8 +168,9 @@
 	// unfinished over all steps.
 	unfinished []int
 	remaining  int
-	// started is true once a run of the job is known to have started.
-	started bool
+	// started is true once a run of the job is known to have started, and hasLosses once a run was
+	// lost with its worker.
+	started, hasLosses bool
 }
 
 // New returns a job whose tasks are all pending.
@@ -303,6 +307,11 @@
 // counted before.
 func (job *Job) AdoptEnd(end ptrun.End) (change Change) {
 	task := job.Task(end.Run.Task)
+	if task != nil && task.placed && task.runNumber != end.Run.Number && isLoss(end) && !job.state.Ended() {
+		// The task has been started again since.
+		job.recordLoss(task, end)
+		return Change{GivenUp: job.giveUpIfCrashing(task), JobEnded: job.state.Ended()}
+	}
 	counted := task != nil && end.Result == ptrun.Failed && end.Run.Number <= task.failedRun
 	if counted || end.Result == ptrun.NeverStarted || !job.Adopt(end.Run) {
 		return Change{}
@@ -344,6 +353,8 @@
 	Accepted bool
 	// JobEnded is true if this end of a run has ended the job.
 	JobEnded bool
+	// GivenUp is true if the job has ended as failed because the task crashes its workers.
+	GivenUp bool
 }
 
 // RunEnded processes the end of a run.
@@ -372,7 +383,11 @@
 		if end.Reason == ptrun.ReasonHigherRunEnded {
 			task.highestRun += runNumberSkip
 		}
-	case ptrun.Stopped, ptrun.Lost:
+	case ptrun.Lost:
+		if isLoss(end) {
+			job.recordLoss(task, end)
+		}
+	case ptrun.Stopped:
 	}
 	if job.state.Ended() {
 		return change
@@ -382,6 +397,8 @@
 		job.state, change.JobEnded = Completed, true
 	case !task.Step.LongRunning && task.failures >= max(1, job.MaxAttempts):
 		job.state, change.JobEnded = Failed, true
+	case job.giveUpIfCrashing(task):
+		change.JobEnded, change.GivenUp = true, true
 	}
 	return change
 }
--- a/ptmetric/ptmetric.go
+++ b/ptmetric/ptmetric.go
@@ -63,6 +63,7 @@
 	WaitingRuns      Name = "primrosetiller_waiting_runs"
 	HoldingRuns      Name = "primrosetiller_holding_runs"
 	UnaccountedRuns  Name = "primrosetiller_unaccounted_runs"
+	TasksGivenUp     Name = "primrosetiller_tasks_given_up_total"
 	WorkerCrashes    Name = "primrosetiller_worker_crashes_total"
 	JobSeconds       Name = "primrosetiller_job_seconds"
 	StoreCalls       Name = "primrosetiller_store_calls_total"
@@ -110,6 +111,7 @@
 	{WaitingRuns, "Waiting runs", "Runs that wait at this agent for free capacity on its worker.", "2.0"},
 	{HoldingRuns, "Runs that hold capacity", "Runs at this agent that hold capacity on its worker, including runs that are being stopped.", "2.0"},
 	{WorkerCrashes, "Worker crashes", "Incarnations of this agent's worker that ended without announcing it while runs were active on them.", "2.1"},
+	{TasksGivenUp, "Tasks given up", "Tasks that this entry has given up, because they crash their workers. Their jobs have failed.", "2.1"},
 	{UnaccountedRuns, "Unaccounted runs", "Active runs in the newest listing of this agent's worker that are not in the agent's records: started by an earlier agent process, or declared ended too early.", "2.0"},
 	{JobSeconds, "Duration of a job", "Seconds from the arrival of a graph job to its end.", "2.0"},
 	{StoreCalls, "Calls to the platform's store", "Calls to the platform's store, by operation and result: done, refused, failed.", "2.0"},
--- a/ptrun/ptrun.go
+++ b/ptrun/ptrun.go
@@ -150,6 +150,8 @@
 	Reason     Reason
 	RunTime    time.Duration
 	Checkpoint Checkpoint
+	// Worker is the worker of a lost run.
+	Worker WorkerID
 }
 
 // Reason is why a run ended with its result, for logs.
@@ -171,7 +173,11 @@
 	ReasonLeaseExpired  Reason = "leaseLapsed"
 	ReasonLeaseEnforced Reason = "leaseEnforced"
 	// ReasonAgentSilent means that an entry has declared the run lost without a report from its agent.
-	ReasonAgentSilent    Reason = "agentSilent"
+	ReasonAgentSilent Reason = "agentSilent"
+	// ReasonWorkerCrashed means that the worker has ended, without announcing it, while the run was
+	// active. ReasonCrashedWorker means that no other run was active on it then.
+	ReasonWorkerCrashed  Reason = "workerCrashed"
+	ReasonCrashedWorker  Reason = "crashedWorker"
 	ReasonOwnerTimeout   Reason = "ownerSilent"
 	ReasonStopRequested  Reason = "byOrder"
 	ReasonUnknownRun     Reason = "unknownRun"
--- a/ptrun/wire.go
+++ b/ptrun/wire.go
@@ -30,7 +30,7 @@
 func (end End) Message() *ptwire.RunEnd {
 	return &ptwire.RunEnd{
 		Run: end.Run.Ref(), Result: string(end.Result), Reason: string(end.Reason),
-		RunNanos: int64(end.RunTime), Checkpoint: string(end.Checkpoint),
+		RunNanos: int64(end.RunTime), Checkpoint: string(end.Checkpoint), Worker: string(end.Worker),
 	}
 }
 
@@ -38,7 +38,7 @@
 func EndFromMessage(end *ptwire.RunEnd) End {
 	return End{
 		Run: IDFromRef(end.GetRun()), Result: Result(end.GetResult()), Reason: Reason(end.GetReason()),
-		RunTime: time.Duration(end.GetRunNanos()), Checkpoint: Checkpoint(end.GetCheckpoint()),
+		RunTime: time.Duration(end.GetRunNanos()), Checkpoint: Checkpoint(end.GetCheckpoint()), Worker: WorkerID(end.GetWorker()),
 	}
 }
 
--- a/ptruncontrol/crash_test.go
+++ b/ptruncontrol/crash_test.go
@@ -20,15 +20,16 @@
 	return reported
 }
 
-// newFixtureWithLostRuns returns a fixture with two runs that were declared lost after the worker
-// had fallen silent at 110 ms.
+// newFixtureWithLostRuns returns a fixture with two runs that were declared lost after a last listing
+// at 110 ms.
 func newFixtureWithLostRuns(test *testing.T) *fixture {
 	fixture := newFixture(test)
 	fixture.order(run(0, 1), 1000, at(10))
 	fixture.HandleStartResponse(run(0, 1), 1011, nil, at(11))
 	fixture.order(run(1, 1), 1000, at(100))
 	fixture.HandleStartResponse(run(1, 1), 1101, nil, at(101))
-	for millis := 110; millis <= 1600; millis += 20 {
+	fixture.list(1109, at(109), at(110), nil, run(0, 1), run(1, 1))
+	for millis := 130; millis <= 1600; millis += 20 {
 		fixture.HandleListFailure(ptrun.ErrNotListening, at(millis), at(millis))
 	}
 	waiting, holding := fixture.RunCounts()
--- a/ptruncontrol/durable.go
+++ b/ptruncontrol/durable.go
@@ -66,6 +66,7 @@
 // AcknowledgeEnd records that the owner of a run has stored its end. A rejection holds: a later owner
 // does not know that the task has started again.
 func (core *Core) AcknowledgeEnd(id ptrun.ID) {
+	delete(core.crashNotices, id)
 	if end := core.unacked[id]; end != nil && !end.rejected {
 		delete(core.unacked, id)
 	}
@@ -104,6 +105,11 @@
 			core.emit(SendEnd{Owner: owner, End: end.end})
 		}
 	}
+	for _, id := range slices.SortedFunc(maps.Keys(core.crashNotices), ptrun.Compare) {
+		if ptjobstore.PartitionOf(id.Task.Job, partitions) == partition {
+			core.emit(SendEnd{Owner: owner, End: core.crashNotices[id].end})
+		}
+	}
 	core.emit(adopted)
 	return core.takeEffects()
 }
--- a/ptruncontrol/offers.go
+++ b/ptruncontrol/offers.go
@@ -74,7 +74,7 @@
 // free. Without offers this entry would use the capacity for its own next task. Entries that
 // already have capacity would keep it, and the callers of entries that need more would starve.
 func (core *Core) offer(now ptid.Instant) {
-	if core.draining || !core.mayStart(now) {
+	if core.draining || !core.mayStart(now) || core.isIsolating() {
 		return
 	}
 	core.expireOffers(now)
--- a/ptruncontrol/ptruncontrol.go
+++ b/ptruncontrol/ptruncontrol.go
@@ -18,7 +18,7 @@
 //  4. The worker's lease is renewed to [LeaseDuration] after the earliest time that the
 //     worker's clock can show. A run has ended when the worker lists its end; when a
 //     listing that was requested after the response to the run's start or stop order (rule
-//     3, for a restarted worker rule 11) does not contain the run; when an incarnation of the
+//     3, for a restarted worker rule 12) does not contain the run; when an incarnation of the
 //     worker with another ID is announced; or when the last lease that may have been granted
 //     has expired, even if the worker's clock is slow by one part in [ClockDriftDivisor].
 //     A run that is active for [StopTimeout] after its first stop order is ended by the
@@ -56,7 +56,12 @@
 //     the end in its next session. The end is therefore retained until [EndRetention]
 //     after the start of that session. The retention is limited to two minutes, except for
 //     durable ends that are not stored yet.
-//  11. A worker that restarts under its ID may execute orders to its earlier incarnation, whose
+//  11. A run of a task that is suspected of crashing its workers is active in isolation
+//     ([Order].Isolation): it starts once no other run is active, and no other run starts before its
+//     isolation is over. If the lease of its worker expires, its end is reported only when the worker
+//     is back, so that it tells whether the run has crashed the worker (isolation.go). The ends of
+//     durable runs that were lost in a crash are repeated until their owner has stored them.
+//  12. A worker that restarts under its ID may execute orders to its earlier incarnation, whose
 //     deadlines mean nothing on its clock. The agent then raises its fence token. Until a
 //     listing requested with the raised token arrives, no run starts and none of the earlier
 //     orders is known to have no effect. That listing is complete: the worker has executed the
@@ -169,6 +174,9 @@
 	TailLatencyTarget time.Duration
 	// ExpectedRunTime is how long the run should take on a healthy worker; zero means unknown.
 	ExpectedRunTime time.Duration
+	// Isolation is how long the run must be the only active run on the worker; zero if others may be
+	// active beside it.
+	Isolation time.Duration
 }
 
 // isDurable reports whether the run belongs to a durable job.
@@ -317,6 +325,17 @@
 	// joined contains the further owners that have ordered the run: a caller may submit its job
 	// to two entries, which number its runs alike.
 	joined []Owner
+	// isolated means that the run is active in isolation, at least until isolatedUntil, or waits for
+	// that.
+	isolated      bool
+	isolatedUntil ptid.Instant
+	// verdictBy is when the run is declared lost if it is still unknown whether it has crashed its
+	// worker; zero unless its lease has expired.
+	verdictBy ptid.Instant
+	// crash is why the run was lost if the worker does not execute it: an incarnation with the same
+	// ID has replaced the worker. It is empty if none has. crashRunTime is the run time until then.
+	crash        ptrun.Reason
+	crashRunTime time.Duration
 	// fenced means that the fence token was raised for a later incarnation of the worker before
 	// the worker had confirmed the run.
 	fenced bool
@@ -378,10 +397,14 @@
 	// listCalledAt is when the latest listing call succeeded or failed. The worker has been silent
 	// since silentSince, not counting the pauses of this process.
 	listCalledAt, silentSince ptid.Instant
-	// silentFrom is when the first listing call failed after the latest listing; zero if none has
-	// failed. lost contains the runs on the present incarnation that were declared lost since.
-	silentFrom ptid.Instant
-	lost       []LostRun
+	// lost contains the runs on the present incarnation that were declared lost since the latest
+	// listing.
+	lost []LostRun
+	// reorderBy is until when the order of an isolated run that has expired may be repeated; zero if
+	// there is none.
+	reorderBy ptid.Instant
+	// crashNotices contains the ends of durable runs that were lost in crashes and are not stored yet.
+	crashNotices map[ptrun.ID]*crashNotice
 	// clock is a reading of the worker's clock at the instant clockAt; zero means unknown.
 	// leaseExpiresAt is the latest expiry of a lease that may have been granted.
 	clock          ptrun.WorkerTime
@@ -425,7 +448,7 @@
 	return &Core{
 		token: token, tokenStep: firstTokenStep, unaccounted: make(map[ptrun.ID]*unaccountedRun),
 		runs: make(map[ptrun.ID]*run), ends: make(map[ptrun.ID]*endRecord), owners: make(map[ptid.EntryName]*ownerState),
-		unacked: make(map[ptrun.ID]*unackedEnd), epochs: make(map[ptjobstore.Partition]ptjobstore.Epoch),
+		unacked: make(map[ptrun.ID]*unackedEnd), crashNotices: make(map[ptrun.ID]*crashNotice), epochs: make(map[ptjobstore.Partition]ptjobstore.Epoch),
 		estimator: ptfitness.NewEstimator(), probeTurns: ptfitness.NewProbeTurns(),
 	}
 }
@@ -493,18 +516,21 @@
 func (core *Core) replaceWorker(next ptrun.WorkerIdentity, now ptid.Instant) {
 	previous, lost := core.worker.WorkerIdentity, 0
 	core.reportCrash(next, now)
+	if next.ID == previous.ID {
+		core.markCrashed()
+	} else {
+		lost = core.loseRunsOfPrevious(now)
+	}
 	core.highestEnd, core.leaseExpiresAt, core.clock, core.clockAt = 0, 0, 0, now
 	core.identifiedAt, core.listedAt, core.listCalledAt, core.silentSince, core.reachable = now, now, now, now, true
 	if next.ID == previous.ID {
 		core.fence(now)
 	} else {
 		core.fencePending = false
-		lost = core.loseRunsOfPrevious(now)
 	}
 	if previous.ID != "" {
 		core.emit(WorkerReplaced{Previous: previous, Lost: lost})
 	}
-	core.silentFrom = 0
 	core.estimator, core.probeTurns = ptfitness.NewEstimator(), ptfitness.NewProbeTurns()
 	clear(core.unacked)
 }
@@ -527,7 +553,7 @@
 	for _, run := range core.sortedRuns() {
 		if run.holdsCapacity() {
 			lost++
-			core.finish(run, ptrun.End{Run: run.Run, Result: ptrun.Lost, Reason: ptrun.ReasonRestarted}, now)
+			core.finish(run, ptrun.End{Run: run.Run, Result: ptrun.Lost, Reason: core.crashReason(run)}, now)
 		}
 	}
 	core.loseUnaccounted(ptrun.ReasonRestarted, now)
@@ -648,7 +674,7 @@
 	if order.isDurable() && order.Epoch < core.epochs[order.Partition] {
 		return []Effect{SendEnd{Owner: order.Owner, End: ptrun.End{Run: order.Run, Result: ptrun.NeverStarted, Reason: ptrun.ReasonOtherOwner}}}
 	}
-	ordered := &run{Order: order, percent: fullPercent, orderedPercent: fullPercent}
+	ordered := &run{Order: order, percent: fullPercent, orderedPercent: fullPercent, isolated: order.Isolation > 0}
 	core.runs[order.Run] = ordered
 	if core.reportedSeverity > 0 {
 		core.probeTurns.Probed()
@@ -661,6 +687,8 @@
 		core.finishUnstarted(ordered, ptrun.ReasonWorkerAbsent, now)
 	case !core.worker.Capacity.Covers(order.Demand) || !order.Demand.Covers(ptrun.Demand{}):
 		core.finishUnstarted(ordered, ptrun.ReasonNoCapacity, now)
+	case ordered.isolated && !core.mayIsolate(now):
+		core.finishUnstarted(ordered, ptrun.ReasonNoCapacity, now)
 	default:
 		if offered && core.mayStart(now) && core.canStart(ordered) {
 			// The run starts before the waiting runs, because the capacity was reserved for it.
@@ -719,7 +747,7 @@
 
 // canStart reports whether there is capacity for a waiting run.
 func (core *Core) canStart(run *run) bool {
-	if run.state != waiting || core.taskActive(run) {
+	if run.state != waiting || core.taskActive(run) || run.isolated && core.holdingRuns() > 0 || !run.isolated && core.isIsolating() {
 		return false
 	}
 	return core.worker.Capacity.Minus(core.held).Minus(core.offeredToOthers(run.Owner.Entry)).Covers(run.Demand)
@@ -740,7 +768,7 @@
 		core.finishUnstarted(run, ptrun.ReasonStartDeadline, now)
 		return
 	}
-	run.state, run.startedAt = starting, now
+	run.state, run.startedAt, run.isolatedUntil = starting, now, now.Add(run.Isolation)
 	run.workerStartBy = core.earliestClock(now) + ptrun.WorkerTime(StartOrderTTL.Milliseconds())
 	core.leaseExpiresAt = max(core.leaseExpiresAt, run.workerStartBy)
 	core.estimator.Started(run.Run, run.ExpectedRunTime, run.Checkpoint != "", now)
@@ -765,6 +793,10 @@
 	if run.stopRequested {
 		return
 	}
+	if run.verdictBy != 0 {
+		core.finish(run, ptrun.End{Run: run.Run, Result: ptrun.Lost, Reason: ptrun.ReasonLeaseExpired}, now)
+		return
+	}
 	run.stopRequested, run.stopReason = true, reason
 	core.limitStopped(run, now)
 	switch run.state {
@@ -808,13 +840,14 @@
 		core.held = core.held.Minus(run.Demand)
 		end.RunTime = now.Sub(run.startedAt)
 		if end.Result == ptrun.Lost {
-			end.RunTime = core.activeTime(run, now)
+			end.RunTime, end.Worker = core.activeTime(run), core.worker.ID
 		}
 	}
 	core.recordOutcome(end, now)
 	if end.Checkpoint == "" {
 		end.Checkpoint = run.Checkpoint
 	}
+	core.noticeCrash(end, now.Add(rebroadcastInterval), now)
 	delete(core.runs, run.Run)
 	core.ends[run.Run] = &endRecord{owner: run.Owner, end: end, at: now, expiresAt: ptid.Never}
 	if core.isConnected(run.Owner) {
--- a/ptruncontrol/responses.go
+++ b/ptruncontrol/responses.go
@@ -1,6 +1,7 @@
 package ptruncontrol
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/pkg/errors"
@@ -78,7 +79,7 @@
 		core.worker.WorkerIdentity, core.worker.Sequence, core.known, core.unannounced = next, 0, false, true
 		core.refuseWaiting(ptrun.ReasonWorkerAbsent, now)
 	}
-	core.reachable, core.listedAt, core.listCalledAt, core.silentSince, core.silentFrom = true, now, now, now, 0
+	core.reachable, core.listedAt, core.listCalledAt, core.silentSince = true, now, now, now
 	core.reportResumed()
 	core.updateClock(listing.Clock, now)
 	complete := requestedAt > core.fencedAt
@@ -103,7 +104,7 @@
 		switch {
 		case active[run.Run] || mayHaveEnd(listing, run.Run):
 		case run.fenced && complete:
-			core.finish(run, ptrun.End{Run: run.Run, Result: ptrun.Lost, Reason: ptrun.ReasonRestarted}, now)
+			core.finish(run, ptrun.End{Run: run.Run, Result: ptrun.Lost, Reason: run.crash}, now)
 		case !run.fenced:
 			core.handleUnlistedRun(run, listing.Clock, requestedAt, now)
 		}
@@ -132,6 +133,7 @@
 	if !run.confirmed {
 		run.confirmed, run.checkedAt = true, now
 	}
+	run.crash = ""
 	run.percent, run.tailLatency = listed.Percent, listed.TailLatency
 	core.estimator.Progressed(id, listed.Percent, now)
 	if listed.Checkpoint != "" {
@@ -152,7 +154,7 @@
 	case waiting, starting:
 	case running:
 		if requestedAfterCheck {
-			core.finish(run, ptrun.End{Run: run.Run, Result: ptrun.Lost, Reason: ptrun.ReasonUnknownRun}, now)
+			core.finish(run, ptrun.End{Run: run.Run, Result: ptrun.Lost, Reason: cmp.Or(run.crash, ptrun.ReasonUnknownRun)}, now)
 		}
 	case unanswered:
 		switch {
@@ -166,11 +168,14 @@
 		if !requestedAfterCheck || !run.confirmed && !run.stopAcked && clock <= run.workerStartBy {
 			return
 		}
-		result := ptrun.Stopped
-		if !run.confirmed {
+		result, reason := ptrun.Stopped, run.stopReason
+		switch {
+		case run.crash != "":
+			result, reason = ptrun.Lost, run.crash
+		case !run.confirmed:
 			result = ptrun.NeverStarted
 		}
-		core.finish(run, ptrun.End{Run: run.Run, Result: result, Reason: run.stopReason}, now)
+		core.finish(run, ptrun.End{Run: run.Run, Result: result, Reason: reason}, now)
 	}
 }
 
@@ -186,9 +191,6 @@
 func (core *Core) HandleListFailure(err error, requestedAt, now ptid.Instant) (effects []Effect) {
 	core.silentSince = core.silentSince.Add(max(0, now.Sub(core.listCalledAt)-UnreachableTimeout))
 	core.listCalledAt = now
-	if core.silentFrom == 0 {
-		core.silentFrom = now
-	}
 	if now.Sub(core.listedAt) <= UnreachableTimeout {
 		return nil
 	}
@@ -211,9 +213,9 @@
 	}
 	lost := 0
 	for _, run := range core.sortedRuns() {
-		if run.holdsCapacity() && run.state != starting {
+		if run.holdsCapacity() && run.state != starting && !core.awaitsVerdict(run, now) {
 			lost++
-			core.lost = append(core.lost, LostRun{Run: run.Run, RunTime: core.activeTime(run, now)})
+			core.lost = append(core.lost, LostRun{Run: run.Run, RunTime: core.activeTime(run)})
 			core.finish(run, ptrun.End{Run: run.Run, Result: ptrun.Lost, Reason: ptrun.ReasonLeaseExpired}, now)
 		}
 	}
@@ -307,6 +309,9 @@
 	for _, run := range core.sortedRuns() {
 		switch {
 		case run.state == waiting && now >= min(run.WaitUntil, run.StartBy):
+			if run.isolated {
+				core.reorderBy = now.Add(reorderTime)
+			}
 			core.finishUnstarted(run, ptrun.ReasonStartDeadline, now)
 		case run.state == stopping && !run.stopAcked && now >= run.stopRetryAt:
 			core.orderStop(run, now)
@@ -327,6 +332,8 @@
 		core.loseRuns(now)
 	}
 	core.rebroadcastEnds(now)
+	core.broadcastCrashes(now)
+	core.endIsolations(now)
 	core.reviewThrottle(now)
 	core.assignProbeTurn(now)
 	core.startWaiting(now)
@@ -352,6 +359,8 @@
 	// run on the worker although the entry has quarantined it.
 	Assessment ptfitness.Assessment
 	MayProbe   bool
+	// Isolating is true while a run is active in isolation or waits for that.
+	Isolating bool
 }
 
 // CapacityReport returns the current report for an entry. The demands of waiting runs and the
@@ -361,7 +370,7 @@
 	report = CapacityReport{
 		Worker: core.worker.ID, Capacity: core.worker.Capacity, Labels: core.worker.Labels,
 		RequestedByOthers: core.requestedByOthers(entry),
-		Assessment:        core.estimator.Assessment(), MayProbe: core.probeTurns.Holder() == entry,
+		Assessment:        core.estimator.Assessment(), MayProbe: core.probeTurns.Holder() == entry, Isolating: core.isIsolating(),
 		Unusable: !core.known || !core.reachable || core.draining || core.worker.Draining,
 	}
 	for _, run := range core.runs {
@@ -372,7 +381,7 @@
 		}
 	}
 	report.Held = report.Held.Plus(core.offeredToOthers(entry))
-	if core.UnaccountedRuns() > 0 || core.leaseMustExpire || core.fencePending {
+	if core.UnaccountedRuns() > 0 || core.leaseMustExpire || core.fencePending || report.Isolating {
 		report.Held = report.Held.Max(report.Capacity)
 	}
 	return report
@@ -387,3 +396,8 @@
 	}
 	return waitingRuns, len(core.runs) - waitingRuns
 }
+
+func (core *Core) holdingRuns() int {
+	_, holding := core.RunCounts()
+	return holding
+}
--- a/ptrunner/ptrunner.go
+++ b/ptrunner/ptrunner.go
@@ -520,7 +520,7 @@
 // entry's own runs hold is not compared, because the entry knows it. The rate that other entries
 // request is not compared, because a change of this rate alone does not justify a frame.
 func sameReport(left, right ptruncontrol.CapacityReport) bool {
-	return left.Worker == right.Worker && left.Capacity == right.Capacity && left.Unusable == right.Unusable &&
+	return left.Worker == right.Worker && left.Capacity == right.Capacity && left.Unusable == right.Unusable && left.Isolating == right.Isolating &&
 		left.Held.Minus(left.Own) == right.Held.Minus(right.Own) && slices.Equal(left.Labels, right.Labels)
 }
 
--- a/ptrunner/session.go
+++ b/ptrunner/session.go
@@ -84,7 +84,7 @@
 		CpuMillicores: int64(report.Capacity.CPU), MemoryMebibytes: int64(report.Capacity.Memory), Accelerators: report.Capacity.Accelerators,
 		HeldCpuMillicores: int64(report.Held.CPU), HeldMemoryMebibytes: int64(report.Held.Memory), HeldAccelerators: report.Held.Accelerators,
 		OwnCpuMillicores: int64(report.Own.CPU), OwnMemoryMebibytes: int64(report.Own.Memory), OwnAccelerators: report.Own.Accelerators,
-		Labels: report.Labels, Unusable: report.Unusable, WantedRate: float64(report.RequestedByOthers), Turn: report.MayProbe,
+		Labels: report.Labels, Unusable: report.Unusable, WantedRate: float64(report.RequestedByOthers), Turn: report.MayProbe, Isolating: report.Isolating,
 	}
 	if report.Assessment.Known() {
 		message.Pace, message.Failing = report.Assessment.Slowdown, report.Assessment.FailureRate
@@ -127,6 +127,7 @@
 			SentAt: ptid.Instant(frame.AgentClockNanos), StartBy: ptid.Instant(order.StartByNanos), WaitUntil: now.Add(time.Duration(order.WaitNanos)), QueueKey: ptid.Instant(order.OrderNanos), Checkpoint: ptrun.Checkpoint(order.Checkpoint),
 			Partition: ptjobstore.Partition(order.Partition), Epoch: ptjobstore.Epoch(order.Epoch), Ticket: order.Ticket,
 			Opportunistic: order.Filling, TailLatencyTarget: time.Duration(order.TailTargetNanos), ExpectedRunTime: time.Duration(order.ExpectedNanos),
+			Isolation: time.Duration(order.IsolationNanos),
 		}, now))
 	}
 	for _, ref := range frame.RunStops {
