A reduced capacity is stored with the worker's record

What callers would have seen: runs on a worker that was given more than it has room for (LIMIT).

Cause: the recorder stored a new record of the worker only where its ID, start time or draining state had changed. An agent that was restarted after a reduction started from the former capacity until the next announcement, up to a beat later, and entries saw it as free. Class of fault: a copy of a state that is not updated with the state.

--- a/ptdrill/agent.go
+++ b/ptdrill/agent.go
@@ -39,6 +39,8 @@
 	lastSession int
 	reported    [entries]ptruncontrol.CapacityReport
 	reportedAt  [entries]ptid.Instant
+	// recorded is the newest announcement that the agent has stored.
+	recorded ptrun.Worker
 	// backupListUntil is the time until which the backup loop requests listings.
 	backupListUntil ptid.Instant
 	// starvedUntil is the time until which calls and their outcomes are late.
--- a/ptdrill/faults.go
+++ b/ptdrill/faults.go
@@ -57,6 +57,11 @@
 	schedule(faults.Mismatches, 2*time.Second, func() {
 		simulation.crashWorker(simulation.random.IntN(agents), simulation.between(time.Millisecond, 200*time.Millisecond))
 	})
+	schedule(faults.ChangingCapacity, time.Second, func() {
+		worker := simulation.workers[simulation.random.IntN(agents)]
+		worker.setCapacity(10 * (1 + simulation.random.Int64N(9)))
+		simulation.After(simulation.between(time.Second, 12*time.Second), func() { worker.setCapacity(100) })
+	})
 	schedule(faults.FrozenMachines, 2*time.Second, func() {
 		duration := simulation.between(300*time.Millisecond, maxPause)
 		for _, index := range simulation.someAgents() {
--- a/ptdrill/ptdrill.go
+++ b/ptdrill/ptdrill.go
@@ -23,7 +23,8 @@
 //     and acknowledge the ends, as in package ptbroker.
 //  9. The monitor checks that no task has two active runs at the same time, that no task of a
 //     durable job starts after the end of a run as done that is acknowledged then or later, that
-//     no worker exceeds its capacity, that a task of a durable job which crashes its workers is
+//     no start brings a worker over its capacity, of which a reduction counts after
+//     shrinkTimeout, that a task of a durable job which crashes its workers is
 //     started at most twice after its third crash, that a durable job fails only if a task has
 //     used up its attempts or has lost two runs in crashes, and that all jobs and runs end once
 //     faults and load have ended.
@@ -93,6 +94,8 @@
 	// CrashingTasks: a task of 3 % of the jobs crashes each worker that starts it, mostly some
 	// milliseconds after its start. The worker is back after 1 to 4 s.
 	CrashingTasks bool
+	// ChangingCapacity: the capacity of a worker shrinks to 10 % to 90 % for 1 to 12 s.
+	ChangingCapacity bool
 
 	// The following faults break the contract of the workers.
 
--- a/ptdrill/ptdrill_test.go
+++ b/ptdrill/ptdrill_test.go
@@ -103,6 +103,10 @@
 	play(test, ptdrill.Setting{Durable: true, Faults: ptdrill.Faults{Single: true, Mass: true, CrashingTasks: true}})
 }
 
+func TestSeedsWithChangingCapacity(test *testing.T) {
+	play(test, ptdrill.Setting{Durable: true, Faults: ptdrill.Faults{Single: true, Mass: true, ChangingCapacity: true}})
+}
+
 func environment(name string, defaultValue int) int {
 	if value, err := strconv.Atoi(os.Getenv(name)); err == nil {
 		return value
--- a/ptrun/ptrun.go
+++ b/ptrun/ptrun.go
@@ -25,6 +25,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -204,6 +205,13 @@
 	Sequence uint64
 }
 
+// SaysSame reports whether two announcements say the same about the worker. Their sequence numbers
+// may differ.
+func (worker *Worker) SaysSame(other *Worker) bool {
+	return worker.WorkerIdentity == other.WorkerIdentity && worker.Service == other.Service && worker.Zone == other.Zone &&
+		worker.Capacity == other.Capacity && slices.Equal(worker.Labels, other.Labels) && worker.Draining == other.Draining
+}
+
 // Start is a start order for one run.
 type Start struct {
 	Run        ID
--- a/ptrunner/ptrunner.go
+++ b/ptrunner/ptrunner.go
@@ -146,7 +146,7 @@
 	defer runner.mu.Unlock()
 	previous, known := runner.core.Worker()
 	runner.execute(runner.core.HandleAnnouncement(worker, clock, runner.deps.Clock.Now()))
-	if !known || previous.WorkerIdentity != worker.WorkerIdentity || previous.Draining != worker.Draining {
+	if !known || !previous.SaysSame(&worker) {
 		runner.deps.Log.Info("worker announced", "worker", worker.ID, "born", worker.StartedAt, "leaving", worker.Draining,
 			"capacityMillicores", worker.Capacity.CPU, "capacityMebibytes", worker.Capacity.Memory, "labels", worker.Labels)
 		runner.broadcastReport()
