ptgraph: the sum of a job's task counts does not overflow

What callers would have seen: one request ends every entry that reads it. A job whose second step has a count of 1e300 passed the check against MaxTasks on arm64, where Go converts the number to the largest integer and the sum wraps around, and make panicked. The caller's connection breaks, so it submits the job to the next entry, which ends as well. On x86-64 the conversion yields a negative count, which was refused.

Change: the count is compared with what is left of MaxTasks. Class of fault: a check after the arithmetic that it is to protect.

Test red before: TestTaskCountsWhoseSumOverflowsAreRejected (panic: makeslice: len out of range).

--- a/ptgraph/ptgraph.go
+++ b/ptgraph/ptgraph.go
@@ -182,7 +182,7 @@
 	job = &Job{Spec: spec, tasks: make([][]Task, len(spec.Steps)), unfinished: make([]int, len(spec.Steps))}
 	for i := range job.Steps {
 		step := &job.Steps[i]
-		if step.Count < 1 || job.remaining+step.Count > MaxTasks {
+		if step.Count < 1 || step.Count > MaxTasks-job.remaining {
 			return nil, errors.Errorf("step %d: %d tasks are not allowed", i, step.Count)
 		}
 		if step.Demand.CPU < 0 || step.Demand.Memory < 0 || step.Demand.Accelerators < 0 {
