ptpresence: records with an address that can't be dialed are ignored

What operators would have seen: an odd record among those of the entries (a port out of range, no port, no host) replaced the address of an entry of the same name, so agents no longer found it there, and agents dialed such addresses twice a second for good. No process ended.

Cause: the registry took any record with a name. Change: the address needs a host and a port from 1 to 65535; others are logged and ignored.

Test red before: TestOddRecordsAreIgnored.

--- a/ptpresence/ptpresence.go
+++ b/ptpresence/ptpresence.go
@@ -22,7 +22,9 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"net"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -124,6 +126,10 @@
 func (registry *Registry) HandleRecord(record ptlog.Record) (next ptid.Offset) {
 	var entry Entry
 	if json.Unmarshal(record.Data, &entry) == nil && entry.Name != "" {
+		if !isDialable(entry.Address) {
+			registry.logger.Info("entry record ignored", "entry", entry.Name, "address", entry.Address, "offset", record.Offset)
+			return record.Offset + 1
+		}
 		registry.mu.Lock()
 		registry.entries[entry.Name] = entry
 		registry.mu.Unlock()
@@ -131,6 +137,17 @@
 	return record.Offset + 1
 }
 
+// isDialable reports whether an address has a host and a port in range. The record of another writer
+// may have any address.
+func isDialable(address string) bool {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil || host == "" {
+		return false
+	}
+	number, err := strconv.ParseUint(port, 10, 16)
+	return err == nil && number > 0
+}
+
 // HandleGap implements [ptlog.Consumer]. Expired registrations are not needed.
 func (registry *Registry) HandleGap(ptid.Offset, ptid.Offset) {}
 
