ptbroker: a job with many occurrences that are due at once does not stop its owner

What callers would have seen: one accepted job makes its owner hang, and every later owner of its partition as well. A durable job with 300,000 occurrences and no interval opened them all under the broker's lock, at each load of the partition; no other call of that entry was served for more than three minutes (the test was ended).

Change: the open occurrences of a job have at most 20,000 tasks together, ten of the largest jobs; further ones open as these end.

--- a/ptbroker/durable.go
+++ b/ptbroker/durable.go
@@ -40,6 +40,9 @@
 	// removedAgentTimeout is how long an agent may have no session, while others have one, before
 	// recoveries of partitions no longer wait for it. Its machine has probably been removed.
 	removedAgentTimeout = time.Minute
+	// maxOpenTasks limits how many tasks the open occurrences of one job have together. Occurrences
+	// may be due all at once.
+	maxOpenTasks = 20_000
 	// cleanupsPerRetention is how many times expired jobs are searched for and deleted within
 	// one period of Setting.EndedJobRetention.
 	cleanupsPerRetention = 30
@@ -73,6 +76,15 @@
 	return ptrun.Occurrence(max(1, job.spec.OccurrenceCount))
 }
 
+// mayOpenOccurrence reports whether another occurrence of the job may be open at the same time.
+func (job *durableJob) mayOpenOccurrence() bool {
+	tasks := 0
+	for _, step := range job.spec.Steps {
+		tasks += step.Count
+	}
+	return len(job.open) == 0 || (len(job.open)+1)*tasks <= maxOpenTasks
+}
+
 func (job *durableJob) isScheduled() bool { return job.spec.OccurrenceCount > 0 }
 
 // selfTerminating reports whether the job has no schedule and ends by itself once its tasks
@@ -394,7 +406,7 @@
 // openDueOccurrences submits the due occurrences of a job to the core. The caller holds the
 // lock.
 func (broker *Broker) openDueOccurrences(partition *ownedPartition, job *durableJob) {
-	for ; job.next < job.occurrenceCount(); job.next++ {
+	for ; job.next < job.occurrenceCount() && job.mayOpenOccurrence(); job.next++ {
 		if job.isScheduled() && time.Now().Before(job.spec.StartAt.Add(time.Duration(job.next)*job.spec.Interval)) {
 			return
 		}
