A restored worker is used once it is announced

What callers would have seen: LIMIT on a worker whose capacity was reduced while no agent process heard of it.

Cause: a record is used as the present state, however old it is. Storing each change doesn't help where nobody hears of the change.

Change: a restored worker is listed and its runs are taken over as before, but nothing starts on it, and it is reported as unusable, until it is announced (RestoreWorker). WorkerRestored no longer logs an announcement.

Ruled out: an age in the record (a write for each announcement, 450 a second at the target size); capacity from listings (they have none).

TestRestoredWorkerIsUsedAfterFirstListing stated the former rule and is replaced by TestRestoredWorkerIsListedAndUsedAfterItsAnnouncement, which keeps its other checks.

--- a/ptdrill/agent.go
+++ b/ptdrill/agent.go
@@ -103,7 +103,7 @@
 		return
 	}
 	agent.simulation.trace("%s restores %s", agent.name(), workerName(record.WorkerIdentity))
-	agent.applyEffects(agent.core.HandleAnnouncement(*record, 0, agent.simulation.Now()))
+	agent.applyEffects(agent.core.RestoreWorker(*record, agent.simulation.Now()))
 }
 
 func (agent *agent) tick() {
--- a/ptruncontrol/ptruncontrol.go
+++ b/ptruncontrol/ptruncontrol.go
@@ -383,6 +383,8 @@
 
 	worker ptrun.Worker
 	known  bool
+	// restored means that the worker is known from a record only, whose capacity may be outdated.
+	restored bool
 	// identifiedAt is when the present incarnation was first heard from.
 	identifiedAt ptid.Instant
 	// unannounced means that the worker is not known because a later incarnation has responded
@@ -500,7 +502,7 @@
 	case worker.Sequence <= core.worker.Sequence:
 		return nil
 	}
-	core.worker, core.known, core.unannounced = worker, true, false
+	core.worker, core.known, core.unannounced, core.restored = worker, true, false, false
 	core.updateClock(clock, now)
 	if worker.Draining {
 		core.refuseWaiting(ptrun.ReasonDraining, now)
@@ -509,6 +511,19 @@
 	return core.takeEffects()
 }
 
+// RestoreWorker sets the worker that an earlier agent process has recorded, so that it can be listed.
+// Nothing starts before the worker is announced: its capacity may have been reduced while no agent
+// process was there to record it.
+func (core *Core) RestoreWorker(worker ptrun.Worker, now ptid.Instant) (effects []Effect) {
+	worker.Sequence = 0
+	effects = core.HandleAnnouncement(worker, 0, now)
+	core.restored = true
+	return effects
+}
+
+// Restored reports whether the worker is known from a record only.
+func (core *Core) Restored() bool { return core.restored }
+
 // replaceWorker makes a later incarnation the current worker. An incarnation with another ID
 // executes no orders to the previous one, whose runs have therefore ended. Orders name the worker
 // only by its ID, so a later incarnation with the same ID may execute orders to the previous one
@@ -683,7 +698,7 @@
 	switch {
 	case core.draining || core.worker.Draining:
 		core.finishUnstarted(ordered, ptrun.ReasonDraining, now)
-	case !core.known || !core.reachable:
+	case !core.isUsable():
 		core.finishUnstarted(ordered, ptrun.ReasonWorkerAbsent, now)
 	case !core.worker.Capacity.Covers(order.Demand) || !order.Demand.Covers(ptrun.Demand{}):
 		core.finishUnstarted(ordered, ptrun.ReasonNoCapacity, now)
@@ -742,9 +757,12 @@
 // demand may start.
 func (core *Core) mayStart(now ptid.Instant) bool {
 	core.leaseMustExpire = core.isStopOverdue(now) || core.mustLetLeaseExpire(now) || now.Add(maxStartTime) > core.leaseLimit()
-	return core.known && core.reachable && !core.worker.Draining && core.clock > 0 && !core.fencePending && core.UnaccountedRuns() == 0 && !core.leaseMustExpire
+	return core.isUsable() && !core.worker.Draining && core.clock > 0 && !core.fencePending && core.UnaccountedRuns() == 0 && !core.leaseMustExpire
 }
 
+// isUsable reports whether the worker responds and has announced its capacity.
+func (core *Core) isUsable() bool { return core.known && core.reachable && !core.restored }
+
 // canStart reports whether there is capacity for a waiting run.
 func (core *Core) canStart(run *run) bool {
 	if run.state != waiting || core.taskActive(run) || run.isolated && core.holdingRuns() > 0 || !run.isolated && core.isIsolating() {
--- a/ptruncontrol/ptruncontrol_test.go
+++ b/ptruncontrol/ptruncontrol_test.go
@@ -204,20 +204,29 @@
 	expect.Expect(core.TakeoverComplete()).To(BeTrue())
 }
 
-func TestRestoredWorkerIsUsedAfterFirstListing(test *testing.T) {
+func TestRestoredWorkerIsListedAndUsedAfterItsAnnouncement(test *testing.T) {
 	core := ptruncontrol.New(100)
 	expect := NewWithT(test)
-	identity := ptrun.WorkerIdentity{ID: "worker", StartedAt: time.UnixMilli(5)}
-	core.HandleAnnouncement(ptrun.Worker{WorkerIdentity: identity, Capacity: ptrun.Demand{CPU: 10}}, 0, start)
+	worker := ptrun.Worker{WorkerIdentity: ptrun.WorkerIdentity{ID: "worker", StartedAt: time.UnixMilli(5)}, Capacity: ptrun.Demand{CPU: 10}}
+	core.RestoreWorker(worker, start)
 	expect.Expect(core.TakeoverComplete()).To(BeFalse())
 	expect.Expect(core.LeaseRenewal(at(1)).ExpiresAt).To(BeZero(), "the clock of the worker is not known")
 	core.HandleListing(ptrun.Listing{WorkerStartedAt: time.UnixMilli(5), Clock: 90_000}, at(1), at(2))
 	expect.Expect(core.TakeoverComplete()).To(BeTrue())
 	core.SessionOpened(owner, at(2))
-	expect.Expect(starts(core.Order(ptruncontrol.Order{Run: run(0, 1), Owner: owner, Demand: ptrun.Demand{CPU: 5}, SentAt: at(3), StartBy: at(40), WaitUntil: at(40)}, at(3)))).To(HaveLen(1))
+	order := func(index, millis int) []ptruncontrol.Effect {
+		return core.Order(ptruncontrol.Order{Run: run(index, 1), Owner: owner, Demand: ptrun.Demand{CPU: 5}, SentAt: at(millis), StartBy: at(millis + 40), WaitUntil: at(millis + 40)}, at(millis))
+	}
+	// The capacity may have been reduced since it was recorded.
+	expect.Expect(starts(order(0, 3))).To(BeEmpty())
+	expect.Expect(core.CapacityReport(owner.Entry).Unusable).To(BeTrue())
+	worker.Sequence, worker.Capacity.CPU = 7, 5
+	core.HandleAnnouncement(worker, 90_002, at(4))
+	expect.Expect(starts(order(1, 5))).To(HaveLen(1))
+	expect.Expect(starts(order(2, 6))).To(BeEmpty())
 	// The restored worker is not used if another incarnation responds at its address.
 	other := ptruncontrol.New(100)
-	other.HandleAnnouncement(ptrun.Worker{WorkerIdentity: identity, Capacity: ptrun.Demand{CPU: 10}}, 0, start)
+	other.RestoreWorker(worker, start)
 	other.HandleListing(ptrun.Listing{WorkerStartedAt: time.UnixMilli(9), Clock: 10}, at(1), at(2))
 	_, known := other.Worker()
 	expect.Expect(known).To(BeFalse())
--- a/ptruncontrol/responses.go
+++ b/ptruncontrol/responses.go
@@ -371,7 +371,7 @@
 		Worker: core.worker.ID, Capacity: core.worker.Capacity, Labels: core.worker.Labels,
 		RequestedByOthers: core.requestedByOthers(entry),
 		Assessment:        core.estimator.Assessment(), MayProbe: core.probeTurns.Holder() == entry, Isolating: core.isIsolating(),
-		Unusable: !core.known || !core.reachable || core.draining || core.worker.Draining,
+		Unusable: !core.isUsable() || core.draining || core.worker.Draining,
 	}
 	for _, run := range core.runs {
 		report.Held = report.Held.Plus(run.Demand)
--- a/ptrunner/ptrunner.go
+++ b/ptrunner/ptrunner.go
@@ -144,16 +144,22 @@
 func (runner *Runner) WorkerAnnounced(worker ptrun.Worker, clock ptrun.WorkerTime) {
 	runner.mu.Lock()
 	defer runner.mu.Unlock()
-	previous, known := runner.core.Worker()
+	previous, announced := runner.core.Worker()
+	announced = announced && !runner.core.Restored()
 	runner.execute(runner.core.HandleAnnouncement(worker, clock, runner.deps.Clock.Now()))
-	if !known || !previous.SaysSame(&worker) {
+	if !announced || !previous.SaysSame(&worker) {
 		runner.deps.Log.Info("worker announced", "worker", worker.ID, "born", worker.StartedAt, "leaving", worker.Draining,
 			"capacityMillicores", worker.Capacity.CPU, "capacityMebibytes", worker.Capacity.Memory, "labels", worker.Labels)
 		runner.broadcastReport()
-		select {
-		case runner.workerChanged <- struct{}{}:
-		default:
-		}
+		runner.wakeListLoop()
+	}
+}
+
+// wakeListLoop lets the list loop notice that a worker is known.
+func (runner *Runner) wakeListLoop() {
+	select {
+	case runner.workerChanged <- struct{}{}:
+	default:
 	}
 }
 
@@ -162,10 +168,10 @@
 // announced already, WorkerRestored has no effect.
 func (runner *Runner) WorkerRestored(worker ptrun.Worker) {
 	runner.mu.Lock()
-	_, known := runner.core.Worker()
-	runner.mu.Unlock()
-	if !known {
-		runner.WorkerAnnounced(worker, 0)
+	defer runner.mu.Unlock()
+	if _, known := runner.core.Worker(); !known {
+		runner.execute(runner.core.RestoreWorker(worker, runner.deps.Clock.Now()))
+		runner.wakeListLoop()
 	}
 }
 
