--- a/ptreason/ptreason.go
+++ b/ptreason/ptreason.go
@@ -91,7 +91,7 @@
 	{AnswerTooLarge, "The answer is too large", "The answer exceeds the agent's limit (maxAnswer).", "1.0", false},
 	{AgentLost, "The agent is gone", "The new incarnation of the agent has no record of the task. The task may have run.", "1.0", false},
 	{JobDeadline, "The deadline has passed", "The job did not end before its deadline. Tasks whose result is not known are reported as unknown.", "1.0", false},
-	{CrashesWorkers, "The task crashes its workers", "At least two workers crashed while the task was active, once when no other run was active; or four runs were lost with their workers. The job has failed.", "2.1", false},
+	{CrashesWorkers, "The task crashes its workers", "At least two workers crashed while the task was active, once when no other run was active; or four runs were lost with their workers. The job has failed.", "2.0", false},
 	{OutcomeLost, "The outcome is lost", "The job was submitted before, and the entry that held its outcome is gone or has deleted the outcome. The job is not run again.", "1.0", false},
 }
 
