ptfitness: the quarantine of a worker has hysteresis

Cause: quarantine began and ended at one threshold, while each run moves the failure rate by up to 30 %. Change: it ends at 0.7 of the threshold. Agents assign probe turns down to that assessment (NeedsProbes), and no worker is quarantined that isn't probed: with a median far below 1, a worker could have been before, and would have stayed there.

--- a/ptassign/fitness.go
+++ b/ptassign/fitness.go
@@ -87,11 +87,11 @@
 		}
 	}
 	for _, agents := range byService {
-		assessments := make([]ptfitness.Assessment, 0, len(agents))
+		assessments, before := make([]ptfitness.Assessment, 0, len(agents)), make([]bool, 0, len(agents))
 		for _, agent := range agents {
-			assessments = append(assessments, agent.state.Assessment)
+			assessments, before = append(assessments, agent.state.Assessment), append(before, agent.quarantined)
 		}
-		for index, quarantined := range ptfitness.SelectQuarantined(assessments) {
+		for index, quarantined := range ptfitness.SelectQuarantined(assessments, before) {
 			if agent := agents[index]; agent.quarantined != quarantined {
 				agent.quarantined = quarantined
 				if !quarantined {
--- a/ptfitness/ptfitness.go
+++ b/ptfitness/ptfitness.go
@@ -74,6 +74,9 @@
 	// failureRateFactor times the median.
 	failureRateThreshold = 0.35
 	failureRateFactor    = 3
+	// releaseFactor is the share of the thresholds at which a quarantine ends. Hysteresis keeps the
+	// quarantine from changing with each run on a worker near a threshold.
+	releaseFactor = 0.7
 	// maxQuarantinedShare bounds the share of a service's workers that are quarantined.
 	maxQuarantinedShare = 0.5
 )
@@ -124,6 +127,11 @@
 // Suspect reports whether the assessment is worse than that of a healthy worker.
 func (assessment Assessment) Suspect() bool { return assessment.Severity() > 0 }
 
+// NeedsProbes reports whether the worker may be in quarantine, and therefore needs probe runs.
+func (assessment Assessment) NeedsProbes() bool {
+	return assessment.Slowdown > releaseFactor*slowdownThreshold || assessment.FailureRate > releaseFactor*failureRateThreshold
+}
+
 // observedRun is a run as of its latest observation.
 type observedRun struct {
 	expected time.Duration
@@ -211,10 +219,10 @@
 }
 
 // SelectQuarantined returns, for each assessment, whether the assessed worker should be
-// quarantined.
-func SelectQuarantined(assessments []Assessment) (quarantined []bool) {
+// quarantined. before contains the workers that are quarantined now.
+func SelectQuarantined(assessments []Assessment, before []bool) (quarantined []bool) {
 	quarantined = make([]bool, len(assessments))
-	if !slices.ContainsFunc(assessments, Assessment.Suspect) {
+	if !slices.ContainsFunc(assessments, Assessment.Suspect) && !slices.Contains(before, true) {
 		return quarantined
 	}
 	slowdown := max(median(assessments, func(assessment Assessment) float64 { return assessment.Slowdown }), 1/slowdownThreshold)
@@ -228,7 +236,11 @@
 	}
 	slices.SortStableFunc(order, func(left, right int) int { return cmp.Compare(badness(right), badness(left)) })
 	for _, index := range order[:int(maxQuarantinedShare*float64(len(assessments)))] {
-		quarantined[index] = badness(index) > 1
+		threshold := 1.0
+		if before[index] {
+			threshold = releaseFactor
+		}
+		quarantined[index] = badness(index) > threshold && assessments[index].NeedsProbes()
 	}
 	return quarantined
 }
--- a/ptfitness/ptfitness_test.go
+++ b/ptfitness/ptfitness_test.go
@@ -110,7 +110,7 @@
 	expect.Expect(estimator.Assessment().Suspect()).To(BeFalse(), "the job may have caused the failures")
 	healthy := ptfitness.Assessment{Slowdown: 1, MeasuredAt: at(0)}
 	quarantined := func() []bool {
-		return ptfitness.SelectQuarantined([]ptfitness.Assessment{estimator.Assessment(), healthy, healthy, healthy})
+		return ptfitness.SelectQuarantined([]ptfitness.Assessment{estimator.Assessment(), healthy, healthy, healthy}, make([]bool, 4))
 	}
 	estimator.Failed(runOf(2, 0), at(30))
 	estimator.Failed(runOf(3, 0), at(40))
@@ -159,7 +159,7 @@
 	} {
 		test.Run(name, func(test *testing.T) {
 			expect := NewWithT(test)
-			expect.Expect(count(ptfitness.SelectQuarantined(check.assessments))).To(Equal(check.quarantined))
+			expect.Expect(count(ptfitness.SelectQuarantined(check.assessments, make([]bool, len(check.assessments))))).To(Equal(check.quarantined))
 		})
 	}
 }
@@ -208,3 +208,31 @@
 	expect.Expect(ptfitness.NewAssessment(1, 0, -1, at(0)).Known()).To(BeFalse())
 	expect.Expect(ptfitness.NewAssessment(1, 0, math.MaxInt64, at(0)).Known()).To(BeFalse())
 }
+
+func TestQuarantineEndsWellBelowTheThreshold(test *testing.T) {
+	healthy := ptfitness.Assessment{Slowdown: 1, MeasuredAt: 1}
+	selected := func(worker ptfitness.Assessment, before bool) bool {
+		return ptfitness.SelectQuarantined([]ptfitness.Assessment{worker, healthy, healthy, healthy}, []bool{before, false, false, false})[0]
+	}
+	for _, check := range []struct {
+		slowdown, failureRate float64
+		begins, goesOn        bool
+	}{
+		{slowdown: 1, begins: false, goesOn: false}, {slowdown: 1.7, begins: false, goesOn: false}, {slowdown: 1.8, begins: false, goesOn: true},
+		{slowdown: 2.6, begins: true, goesOn: true}, {slowdown: 1, failureRate: 0.2, begins: false, goesOn: false},
+		{slowdown: 1, failureRate: 0.3, begins: false, goesOn: true}, {slowdown: 1, failureRate: 0.4, begins: true, goesOn: true},
+	} {
+		worker := ptfitness.Assessment{Slowdown: check.slowdown, FailureRate: check.failureRate, MeasuredAt: 1}
+		NewWithT(test).Expect(selected(worker, false)).To(Equal(check.begins), "%+v", check)
+		NewWithT(test).Expect(selected(worker, true)).To(Equal(check.goesOn), "%+v", check)
+	}
+}
+
+func TestNoWorkerIsQuarantinedWithoutProbes(test *testing.T) {
+	fast := ptfitness.Assessment{Slowdown: 0.4, MeasuredAt: 1}
+	worker := ptfitness.Assessment{Slowdown: 1.2, MeasuredAt: 1}
+	NewWithT(test).Expect(worker.NeedsProbes()).To(BeFalse())
+	suspect := ptfitness.Assessment{Slowdown: 9, MeasuredAt: 1}
+	quarantined := ptfitness.SelectQuarantined([]ptfitness.Assessment{worker, suspect, fast, fast, fast}, make([]bool, 5))
+	NewWithT(test).Expect(quarantined).To(Equal([]bool{false, true, false, false, false}))
+}
--- a/ptruncontrol/health.go
+++ b/ptruncontrol/health.go
@@ -29,19 +29,20 @@
 	}
 }
 
-// assignProbeTurn permits one entry at a time to place a probe run on a suspect worker.
+// assignProbeTurn permits one entry at a time to place a probe run on a worker that may
+// be in quarantine.
 func (core *Core) assignProbeTurn(now ptid.Instant) {
 	core.reportSeverity()
 	assessment := core.estimator.Assessment()
 	var entries []ptid.EntryName
-	if assessment.Suspect() {
+	if assessment.NeedsProbes() {
 		for name, owner := range core.owners {
 			if owner.connected {
 				entries = append(entries, name)
 			}
 		}
 	}
-	if holder, changed := core.probeTurns.Next(assessment.Suspect(), len(core.runs) == 0, entries, now); changed {
+	if holder, changed := core.probeTurns.Next(assessment.NeedsProbes(), len(core.runs) == 0, entries, now); changed {
 		core.emit(SendReport{Owner: Owner{Entry: holder, Incarnation: core.owners[holder].incarnation}})
 	}
 }
