ptbroker: an owner whose partition has had a later owner releases it

What callers saw: durable jobs of one partition stay pending for good, though the group assigns the partition to an entry that lives.

Cause: an owner keeps a partition that is listed in two successive renewals. The agents had given it to epoch 3 and answered the adoption of epoch 2 with nothing, so the owner waited for them for good, placed no task, saved nothing, and was never told that it was fenced. The stand-in's group reassigns without waiting for the earlier owner; the users' log may reassign all partitions at once twice between two renewals, so it can happen there too. Class of fault: a refusal without an answer.

Change: an agent answers an adoption of a lower epoch with the epoch that it knows. The owner then asks the log, and releases the partition if it is fenced; the next renewal acquires it anew. An agent's word alone releases nothing.

--- a/ptbroker/durable.go
+++ b/ptbroker/durable.go
@@ -104,6 +104,8 @@
 	saving   bool
 	sequence uint64
 	loaded   bool
+	// verifying is true while the log is asked whether the partition has had a later owner.
+	verifying bool
 	// recovering is true until every run of the earlier owner is known. Placement is paused
 	// until then.
 	recovering bool
@@ -543,7 +545,14 @@
 // handleAdopted processes an agent's response to an adoption. The caller holds the lock.
 func (broker *Broker) handleAdopted(agent *agentSession, message *ptwire.Adopted, now ptid.Instant) {
 	partition := broker.ownership.partitions[ptjobstore.Partition(message.Partition)]
-	if partition == nil || uint64(partition.epoch) != message.Epoch {
+	switch {
+	case partition == nil || message.Epoch < uint64(partition.epoch):
+		return
+	case message.Epoch > uint64(partition.epoch):
+		if !partition.verifying {
+			partition.verifying = true
+			go broker.verifyOwnership(partition)
+		}
 		return
 	}
 	for _, ref := range message.Runs {
@@ -557,6 +566,21 @@
 	delete(partition.unconfirmedAgents, agent.name())
 }
 
+// verifyOwnership releases a partition of which an agent knows a later owner, if the log knows that
+// owner as well. The group may assign a partition to another entry and back between two renewals of
+// the membership: it is assigned to this entry then, but its epoch is fenced.
+func (broker *Broker) verifyOwnership(partition *ownedPartition) {
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	err := broker.ownership.store.Fence(ctx, partition.number, partition.epoch)
+	broker.mu.Lock()
+	defer broker.mu.Unlock()
+	partition.verifying = false
+	if errors.Is(err, ptjobstore.ErrFenced) && broker.ownership.partitions[partition.number] == partition {
+		broker.releasePartition(partition, "fenced")
+	}
+}
+
 // tickPartitions resumes placement in recovered partitions, opens due occurrences, deletes
 // expired jobs, and saves progress. The caller holds the lock.
 func (broker *Broker) tickPartitions(now ptid.Instant) {
--- a/ptdrill/durable.go
+++ b/ptdrill/durable.go
@@ -311,7 +311,11 @@
 // handleAdopted processes an agent's response to an adoption.
 func (ownership *ownership) handleAdopted(agent *agent, number ptjobstore.Partition, epoch ptjobstore.Epoch, runs []ptrun.ID) {
 	partition, entry := ownership.partitions[number], ownership.entry
-	if partition == nil || partition.epoch != epoch {
+	switch {
+	case partition == nil || epoch < partition.epoch:
+		return
+	case epoch > partition.epoch:
+		ownership.release(partition)
 		return
 	}
 	for _, run := range runs {
--- a/ptruncontrol/durable.go
+++ b/ptruncontrol/durable.go
@@ -82,10 +82,10 @@
 
 // AdoptPartition assigns the runs of a partition that hold capacity to a later owner, and sends
 // the later owner these runs and the ends that have not been stored. The runs of the partition
-// that wait for capacity are refused.
+// that wait for capacity are refused. An owner of a lower epoch than a later one is told that epoch.
 func (core *Core) AdoptPartition(owner Owner, partition ptjobstore.Partition, partitions int, epoch ptjobstore.Epoch, now ptid.Instant) (effects []Effect) {
 	if epoch < core.epochs[partition] {
-		return nil
+		return []Effect{SendAdopted{Owner: owner, Partition: partition, Epoch: core.epochs[partition]}}
 	}
 	core.epochs[partition] = epoch
 	adopted := SendAdopted{Owner: owner, Partition: partition, Epoch: epoch}
--- a/ptruncontrol/ptruncontrol_test.go
+++ b/ptruncontrol/ptruncontrol_test.go
@@ -285,6 +285,8 @@
 		}
 	}
 	expect.Expect(adopted.Runs).To(ConsistOf(durableRun))
+	// The earlier owner learns of the later one if it still takes itself for the owner.
+	expect.Expect(fixture.AdoptPartition(owner, 2, 32, 4, at(4))).To(ConsistOf(ptruncontrol.SendAdopted{Owner: owner, Partition: 2, Epoch: 5}))
 	refused := sentEnds(fixture.Order(ptruncontrol.Order{
 		Run: run(1, ptjobstore.RunNumberBase(4)+1), Owner: owner, Demand: ptrun.Demand{CPU: 10}, StartBy: at(50), WaitUntil: at(50), Epoch: 4, Partition: 2,
 	}, at(5)))
