An entry that gives up a partition tells its agents

Cause: the earlier owner gave the partition up without a word to the agent, which took it for the owner as long as it was alive, so its runs went on beyond the 4.5 s for which the later owner waits.

Change: the earlier owner sends a release of the partition. The agent lets its runs go on for 2.5 s, for a later owner to adopt them, and then stops them, as after the loss of the owner; it refuses the waiting ones. A late release of an earlier epoch changes nothing.

Why it works: the group gives the partition to the later owner when the earlier one has renewed its membership without it, which is when it sends the release; 2.5 s and a stop are below 4.5 s.

Not covered: an earlier owner that is cut from the log and learns of nothing while its agent lives (docs/PROOFS.md). Releasing at the end of its membership was ruled out: each outage of the log of more than 4 s would stop all lasting tasks.

--- a/ptbroker/durable.go
+++ b/ptbroker/durable.go
@@ -279,6 +279,9 @@
 	broker.deps.Log.Info("partition released", "partition", partition.number, "epoch", partition.epoch, "why", reason, "jobs", len(partition.jobs))
 	partition.stop()
 	delete(broker.ownership.partitions, partition.number)
+	for _, agent := range broker.agentSessions {
+		agent.postRelease(partition)
+	}
 	for _, job := range partition.jobs {
 		for _, open := range job.open {
 			broker.core.Release(open)
--- a/ptbroker/session.go
+++ b/ptbroker/session.go
@@ -92,6 +92,11 @@
 	agent.session.Post(func(frame *ptwire.Frame) { frame.Adoptions = append(frame.Adoptions, adoption) })
 }
 
+func (agent *agentSession) postRelease(partition *ownedPartition) {
+	release := &ptwire.PartitionRelease{Partition: uint32(partition.number), Epoch: uint64(partition.epoch)}
+	agent.session.Post(func(frame *ptwire.Frame) { frame.Releases = append(frame.Releases, release) })
+}
+
 // PrepareFrame implements [ptsession.Handler].
 func (agent *agentSession) PrepareFrame(_ *ptsession.Session, frame *ptwire.Frame) {
 	now := agent.broker.deps.Clock.Now()
--- a/ptdrill/durable.go
+++ b/ptdrill/durable.go
@@ -173,6 +173,12 @@
 func (ownership *ownership) release(released *ownedPartition) {
 	ownership.entry.simulation.trace("%s releases partition %d", ownership.entry.name(), released.number)
 	delete(ownership.partitions, released.number)
+	for index := range agents {
+		entry := ownership.entry
+		entry.post(index, func(agent *agent) {
+			agent.applyEffects(agent.core.ReleasePartition(entry.owner(), released.number, released.epoch, agent.simulation.Now()))
+		})
+	}
 	for _, id := range slices.Sorted(maps.Keys(released.jobs)) {
 		if job := released.jobs[id].job; !job.State().Ended() {
 			ownership.entry.core.Release(job)
--- a/ptruncontrol/durable.go
+++ b/ptruncontrol/durable.go
@@ -114,6 +114,26 @@
 	return core.takeEffects()
 }
 
+// ReleasePartition records that an entry has given up a partition. Its runs go on for a later owner
+// until the orphan timeout, also if the agent learns of no later owner. The runs of the partition
+// that wait for capacity are refused.
+func (core *Core) ReleasePartition(owner Owner, partition ptjobstore.Partition, epoch ptjobstore.Epoch, now ptid.Instant) (effects []Effect) {
+	if epoch < core.epochs[partition] {
+		return nil
+	}
+	for _, run := range core.sortedRuns() {
+		switch {
+		case !run.isDurable() || run.Partition != partition || run.Owner != owner:
+		case run.state == waiting:
+			core.finishUnstarted(run, ptrun.ReasonOtherOwner, now)
+		case run.ownerLostAt == 0:
+			run.ownerLostAt = now
+		}
+	}
+	core.startWaiting(now)
+	return core.takeEffects()
+}
+
 // rebroadcastEnds repeats the broadcasts of the ends that no owner has stored. It discards these
 // ends if the worker's lease has expired.
 func (core *Core) rebroadcastEnds(now ptid.Instant) {
--- a/ptrunner/session.go
+++ b/ptrunner/session.go
@@ -115,6 +115,10 @@
 	for _, adoption := range frame.Adoptions {
 		runner.execute(runner.core.AdoptPartition(peer.owner, ptjobstore.Partition(adoption.Partition), int(adoption.Partitions), ptjobstore.Epoch(adoption.Epoch), now))
 	}
+	for _, release := range frame.Releases {
+		runner.deps.Log.Info("partition released by its owner", "entry", peer.owner.Entry, "partition", release.Partition, "epoch", release.Epoch)
+		runner.execute(runner.core.ReleasePartition(peer.owner, ptjobstore.Partition(release.Partition), ptjobstore.Epoch(release.Epoch), now))
+	}
 	for _, ref := range frame.RunQueries {
 		runner.execute(runner.core.QueryRun(peer.owner, ptrun.IDFromRef(ref), now))
 	}
