ptruncontrol: a crash does not count for runs that may not have started

What callers would have seen: a durable job shown as failed after one crash under its task.

Change: the worker must have confirmed the run, by its response or a listing. Otherwise the run is told as lost with its lease: it is a loss, and makes the task a suspect, but no crash.

--- a/ptrun/ptrun.go
+++ b/ptrun/ptrun.go
@@ -169,7 +169,8 @@
 	ReasonRejected       Reason = "rejected"
 	ReasonUnanswered     Reason = "unanswered"
 	ReasonRestarted      Reason = "workerRestarted"
-	// ReasonLeaseExpired means that the worker was silent until its lease must have expired, and
+	// ReasonLeaseExpired means that the worker was silent until its lease must have expired, or has
+	// ended before it had confirmed the run, and
 	// ReasonLeaseEnforced that the worker has listed the end of the run at the expiry of its lease.
 	ReasonLeaseExpired  Reason = "leaseLapsed"
 	ReasonLeaseEnforced Reason = "leaseEnforced"
--- a/ptruncontrol/crash.go
+++ b/ptruncontrol/crash.go
@@ -16,6 +16,8 @@
 	Run ptrun.ID
 	// RunTime is how long the run had been active at the latest listing.
 	RunTime time.Duration
+	// Confirmed is true if the worker had confirmed that it executes the run.
+	Confirmed bool
 }
 
 // WorkerCrashed reports that an incarnation of the worker has ended without announcing it, while runs
@@ -64,13 +66,16 @@
 		return
 	}
 	for _, run := range lost {
+		if !run.Confirmed {
+			continue
+		}
 		core.noticeCrash(ptrun.End{
 			Run: run.Run, Result: ptrun.Lost, Reason: ptrun.ReasonWorkerCrashed, RunTime: run.RunTime, Worker: core.worker.ID,
 		}, now, now)
 	}
 	for _, run := range core.runs {
 		if run.holdsCapacity() {
-			lost = append(lost, LostRun{Run: run.Run, RunTime: core.activeTime(run)})
+			lost = append(lost, LostRun{Run: run.Run, RunTime: core.activeTime(run), Confirmed: run.confirmed})
 		}
 	}
 	if len(lost) == 0 {
--- a/ptruncontrol/crash_test.go
+++ b/ptruncontrol/crash_test.go
@@ -48,7 +48,7 @@
 	reported := crashes(fixture.HandleAnnouncement(nextWorker(), 1, at(4000)))
 	fixture.expect.Expect(reported).To(HaveLen(1))
 	fixture.expect.Expect(reported[0].Runs).To(Equal([]ptruncontrol.LostRun{
-		{Run: run(1, 1), RunTime: 10 * time.Millisecond}, {Run: run(0, 1), RunTime: 100 * time.Millisecond},
+		{Run: run(1, 1), RunTime: 10 * time.Millisecond, Confirmed: true}, {Run: run(0, 1), RunTime: 100 * time.Millisecond, Confirmed: true},
 	}))
 }
 
@@ -68,3 +68,13 @@
 	fixture.HandleAnnouncement(worker, 1020, at(20))
 	fixture.expect.Expect(crashes(fixture.HandleAnnouncement(nextWorker(), 1, at(4000)))).To(BeEmpty())
 }
+
+func TestCrashDoesNotCountForRunsThatMayNotHaveStarted(test *testing.T) {
+	fixture := newFixture(test)
+	fixture.isolate(0, 1)
+	fixture.HandleStartResponse(durableRun(0), 0, ptrun.ErrUnanswered, at(26))
+	fixture.fall(40, 3000)
+	ends := sentEnds(fixture.HandleAnnouncement(nextWorker(), 1, at(3500)))
+	fixture.expect.Expect(ends).To(HaveLen(1))
+	fixture.expect.Expect(ends[0].Reason).To(Equal(ptrun.ReasonLeaseExpired))
+}
--- a/ptruncontrol/isolation.go
+++ b/ptruncontrol/isolation.go
@@ -72,11 +72,14 @@
 	return now < run.verdictBy
 }
 
-// crashReason returns why a run was lost that was active on the previous incarnation of the worker.
+// crashReason returns why a run was lost that was ordered on the previous incarnation of the worker.
 func (core *Core) crashReason(run *run) ptrun.Reason {
 	switch {
 	case core.worker.Draining:
 		return ptrun.ReasonRestarted
+	case !run.confirmed:
+		// The worker may have crashed before it received the order.
+		return ptrun.ReasonLeaseExpired
 	case run.isolated:
 		return ptrun.ReasonCrashedWorker
 	default:
--- a/ptruncontrol/responses.go
+++ b/ptruncontrol/responses.go
@@ -215,7 +215,7 @@
 	for _, run := range core.sortedRuns() {
 		if run.holdsCapacity() && run.state != starting && !core.awaitsVerdict(run, now) {
 			lost++
-			core.lost = append(core.lost, LostRun{Run: run.Run, RunTime: core.activeTime(run)})
+			core.lost = append(core.lost, LostRun{Run: run.Run, RunTime: core.activeTime(run), Confirmed: run.confirmed})
 			core.finish(run, ptrun.End{Run: run.Run, Result: ptrun.Lost, Reason: ptrun.ReasonLeaseExpired}, now)
 		}
 	}
