Only the second loss of a task makes it a suspect

Cause: a run that was lost within 100 ms of its start made its task a suspect at once. Most workers end by other causes than their tasks, and each suspect drains a worker.

Change: isolation from the second loss on.

--- a/ptgraph/crash.go
+++ b/ptgraph/crash.go
@@ -14,9 +14,9 @@
 	// of a task whose workers don't come back, so that none of its crashes is proved. It leaves one
 	// loss that no owner has heard of until the limit of the platform is reached.
 	maxLosses = 4
-	// maxEarlyRunTime bounds the run time of an early loss. Programs that can't process their input
-	// mostly crash while they read it, so the latest starts are the first suspects.
-	maxEarlyRunTime = 100 * time.Millisecond
+	// minSuspectLosses is how many lost runs make a task a suspect. Most workers end by other causes
+	// than their tasks, and isolation costs capacity.
+	minSuspectLosses = 2
 	// minProvenRunTime is the run time after which a long-running task is not the cause of a crash.
 	minProvenRunTime = 10 * time.Second
 	// A suspect runs in isolation for twice the run time after which it was lost, plus
@@ -96,13 +96,12 @@
 // zero if the task is not suspected of crashing its workers. Members of a gang are never isolated,
 // because all of them must be active at the same time.
 func (task *Task) Isolation() time.Duration {
-	suspected, longest := len(task.losses) > 1, time.Duration(0)
+	if len(task.losses) < minSuspectLosses || task.Step.Gang {
+		return 0
+	}
+	longest := time.Duration(0)
 	for _, loss := range task.losses {
-		suspected = suspected || loss.RunTime < maxEarlyRunTime
 		longest = max(longest, loss.RunTime)
 	}
-	if !suspected || task.Step.Gang {
-		return 0
-	}
 	return min(2*longest+isolationMargin, maxIsolation)
 }
