--- a/ptassign/ptassign.go
+++ b/ptassign/ptassign.go
@@ -24,7 +24,9 @@
 //     rates, so that jobs wait about equally long at every entry.
 //  6. Workers that fail, hang or are slow get fewer tasks or none. The decision uses the
 //     assessments of the agents and the results of this entry's own runs (see fitness.go).
-//  7. A task is placed again only when its previous run has provably ended: the agent
+//  7. A task that has lost two runs with their workers is a suspect: its next run is isolated on
+//     a worker (see suspect.go). It is given up if it crashes its workers (package ptgraph).
+//  8. A task is placed again only when its previous run has provably ended: the agent
 //     reported the end, another incarnation of the agent has connected, or no message from
 //     the agent has arrived for [RunLossTimeout]. Runs of durable jobs survive a restart of
 //     their agent, so a new incarnation proves nothing about them, and the timeout is
--- a/ptassign/suspect.go
+++ b/ptassign/suspect.go
@@ -19,9 +19,9 @@
 	// maxIsolationDelay is how long after the first refusal of an isolated run the task is started
 	// beside others: where runs take long, isolation may be impossible.
 	maxIsolationDelay = 5 * time.Second
-	// maxIsolatingFraction is the part of a service's workers, as a divisor, that all entries together
-	// use for isolated runs. It also bounds how many workers suspects may crash at a time.
-	maxIsolatingFraction = 2
+	// All entries together use one of isolatingDivisor workers of a service for isolated runs, rounded
+	// up. That also bounds how many workers suspects may crash at a time.
+	isolatingDivisor = 2
 	// avoidedWorkerPenalty is added to the cost of a worker that was lost with the task before, so that
 	// the crashes of the task are observed on several workers, or that has refused to isolate it.
 	avoidedWorkerPenalty = 10
@@ -130,7 +130,7 @@
 			isolating++
 		}
 	}
-	return isolating < (workers+maxIsolatingFraction-1)/maxIsolatingFraction
+	return isolating < (workers+isolatingDivisor-1)/isolatingDivisor
 }
 
 func (agent *agentRecord) isIsolating() bool { return agent.state.Isolating || agent.isolatedRuns > 0 }
--- a/ptruncontrol/health.go
+++ b/ptruncontrol/health.go
@@ -29,8 +29,8 @@
 	}
 }
 
-// assignProbeTurn permits one entry at a time to place a probe run on a worker that may
-// be in quarantine.
+// assignProbeTurn permits one entry at a time to place a probe run on a worker that may be in
+// quarantine.
 func (core *Core) assignProbeTurn(now ptid.Instant) {
 	core.reportSeverity()
 	assessment := core.estimator.Assessment()
--- a/ptruncontrol/isolation.go
+++ b/ptruncontrol/isolation.go
@@ -61,7 +61,7 @@
 
 // awaitsVerdict reports whether the end of a run whose lease has expired is reported only once it is
 // known whether the worker has crashed: the owner must not start a task on the next worker that has
-// just crashed one. Callers of best-effort jobs don't wait that long.
+// just crashed one. The first call sets until when. Callers of best-effort jobs don't wait that long.
 func (core *Core) awaitsVerdict(run *run, now ptid.Instant) bool {
 	if !run.isolated || !run.isDurable() || run.stopRequested || core.worker.Draining {
 		return false
