review: case 5, a stale configuration after the connections to the store went silent

Cause: reads of the configuration are not hedged and use one silent idle connection after the other. Change: case 5 as a script.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+cd "$(dirname "$0")/../.." && exec review/bin/harness silent review/5
