--- a/review/harness/cluster.go
+++ b/review/harness/cluster.go
@@ -200,7 +200,7 @@
 	routes := []any{}
 	for _, queue := range queues {
 		routes = append(routes, map[string]any{
-			"name": queue.name, "host": host, "path-prefix": queue.prefix, "backend": service, "route-type": "non_idempotent", "timeout-ms": callerTimeout.Milliseconds(),
+			"name": queue.name, "host": host, wire.Prefix: queue.prefix, "backend": service, "route-type": "non_idempotent", "timeout-ms": callerTimeout.Milliseconds(),
 			"target-latency-ms": 60, "priority": 1, "max-attempts": 4, "stretch": 1.6,
 		})
 	}
@@ -437,7 +437,7 @@
 func jobID(kind, number int) string { return fmt.Sprintf("%04x%08x%04x", kind, rand.Uint32(), number) }
 
 func step(count, cpu int, estimate time.Duration, more map[string]any) map[string]any {
-	built := map[string]any{"count": count, "cpu": cpu, "mem-mb": 64, "estimate-ms": estimate.Milliseconds()}
+	built := map[string]any{"count": count, "cpu": cpu, wire.Memory: 64, "estimate-ms": estimate.Milliseconds()}
 	for key, value := range more {
 		built[key] = value
 	}
--- a/review/harness/store.go
+++ b/review/harness/store.go
@@ -156,7 +156,7 @@
 	number, _ := strconv.Atoi(query.Get("part"))
 	id := partitionID{query.Get("topic"), number}
 	switch request.URL.Path {
-	case "/log-append":
+	case wire.Append:
 		s.mu.Lock()
 		lose := s.loseAppend
 		s.mu.Unlock()
@@ -168,11 +168,11 @@
 			}
 		}
 		status, response = s.append(id, query, body)
-	case "/log-read":
+	case wire.Read:
 		status, response = s.read(request, id, translate)
-	case "/log-newest":
+	case wire.Newest:
 		status, response = s.listNewest(id, query.Get("after"), translate)
-	case "/log-join":
+	case wire.Join:
 		status, response = s.join(body, false)
 	case "/log-leave":
 		status, response = s.join(body, true)
@@ -254,7 +254,7 @@
 func (s *store) read(request *http.Request, id partitionID, translate func([]byte) []byte) (status int, response []byte) {
 	query := request.URL.Query()
 	from, _ := strconv.Atoi(query.Get("from"))
-	wait, _ := strconv.Atoi(query.Get("wait-ms"))
+	wait, _ := strconv.Atoi(query.Get(wire.Wait))
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
 	for expired := false; ; {
