--- a/review/harness/blocked.go
+++ b/review/harness/blocked.go
@@ -20,7 +20,7 @@
 	const (
 		occurrences, tasks = 12, 220
 		interval           = 300 * time.Millisecond
-		later              = 40
+		later              = 20
 	)
 	for _, w := range c.workers {
 		w.quiet = true
@@ -48,6 +48,8 @@
 	}
 	time.Sleep(20 * time.Second)
 	c.reportWorkers()
+	// The first step has a task on each worker.
+	spread := job("work=200ms", step(c.agents, 1000, 200*time.Millisecond, map[string]any{"anti-affinity": 1}), step(1, 1000, 200*time.Millisecond, map[string]any{"after": []int{0}}))
 	ids := make([]string, later)
 	var clients sync.WaitGroup
 	for number := range ids {
@@ -55,7 +57,7 @@
 		clients.Add(1)
 		go func() {
 			defer clients.Done()
-			if !c.submit(number%c.entries, ids[number], job("work=200ms", step(1, 1000, 200*time.Millisecond, nil), step(1, 1000, 200*time.Millisecond, map[string]any{"after": []int{0}})), false) {
+			if !c.submit(number%c.entries, ids[number], spread, false) {
 				ids[number] = ""
 			}
 		}()
@@ -80,7 +82,7 @@
 				c.record.at(seen.startedAt), c.record.at(seen.endAt), seen.how, seen.sequence, c.record.at(seen.notedAt))
 		}
 		if stuck++; broken == "" {
-			broken = fmt.Sprintf("LOST: %s after it was accepted, job %s is shown as %q; nothing of it has run for %s, though the turn of its second task has come and the workers are free", finishTime, id, state, waits.Round(time.Millisecond))
+			broken = fmt.Sprintf("LOST: %s after it was accepted, job %s is shown as %q; nothing of it has run for %s, though a task's turn has come and the workers are free", finishTime, id, state, waits.Round(time.Millisecond))
 		}
 	}
 	if stuck > 1 {
