--- a/review/harness/twice.go
+++ b/review/harness/twice.go
@@ -44,7 +44,7 @@
 		go func() {
 			defer clients.Done()
 			// The clients of entry 1 reach the others.
-			if c.submit(1+number%2, id, job("work=60ms", step(4, 6200, 60*time.Millisecond, nil)), true) {
+			if c.submit(1+number%2, id, job("work=60ms", step(8, 6200, 60*time.Millisecond, nil)), true) {
 				accepted[number] = id
 			}
 		}()
