--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -3,8 +3,9 @@
 // Command harness plays the scripts of the review: it runs the project's programs as separate
 // processes with stand-ins for the platform, and checks one rule of the users' pages.
 //
-//	TROUBLE=0 review/bin/harness CASE FOLDER
+//	review/bin/harness CASE FOLDER on|off
 //
+// The last word tells whether the disruption happens; the scripts set it from TROUBLE.
 // It exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 package main
 
@@ -31,8 +32,8 @@
 func main() { os.Exit(run()) }
 
 func run() (code int) {
-	if len(os.Args) != 3 || scenarios[os.Args[1]].play == nil {
-		fmt.Fprintln(os.Stderr, "usage: harness CASE FOLDER")
+	if len(os.Args) != 4 || scenarios[os.Args[1]].play == nil || os.Args[3] != "on" && os.Args[3] != "off" {
+		fmt.Fprintln(os.Stderr, "usage: harness CASE FOLDER on|off")
 		return 2
 	}
 	played, folder := scenarios[os.Args[1]], os.Args[2]
@@ -43,7 +44,7 @@
 	}
 	defer func() { _ = file.Close() }()
 	record := &record{file: file, startAt: time.Now()}
-	trouble := os.Getenv("TROUBLE") != "0"
+	trouble := os.Args[3] == "on"
 	record.line("case %s, disruption %t", os.Args[1], trouble)
 	c, err := newCluster(record, folder, played.entries, played.agents)
 	defer c.close()
