--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -36,6 +36,8 @@
 		fmt.Fprintln(os.Stderr, "usage: harness CASE FOLDER on|off")
 		return 2
 	}
+	// A closed standard output must not end the harness before it has ended its processes.
+	signal.Ignore(syscall.SIGPIPE)
 	played, folder := scenarios[os.Args[1]], os.Args[2]
 	file, err := os.Create(filepath.Join(folder, "record.txt"))
 	if err != nil {
@@ -61,7 +63,7 @@
 		err    error
 	}
 	results, signals := make(chan result, 1), make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	go func() {
 		broken, err := played.play(c, trouble)
 		results <- result{broken, err}
