An end as done is not acknowledged once its task was placed again

Cause: 4.5 s after it had lost the sessions, the owner declared the runs at all agents lost, though their ends waited there. It placed the tasks again at the agents that came back first. Ends that came afterwards were rejected while the job was open, and acknowledged after its end, since nothing was known of the second run then.

Change: an entry without any session declares no durable run lost, and counts the bound from its first session on. A run that is declared lost all the same is abandoned: this is stored before the task is placed again, and its end as done is void from then on, for this owner after the job's end and for later owners. The end as done of a run of a deleted job is void too. The same holds for runs of earlier owners at agents that a recovery did not reach. An entry no longer acknowledges runs that it has declared lost itself.

Ruled out: deleted jobs and later owners as the cause of the case (the same fault there is mended), a lease that expired between.

--- a/ptassign/durable.go
+++ b/ptassign/durable.go
@@ -27,6 +27,7 @@
 // SubmitDurable admits a durable job with the progress that an earlier owner has stored; nil
 // means that there is none. A recovering job is not placed before [Core.FinishRecovery].
 func (core *Core) SubmitDurable(spec Spec, progress *ptgraph.Progress, recovering bool, now ptid.Instant) (job *Job, effects []Effect, err error) {
+	spec.Durable = true
 	graph, err := ptgraph.New(spec.Spec)
 	if err != nil {
 		return nil, nil, err
@@ -49,7 +50,7 @@
 	return job, core.takeEffects(), nil
 }
 
-// FinishRecovery records that the entry now knows all runs that an earlier owner of the job
+// FinishRecovery records that the entry now knows all active runs that an earlier owner of the job
 // has started, and allows the job to be placed.
 func (core *Core) FinishRecovery(job *Job, now ptid.Instant) (effects []Effect) {
 	job.Recovering = false
@@ -65,6 +66,25 @@
 	return core.takeEffects()
 }
 
+// AbandonUnknownRuns records, before [Core.FinishRecovery], that runs of earlier owners may have ended
+// with results that this entry does not know.
+func (core *Core) AbandonUnknownRuns(job *Job) (effects []Effect) {
+	job.AbandonUnknownRuns()
+	job.readyCPU = -1
+	core.emit(SaveProgress{Job: job})
+	return core.takeEffects()
+}
+
+// ProgressSaved records that the log holds the given progress of a job.
+func (core *Core) ProgressSaved(job *Job, progress ptgraph.Progress, now ptid.Instant) (effects []Effect) {
+	if !job.AbandonmentsSaved(progress) || job.State().Ended() {
+		return nil
+	}
+	core.enqueue(job, now)
+	core.placeWaiting(now)
+	return core.takeEffects()
+}
+
 // Release removes a job that another entry now owns, without stopping its runs. The runs
 // continue under the new owner.
 func (core *Core) Release(job *Job) {
@@ -126,6 +146,18 @@
 	return agent != nil && agent.runs[run] != nil
 }
 
+// ConnectedSince returns since when the entry has had a session with an agent without interruption;
+// [ptid.Never] if it has none. While it has none, the silence of the agents says nothing about them.
+func (core *Core) ConnectedSince() (since ptid.Instant) {
+	since = ptid.Never
+	for _, agent := range core.sortedAgents {
+		if agent.connected {
+			since = min(since, agent.connectedAt)
+		}
+	}
+	return since
+}
+
 // DisconnectedAgents returns the known agents without a session, and when each lost its
 // session.
 func (core *Core) DisconnectedAgents() (disconnected map[ptid.AgentName]ptid.Instant) {
--- a/ptassign/ptassign.go
+++ b/ptassign/ptassign.go
@@ -30,7 +30,9 @@
 //     reported the end, another incarnation of the agent has connected, or no message from
 //     the agent has arrived for [RunLossTimeout]. Runs of durable jobs survive a restart of
 //     their agent, so a new incarnation proves nothing about them, and the timeout is
-//     [DurableRunLossTimeout]. This also holds across submissions: a job that is submitted
+//     [DurableRunLossTimeout], counted while the entry has a session with any agent: an entry
+//     that has lost all agents at once is probably cut off itself, and the ends of its runs wait
+//     at the agents. This also holds across submissions: a job that is submitted
 //     again takes over the runs of its earlier submission that have not ended.
 //
 // # Usage
@@ -229,8 +231,9 @@
 	Run   ptrun.ID
 }
 
-// SaveProgress asks to store the progress of a durable job after the end of a run.
-// Acknowledge the end to the agent once the progress is stored.
+// SaveProgress asks to store the progress of a durable job, mostly after the end of a run.
+// Acknowledge the end to the agent once the progress is stored, and then call
+// [Core.ProgressSaved]. Agent is empty if no agent has reported an end.
 type SaveProgress struct {
 	Job   *Job
 	Agent ptid.AgentName
@@ -309,14 +312,15 @@
 	service              ptid.ServiceName
 	sameZone             bool
 	connected            bool
-	disconnectedAt       ptid.Instant
-	state                AgentState
-	hasReport            bool
-	heldByOthers         ptrun.Demand
-	reserved             ptrun.Demand
-	runs                 map[ptrun.ID]*placedRun
-	isolatedRuns         int
-	observed             observations
+	// connectedAt is when the agent opened its first session after it had none.
+	connectedAt, disconnectedAt ptid.Instant
+	state                       AgentState
+	hasReport                   bool
+	heldByOthers                ptrun.Demand
+	reserved                    ptrun.Demand
+	runs                        map[ptrun.ID]*placedRun
+	isolatedRuns                int
+	observed                    observations
 	// quarantined is true if the worker gets only probe tasks, because its assessment is bad
 	// compared with the assessments of the other workers of the service.
 	quarantined bool
@@ -768,6 +772,9 @@
 		agent.observed, agent.quarantined = newObservations(), false
 		agent.incarnation = incarnation
 	}
+	if !agent.connected {
+		agent.connectedAt = now
+	}
 	agent.service, agent.sameZone, agent.connected, agent.connectedIncarnation = service, sameZone, true, incarnation
 	for _, run := range sortedRuns(agent.runs) {
 		core.emit(SendQuery{Agent: name, Run: run})
@@ -872,7 +879,12 @@
 	if core.stopping[job.Key()] == job && len(job.PlacedRuns()) == 0 {
 		delete(core.stopping, job.Key())
 	}
-	if job.Durable {
+	switch {
+	case !job.Durable:
+	case change.Abandoned:
+		// The agent may still have the end of the run.
+		core.emit(SaveProgress{Job: job})
+	default:
 		core.emit(SaveProgress{Job: job, Agent: agent.name, Run: end.Run})
 	}
 	if !change.Accepted || job.State() == ptgraph.GivenUp {
@@ -958,11 +970,12 @@
 func (core *Core) Tick(now ptid.Instant) (effects []Effect) {
 	core.updateQuarantine()
 	core.extendHangDeadlines(now)
+	connectedSince := core.ConnectedSince()
 	for _, agent := range core.sortedAgents {
 		if !agent.connected && len(agent.runs) > 0 && now.Sub(agent.disconnectedAt) > RunLossTimeout {
 			core.loseRuns(agent, ptrun.ReasonAgentSilent, bestEffortRuns, now)
 		}
-		if !agent.connected && len(agent.runs) > 0 && now.Sub(agent.disconnectedAt) > DurableRunLossTimeout {
+		if !agent.connected && len(agent.runs) > 0 && connectedSince != ptid.Never && now.Sub(max(agent.disconnectedAt, connectedSince)) > DurableRunLossTimeout {
 			core.loseRuns(agent, ptrun.ReasonAgentSilent, allRuns, now)
 		}
 		core.stopHangingRuns(agent, now)
--- a/ptbroker/durable.go
+++ b/ptbroker/durable.go
@@ -106,9 +106,10 @@
 	loaded   bool
 	// verifying is true while the log is asked whether the partition has had a later owner.
 	verifying bool
-	// recovering is true until every run of the earlier owner is known. Placement is paused
-	// until then.
-	recovering bool
+	// recovering is true until every active run of the earlier owner is known. Placement is paused
+	// until then. mayHaveUnknownRuns is true if the results of runs that had ended then are not known.
+	recovering         bool
+	mayHaveUnknownRuns bool
 	// unconfirmedAgents holds the agents that have not confirmed the adoption of their runs yet.
 	unconfirmedAgents map[ptid.AgentName]bool
 	acquiredAt        ptid.Instant
@@ -428,6 +429,7 @@
 			Spec: ptgraph.Spec{
 				ID: spec.ID, Payload: spec.Payload, Steps: slices.Clone(spec.Steps), MaxAttempts: spec.MaxAttempts,
 				Occurrence: job.next, RunNumberBase: ptjobstore.RunNumberBase(partition.epoch),
+				UnknownRuns: !partition.recovering && partition.mayHaveUnknownRuns,
 			},
 			Queue: ptqueue.Queue{
 				Name: spec.Queue, Service: spec.Service, Priority: spec.Priority, MaxAttempts: spec.MaxAttempts,
@@ -460,6 +462,7 @@
 	partition.markChanged(job)
 	for _, occurrence := range slices.Sorted(maps.Keys(job.open)) {
 		key := job.open[occurrence].Key()
+		job.progress.VoidRun = max(job.progress.VoidRun, job.open[occurrence].VoidRun())
 		delete(job.open, occurrence)
 		broker.execute(broker.core.Cancel(key, broker.deps.Clock.Now()))
 	}
@@ -491,7 +494,9 @@
 	if job == nil {
 		return
 	}
-	job.pendingAcks = append(job.pendingAcks, pendingAck{agent: effect.Agent, run: effect.Run})
+	if effect.Agent != "" {
+		job.pendingAcks = append(job.pendingAcks, pendingAck{agent: effect.Agent, run: effect.Run})
+	}
 	partition.markChanged(job)
 }
 
@@ -502,6 +507,7 @@
 		return
 	}
 	delete(job.open, ended.Occurrence)
+	job.progress.VoidRun = max(job.progress.VoidRun, ended.VoidRun())
 	partition.markChanged(job)
 	if ended.State() == ptgraph.Failed {
 		broker.endJob(partition, job, ptgraph.Failed)
@@ -538,13 +544,36 @@
 	case job == nil && !partition.missing[end.Run.Task.Job]:
 		broker.addUnresolved(partition, unresolvedRun{agent: agent.name(), run: end.Run, end: &end})
 	case job == nil || job.progress.State.Ended() || job.open[end.Run.Task.Occurrence] == nil:
-		agent.postAcknowledgement(end.Run)
+		broker.handleLateEnd(agent, end, job)
 	default:
 		effects, _ := broker.core.AdoptEnd(agent.name(), end, now)
 		broker.execute(effects)
 	}
 }
 
+// handleLateEnd processes the end of a run whose job or occurrence has ended, or whose job has been
+// deleted (nil). Nothing is known of the other runs of a deleted job. The caller holds the lock.
+func (broker *Broker) handleLateEnd(agent *agentSession, end ptrun.End, job *durableJob) {
+	isVoid, voidRun := end.Result == ptrun.Done, ptrun.Number(0)
+	if job != nil {
+		voidRun = job.progress.VoidRun
+		isVoid = ptgraph.IsVoidAfterEnd(end, voidRun)
+	}
+	broker.deps.Log.Info("end of a run after the end of its job", "job", end.Run.Task.Job, "step", end.Run.Task.Step, "task", end.Run.Task.Index,
+		"run", end.Run.Number, "agent", agent.name(), "result", end.Result, "deleted", job == nil, "voidRun", voidRun, "rejected", isVoid)
+	if isVoid {
+		broker.rejectEnd(agent, end.Run)
+		return
+	}
+	agent.postAcknowledgement(end.Run)
+}
+
+// rejectEnd tells an agent not to acknowledge an end. The caller holds the lock.
+func (broker *Broker) rejectEnd(agent *agentSession, run ptrun.ID) {
+	broker.deps.Metrics.Counter(ptmetric.RejectedEnds).Inc()
+	agent.postRejection(run)
+}
+
 // handleAdopted processes an agent's response to an adoption. The caller holds the lock.
 func (broker *Broker) handleAdopted(agent *agentSession, message *ptwire.Adopted, now ptid.Instant) {
 	partition := broker.ownership.partitions[ptjobstore.Partition(message.Partition)]
@@ -629,38 +658,75 @@
 // have ended. The runs of an agent without a session are known to have ended once
 // ptassign.DurableRunLossTimeout has passed since this entry acquired the partition: until then, the
 // earlier owner may have had a session with the agent, however long ago this entry lost its own. An
-// entry that had started only shortly before may not know all agents.
+// entry that had started only shortly before may not know all agents. The time counts while this entry
+// has a session with any agent, as in ptassign.
 func (broker *Broker) isRecovered(partition *ownedPartition, now ptid.Instant) bool {
 	for name := range partition.unconfirmedAgents {
 		if broker.agentSessions[name] != nil {
 			return false
 		}
 	}
-	if now.Sub(partition.acquiredAt) > ptassign.DurableRunLossTimeout {
-		return true
-	}
-	if partition.acquiredAt.Sub(broker.ownership.startedAt) < ptassign.DurableRunLossTimeout || len(broker.agentSessions) == 0 {
+	connectedSince := broker.core.ConnectedSince()
+	if connectedSince == ptid.Never {
 		return false
 	}
-	connectedSince := now
-	for _, agent := range broker.agentSessions {
-		connectedSince = min(connectedSince, agent.openedAt)
+	return now.Sub(max(partition.acquiredAt, connectedSince)) > ptassign.DurableRunLossTimeout || !broker.mayHaveUnknownRuns(partition, now)
+}
+
+// mayHaveUnknownRuns reports whether agents without a session may have ends of runs of earlier owners.
+func (broker *Broker) mayHaveUnknownRuns(partition *ownedPartition, now ptid.Instant) bool {
+	if partition.acquiredAt.Sub(broker.ownership.startedAt) < ptassign.DurableRunLossTimeout {
+		return true
 	}
+	connectedSince := broker.core.ConnectedSince()
 	for _, lostAt := range broker.core.DisconnectedAgents() {
 		if now.Sub(max(lostAt, connectedSince)) < removedAgentTimeout {
-			return false
+			return true
 		}
 	}
-	return true
+	return false
 }
 
 // finishRecovery resumes placement in a recovered partition. The caller holds the lock.
 func (broker *Broker) finishRecovery(partition *ownedPartition, now ptid.Instant) {
-	partition.recovering = false
-	broker.deps.Log.Info("partition recovered", "partition", partition.number, "epoch", partition.epoch, "jobs", len(partition.jobs), "after", now.Sub(partition.acquiredAt).String())
+	partition.recovering, partition.mayHaveUnknownRuns = false, broker.mayHaveUnknownRuns(partition, now)
+	broker.deps.Log.Info("partition recovered", "partition", partition.number, "epoch", partition.epoch, "jobs", len(partition.jobs), "after", now.Sub(partition.acquiredAt).String(),
+		"mayHaveUnknownRuns", partition.mayHaveUnknownRuns)
 	for _, id := range slices.Sorted(maps.Keys(partition.jobs)) {
 		for _, open := range partition.jobs[id].open {
-			broker.execute(broker.core.FinishRecovery(open, now))
+			broker.resume(partition, open, now)
+		}
+	}
+}
+
+// resume allows a recovered job to be placed. The caller holds the lock.
+func (broker *Broker) resume(partition *ownedPartition, open *ptassign.Job, now ptid.Instant) {
+	if partition.mayHaveUnknownRuns {
+		broker.execute(broker.core.AbandonUnknownRuns(open))
+	}
+	broker.execute(broker.core.FinishRecovery(open, now))
+}
+
+// savedJob is what the log holds of a job after a save.
+type savedJob struct {
+	state    ptgraph.State
+	progress ptjobstore.Progress
+	version  int
+}
+
+// progressSaved records that the log holds the progress of jobs. The caller holds the lock.
+func (broker *Broker) progressSaved(partition *ownedPartition, savedJobs map[ptid.JobID]savedJob) {
+	now := broker.deps.Clock.Now()
+	for _, id := range slices.Sorted(maps.Keys(savedJobs)) {
+		job, saved := partition.jobs[id], savedJobs[id]
+		if job == nil {
+			continue
+		}
+		job.visibleState, job.savedVersion = saved.state, saved.version
+		for _, occurrence := range slices.Sorted(maps.Keys(job.open)) {
+			if progress, found := saved.progress.Occurrences[occurrence]; found {
+				broker.execute(broker.core.ProgressSaved(job.open[occurrence], progress, now))
+			}
 		}
 	}
 }
@@ -669,10 +735,6 @@
 func (broker *Broker) save(partition *ownedPartition) {
 	var records []ptjobstore.Record
 	var acks []pendingAck
-	type savedJob struct {
-		state   ptgraph.State
-		version int
-	}
 	savedJobs := make(map[ptid.JobID]savedJob)
 	for _, id := range slices.Sorted(maps.Keys(partition.dirty)) {
 		job := partition.jobs[id]
@@ -681,7 +743,8 @@
 			records = append(records, ptjobstore.Record{Key: string(id)})
 			continue
 		}
-		record, err := ptjobstore.Encode(job.snapshot())
+		progress := job.snapshot()
+		record, err := ptjobstore.Encode(progress)
 		if err != nil {
 			broker.deps.Log.Error(err, "failed to encode progress", "job", id)
 			continue
@@ -689,18 +752,14 @@
 		records = append(records, ptjobstore.Record{Key: string(id), Value: record})
 		acks = append(acks, job.pendingAcks...)
 		job.pendingAcks = nil
-		savedJobs[id] = savedJob{state: job.progress.State, version: job.version}
+		savedJobs[id] = savedJob{state: job.progress.State, progress: progress, version: job.version}
 	}
 	partition.saving = true
 	sequence := partition.sequence
 	partition.sequence++
 	go broker.saveRecords(partition, sequence, records, func() {
 		partition.saving = false
-		for id, saved := range savedJobs {
-			if job := partition.jobs[id]; job != nil {
-				job.visibleState, job.savedVersion = saved.state, saved.version
-			}
-		}
+		broker.progressSaved(partition, savedJobs)
 		for _, ack := range acks {
 			if agent := broker.agentSessions[ack.agent]; agent != nil {
 				agent.postAcknowledgement(ack.run)
--- a/ptbroker/ptbroker.go
+++ b/ptbroker/ptbroker.go
@@ -321,7 +321,7 @@
 			if agent := broker.agentSessions[effect.Agent]; agent != nil {
 				broker.deps.Log.Info("end rejected, the task has started again", "job", effect.Run.Task.Job, "step", effect.Run.Task.Step,
 					"task", effect.Run.Task.Index, "run", effect.Run.Number, "agent", effect.Agent)
-				agent.postRejection(effect.Run)
+				broker.rejectEnd(agent, effect.Run)
 			}
 		case ptassign.SaveProgress:
 			broker.handleProgress(effect)
--- a/ptbroker/unresolved.go
+++ b/ptbroker/unresolved.go
@@ -133,7 +133,7 @@
 	}
 	if job := partition.jobs[id]; job != nil && len(runs) > 0 && !partition.recovering {
 		for _, open := range job.open {
-			broker.execute(broker.core.FinishRecovery(open, now))
+			broker.resume(partition, open, now)
 		}
 	}
 }
--- a/ptdrill/durable.go
+++ b/ptdrill/durable.go
@@ -116,6 +116,7 @@
 	jobs                       map[ptid.JobID]*durableJob
 	dirty                      map[ptid.JobID]bool
 	saving, loaded, recovering bool
+	mayHaveUnknownRuns         bool
 	unconfirmed                map[ptid.AgentName]bool
 	acquiredAt                 ptid.Instant
 }
@@ -241,6 +242,7 @@
 func (ownership *ownership) addJob(partition *ownedPartition, spec ptgraph.Spec, saved ptgraph.Progress, found bool) {
 	entry := ownership.entry
 	spec.RunNumberBase = ptjobstore.RunNumberBase(partition.epoch)
+	spec.UnknownRuns = !partition.recovering && partition.mayHaveUnknownRuns
 	var progress *ptgraph.Progress
 	if found {
 		progress = &saved
@@ -288,7 +290,9 @@
 // progressMade marks a job whose progress must be saved before the end of a run is acknowledged.
 func (ownership *ownership) progressMade(effect ptassign.SaveProgress) {
 	if partition, job := ownership.find(effect.Job.ID); job != nil {
-		job.pendingAcks = append(job.pendingAcks, pendingAck{agent: effect.Agent, run: effect.Run})
+		if effect.Agent != "" {
+			job.pendingAcks = append(job.pendingAcks, pendingAck{agent: effect.Agent, run: effect.Run})
+		}
 		job.version++
 		partition.dirty[effect.Job.ID] = true
 	}
@@ -302,6 +306,8 @@
 	case partition == nil || !partition.loaded || ptjobstore.EpochOf(end.Run.Number) > partition.epoch || job == nil:
 		// The agent sends the end again.
 	case job.job.State().Ended() && job.savedVersion < job.version:
+	case job.job.State().Ended() && ptgraph.IsVoidAfterEnd(end, job.job.VoidRun()):
+		entry.reject(agent.name(), end.Run)
 	case job.job.State().Ended():
 		entry.post(agent.index, acknowledge(end.Run))
 	default:
@@ -310,6 +316,12 @@
 	}
 }
 
+// reject tells an agent not to acknowledge an end.
+func (entry *entry) reject(name ptid.AgentName, run ptrun.ID) {
+	entry.simulation.trace("%s rejects the end of %v at %s", entry.name(), run, name)
+	entry.post(agentIndex(name), func(target *agent) { target.core.RejectEnd(run) })
+}
+
 func acknowledge(run ptrun.ID) func(agent *agent) {
 	return func(agent *agent) { agent.core.AcknowledgeEnd(run) }
 }
@@ -337,7 +349,7 @@
 		}
 		entry.applyEffects(entry.core.Adopt(agent.name(), run, entry.simulation.Now()))
 		if job := partition.jobs[run.Task.Job]; job != nil && !partition.recovering && job.job.Recovering {
-			entry.applyEffects(entry.core.FinishRecovery(job.job, entry.simulation.Now()))
+			ownership.resume(partition, job.job)
 		}
 	}
 	delete(partition.unconfirmed, agent.name())
@@ -345,17 +357,17 @@
 
 // tick resumes placement in recovered partitions and saves progress.
 func (ownership *ownership) tick() {
-	entry, now := ownership.entry, ownership.entry.simulation.Now()
+	now := ownership.entry.simulation.Now()
 	for _, number := range slices.Sorted(maps.Keys(ownership.partitions)) {
 		partition := ownership.partitions[number]
 		if partition == nil || !partition.loaded {
 			continue
 		}
 		if partition.recovering && ownership.isRecovered(partition, now) {
-			partition.recovering = false
+			partition.recovering, partition.mayHaveUnknownRuns = false, ownership.mayHaveUnknownRuns(partition)
 			for _, id := range slices.Sorted(maps.Keys(partition.jobs)) {
 				if job := partition.jobs[id].job; !job.State().Ended() {
-					entry.applyEffects(entry.core.FinishRecovery(job, now))
+					ownership.resume(partition, job)
 				}
 			}
 		}
@@ -366,22 +378,29 @@
 }
 
 func (ownership *ownership) isRecovered(partition *ownedPartition, now ptid.Instant) bool {
-	sessions := 0
 	for _, session := range ownership.entry.sessions {
-		if session != nil {
-			sessions++
-			if partition.unconfirmed[session.agent.name()] {
-				return false
-			}
+		if session != nil && partition.unconfirmed[session.agent.name()] {
+			return false
 		}
 	}
-	if now.Sub(partition.acquiredAt) > ptassign.DurableRunLossTimeout {
-		return true
-	}
-	if partition.acquiredAt.Sub(ownership.startedAt) < ptassign.DurableRunLossTimeout || sessions == 0 {
+	connectedSince := ownership.entry.core.ConnectedSince()
+	if connectedSince == ptid.Never {
 		return false
 	}
-	return len(ownership.entry.core.DisconnectedAgents()) == 0
+	return now.Sub(max(partition.acquiredAt, connectedSince)) > ptassign.DurableRunLossTimeout || !ownership.mayHaveUnknownRuns(partition)
+}
+
+func (ownership *ownership) mayHaveUnknownRuns(partition *ownedPartition) bool {
+	return partition.acquiredAt.Sub(ownership.startedAt) < ptassign.DurableRunLossTimeout || len(ownership.entry.core.DisconnectedAgents()) > 0
+}
+
+// resume allows a recovered job to be placed.
+func (ownership *ownership) resume(partition *ownedPartition, job *ptassign.Job) {
+	entry := ownership.entry
+	if partition.mayHaveUnknownRuns {
+		entry.applyEffects(entry.core.AbandonUnknownRuns(job))
+	}
+	entry.applyEffects(entry.core.FinishRecovery(job, entry.simulation.Now()))
 }
 
 // save writes the progress of the changed jobs, and acknowledges the ends that it contains.
@@ -408,8 +427,12 @@
 			ownership.release(partition)
 		default:
 			partition.saving = false
-			for id, version := range versions {
-				partition.jobs[id].savedVersion = version
+			for _, id := range slices.Sorted(maps.Keys(versions)) {
+				job := partition.jobs[id]
+				job.savedVersion = versions[id]
+				if !job.job.State().Ended() {
+					ownership.entry.applyEffects(ownership.entry.core.ProgressSaved(job.job, progress[id], ownership.entry.simulation.Now()))
+				}
 			}
 			for _, ack := range acks {
 				ownership.entry.post(agentIndex(ack.agent), acknowledge(ack.run))
--- a/ptdrill/entry.go
+++ b/ptdrill/entry.go
@@ -127,8 +127,7 @@
 		case ptassign.JobEnded:
 			entry.jobEnded(effect)
 		case ptassign.RejectEnd:
-			entry.simulation.trace("%s rejects the end of %v at %s", entry.name(), effect.Run, effect.Agent)
-			entry.post(agentIndex(effect.Agent), func(agent *agent) { agent.core.RejectEnd(effect.Run) })
+			entry.reject(effect.Agent, effect.Run)
 		case ptassign.SaveProgress:
 			entry.ownership.progressMade(effect)
 		case ptassign.TaskGivenUp:
--- a/ptdrill/faults.go
+++ b/ptdrill/faults.go
@@ -57,6 +57,14 @@
 	schedule(faults.Mismatches, 2*time.Second, func() {
 		simulation.crashWorker(simulation.random.IntN(agents), simulation.between(time.Millisecond, 200*time.Millisecond))
 	})
+	schedule(faults.LongCuts, 8*time.Second, func() {
+		entryIndex, duration := simulation.random.IntN(entries), simulation.between(3*time.Second, 9*time.Second)
+		for index := range agents {
+			if simulation.happens(70) {
+				simulation.cut(entryIndex, index, duration)
+			}
+		}
+	})
 	schedule(faults.ChangingCapacity, time.Second, func() {
 		worker := simulation.workers[simulation.random.IntN(agents)]
 		worker.setCapacity(10 * (1 + simulation.random.Int64N(9)))
--- a/ptdrill/ptdrill_test.go
+++ b/ptdrill/ptdrill_test.go
@@ -109,6 +109,16 @@
 	play(test, ptdrill.Setting{Durable: true, SettleTime: 90 * time.Second, Faults: ptdrill.Faults{Single: true, Mass: true, CrashingTasks: true}})
 }
 
+// Guards against acknowledging the end of a run as done that reaches its owner after the task has run
+// again and its job has ended.
+func TestSeedsWithDurableJobsAndLongCuts(test *testing.T) {
+	play(test, ptdrill.Setting{Durable: true, Faults: ptdrill.Faults{LongCuts: true}})
+}
+
+func TestSeedsWithDurableJobsAndLongCutsBesideFaults(test *testing.T) {
+	play(test, ptdrill.Setting{Durable: true, Faults: ptdrill.Faults{Single: true, Mass: true, LongCuts: true}})
+}
+
 func TestSeedsWithChangingCapacity(test *testing.T) {
 	play(test, ptdrill.Setting{Durable: true, Faults: ptdrill.Faults{Single: true, Mass: true, ChangingCapacity: true}})
 }
--- a/ptgraph/ptgraph.go
+++ b/ptgraph/ptgraph.go
@@ -13,6 +13,9 @@
 //     owner must then stop the runs that are still placed.
 //  5. A refusal states that no run of the job has started or will start. A job can
 //     therefore be refused only while [Job.CertainlyUnstarted] is true.
+//  6. A run whose agent can't be reached is abandoned: it has certainly ended, but its end may
+//     be that of a done task. Once the task has been placed again, that end is void
+//     (abandoned.go).
 //
 // # Usage
 //
@@ -101,6 +104,12 @@
 	// RunNumberBase is a lower bound: all run numbers of the job are above it. A later owner
 	// of the job thus uses higher run numbers than all earlier owners.
 	RunNumberBase ptrun.Number
+	// Durable jobs survive their owner. Their tasks are placed again after an abandoned run only
+	// once the log holds the abandonment (abandoned.go).
+	Durable bool
+	// UnknownRuns means that earlier owners may have started runs whose results are unknown. All of
+	// them have ended.
+	UnknownRuns bool
 }
 
 // State is the life-cycle state of a job.
@@ -142,7 +151,8 @@
 	failures  int
 	failedRun ptrun.Number
 	// losses contains the runs that were lost with their workers.
-	losses []RunLoss
+	losses      []RunLoss
+	abandonment abandonment
 	// TimedOutRuns counts the runs that were stopped because they took far longer than expected.
 	// The timeout of the next run grows with this count.
 	TimedOutRuns int
@@ -171,6 +181,10 @@
 	// started is true once a run of the job is known to have started, and hasLosses once a run was
 	// lost with its worker.
 	started, hasLosses bool
+	// abandonments counts the abandoned runs, and savedAbandonments those that the log holds.
+	abandonments, savedAbandonments int
+	// endedVoidRun is the VoidRun of a job that had ended when it was restored.
+	endedVoidRun ptrun.Number
 }
 
 // New returns a job whose tasks are all pending.
@@ -203,6 +217,10 @@
 		job.unfinished[i] = step.Count
 		job.remaining += step.Count
 	}
+	if spec.UnknownRuns {
+		job.AbandonUnknownRuns()
+		job.savedAbandonments = job.abandonments
+	}
 	return job, nil
 }
 
@@ -240,11 +258,15 @@
 			// A gang is placed again only after all members of its previous run have ended.
 			continue
 		}
+		first := len(ready)
 		for index := range job.tasks[i] {
-			if job.tasks[i][index].Pending() {
-				ready = append(ready, &job.tasks[i][index])
+			if task := &job.tasks[i][index]; task.Pending() && !job.awaitsSave(task) {
+				ready = append(ready, task)
 			}
 		}
+		if job.Steps[i].Gang && len(ready)-first < job.Steps[i].Count {
+			ready = ready[:first]
+		}
 	}
 	return ready
 }
@@ -298,6 +320,7 @@
 	}
 	task.placed, task.runNumber, job.started = true, run.Number, true
 	task.highestRun = max(task.highestRun, run.Number)
+	task.adopted(run.Number)
 	job.markRunning()
 	return true
 }
@@ -319,16 +342,6 @@
 	return job.RunEnded(end)
 }
 
-// IsSuperseded reports whether the end is that of a run that has ended as done, after which another
-// run of the task may have started.
-func (job *Job) IsSuperseded(end ptrun.End) bool {
-	task := job.Task(end.Run.Task)
-	if task == nil || end.Result != ptrun.Done || task.Step.LongRunning || task.Step.Speculative {
-		return false
-	}
-	return task.placed && task.runNumber > end.Run.Number || task.highestStarted > end.Run.Number
-}
-
 func (job *Job) markRunning() {
 	if job.state == Pending {
 		job.state = Running
@@ -355,6 +368,8 @@
 	JobEnded bool
 	// GivenUp is true if the job has ended as failed because the task crashes its workers.
 	GivenUp bool
+	// Abandoned is true if the result of the run is unknown.
+	Abandoned bool
 }
 
 // RunEnded processes the end of a run.
@@ -387,6 +402,9 @@
 		if isLoss(end) {
 			job.recordLoss(task, end)
 		}
+		if change.Abandoned = isAbandonment(end); change.Abandoned {
+			job.abandon(task, end.Run.Number)
+		}
 	case ptrun.Stopped:
 	}
 	if job.state.Ended() {
--- a/ptjobstore/ptjobstore.go
+++ b/ptjobstore/ptjobstore.go
@@ -99,6 +99,9 @@
 	// higher, including the occurrences that have ended.
 	Occurrences map[ptrun.Occurrence]ptgraph.Progress `json:"open,omitempty"`
 	EndedAt     time.Time                             `json:"endedAt,omitzero"`
+	// VoidRun is the highest number of a run of the ended occurrences whose end as done is void,
+	// because its task was placed again before the end arrived.
+	VoidRun ptrun.Number `json:"voidRun,omitempty"`
 }
 
 // cancelSuffix is the suffix of the keys of cancellations.
