A cut worker does not count as a crash once it responds again

No run had ended as failed, and no worker had crashed.

Cause: a run whose lease has expired at its agent counted as a loss for good, and four losses fail a job. The word that the worker has survived, the end of the run as lapsed in its list, was stored and acknowledged without effect.

Change: an end that the worker lists takes the loss back. Four losses that are not taken back hold the task: it is not started while one of them is unresolved, so a task that crashes its workers is started no more often than before. It fails the job when they were crashes, or when nobody can tell any more. The states are stored with the job. Agents send such an end at once.

Ruled out: that the agent takes the cut for a crash, that the runs count as failed.

--- a/ptassign/durable.go
+++ b/ptassign/durable.go
@@ -46,6 +46,7 @@
 	}
 	core.jobs[job.Key()] = job
 	core.enqueue(job, now)
+	core.noteHeldTasks(job, now)
 	core.placeWaiting(now)
 	return job, core.takeEffects(), nil
 }
@@ -123,6 +124,7 @@
 	if job == nil {
 		return nil, false
 	}
+	core.takeBackLoss(job, end)
 	if job.IsSuperseded(end) {
 		core.emit(RejectEnd{Agent: name, Run: end.Run})
 		return core.takeEffects(), true
@@ -135,6 +137,9 @@
 	}
 	if change.JobEnded {
 		core.closeJob(job, nil, now)
+	} else {
+		core.enqueue(job, now)
+		core.noteHeldTasks(job, now)
 	}
 	core.placeWaiting(now)
 	return core.takeEffects(), true
--- a/ptassign/ptassign.go
+++ b/ptassign/ptassign.go
@@ -176,6 +176,8 @@
 	suspects        map[ptrun.TaskID]*suspect
 	waitingSuspects int
 	isolatedRuns    int
+	// heldSince contains the tasks that wait for the resolution of their losses.
+	heldSince map[ptrun.TaskID]ptid.Instant
 }
 
 // Key returns the key of the job.
@@ -315,12 +317,14 @@
 	// connectedAt is when the agent opened its first session after it had none.
 	connectedAt, disconnectedAt ptid.Instant
 	state                       AgentState
-	hasReport                   bool
-	heldByOthers                ptrun.Demand
-	reserved                    ptrun.Demand
-	runs                        map[ptrun.ID]*placedRun
-	isolatedRuns                int
-	observed                    observations
+	// formerWorkers contains the workers that the agent has reported before.
+	formerWorkers []ptrun.WorkerID
+	hasReport     bool
+	heldByOthers  ptrun.Demand
+	reserved      ptrun.Demand
+	runs          map[ptrun.ID]*placedRun
+	isolatedRuns  int
+	observed      observations
 	// quarantined is true if the worker gets only probe tasks, because its assessment is bad
 	// compared with the assessments of the other workers of the service.
 	quarantined bool
@@ -347,6 +351,8 @@
 	bestEffort map[Key]*Job
 	// stopping contains the ended best-effort jobs that still have runs.
 	stopping map[Key]*Job
+	// heldJobs contains the jobs with tasks that wait for the resolution of their losses.
+	heldJobs map[Key]*Job
 	// waiting is sorted by the queue keys as of sortedAt. A job that has become late after
 	// sortedAt stays too far ahead in the queue until the next sort.
 	waiting  []*Job
@@ -379,7 +385,7 @@
 func New(seed uint64) *Core {
 	return &Core{
 		agents: make(map[ptid.AgentName]*agentRecord), jobs: make(map[Key]*Job), bestEffort: make(map[Key]*Job),
-		stopping:       make(map[Key]*Job),
+		stopping: make(map[Key]*Job), heldJobs: make(map[Key]*Job),
 		averageRunTime: make(map[ptid.ProfileName]float64), demands: make(map[ptid.ProfileName]*queueDemand), estimateBias: 1, waitingSince: ptid.Never,
 		ownershipExpiresAt: ptid.Never,
 		random:             rand.New(rand.NewPCG(seed, 1)),
@@ -835,6 +841,7 @@
 		agent.observed, agent.quarantined = newObservations(), false
 	}
 	agent.observed.mergeReport(state.Assessment, now)
+	agent.setWorker(state.Worker)
 	severityChanged := agent.state.Assessment.Severity() != state.Assessment.Severity()
 	agent.state, agent.hasReport = state, true
 	if severityChanged {
@@ -899,6 +906,7 @@
 	}
 	if !job.State().Ended() {
 		core.enqueue(job, now)
+		core.noteHeldTasks(job, now)
 	}
 }
 
@@ -980,6 +988,7 @@
 		}
 		core.stopHangingRuns(agent, now)
 	}
+	core.reviewHeldTasks(now)
 	core.expireAll(core.jobsWithoutWorker(now), NoWorker, now)
 	var expired []Key
 	for key, job := range core.bestEffort {
--- a/ptbroker/ptbroker.go
+++ b/ptbroker/ptbroker.go
@@ -317,6 +317,12 @@
 			broker.deps.Metrics.Counter(ptmetric.TasksGivenUp).Inc()
 			broker.deps.Log.Info("task given up", "reason", ptreason.CrashesWorkers, "job", effect.Run.Task.Job, "step", effect.Run.Task.Step,
 				"task", effect.Run.Task.Index, "run", effect.Run.Number, "agent", effect.Agent, "losses", effect.Losses)
+		case ptassign.TaskHeld:
+			broker.deps.Log.Info("task held until the losses of its runs are resolved", "job", effect.Job.ID, "step", effect.Task.Step,
+				"task", effect.Task.Index, "losses", effect.Losses)
+		case ptassign.LossResolved:
+			broker.deps.Log.Info("loss of a run resolved", "job", effect.Run.Task.Job, "step", effect.Run.Task.Step, "task", effect.Run.Task.Index,
+				"run", effect.Run.Number, "workerSurvived", effect.Fate == ptgraph.WorkerSurvived)
 		case ptassign.RejectEnd:
 			if agent := broker.agentSessions[effect.Agent]; agent != nil {
 				broker.deps.Log.Info("end rejected, the task has started again", "job", effect.Run.Task.Job, "step", effect.Run.Task.Step,
--- a/ptdrill/entry.go
+++ b/ptdrill/entry.go
@@ -132,6 +132,10 @@
 			entry.ownership.progressMade(effect)
 		case ptassign.TaskGivenUp:
 			entry.simulation.trace("%s gives up %v: %+v", entry.name(), effect.Run, effect.Losses)
+		case ptassign.TaskHeld:
+			entry.simulation.trace("%s holds %v: %+v", entry.name(), effect.Task, effect.Losses)
+		case ptassign.LossResolved:
+			entry.simulation.trace("%s resolves the loss of %v: survived %t", entry.name(), effect.Run, effect.Fate == ptgraph.WorkerSurvived)
 		case ptassign.RequestAdvice, ptassign.WorkerQuarantined:
 		}
 	}
--- a/ptdrill/faults.go
+++ b/ptdrill/faults.go
@@ -57,6 +57,11 @@
 	schedule(faults.Mismatches, 2*time.Second, func() {
 		simulation.crashWorker(simulation.random.IntN(agents), simulation.between(time.Millisecond, 200*time.Millisecond))
 	})
+	schedule(faults.WorkerCuts, 800*time.Millisecond, func() {
+		worker, duration := simulation.workers[simulation.random.IntN(agents)], simulation.between(2*time.Second, 12*time.Second)
+		worker.stalledUntil = max(worker.stalledUntil, simulation.Now().Add(duration))
+		simulation.trace("%s is cut off for %s", workerName(worker.identity), duration)
+	})
 	schedule(faults.LongCuts, 8*time.Second, func() {
 		entryIndex, duration := simulation.random.IntN(entries), simulation.between(3*time.Second, 9*time.Second)
 		for index := range agents {
--- a/ptdrill/ptdrill.go
+++ b/ptdrill/ptdrill.go
@@ -95,6 +95,9 @@
 	// CrashingTasks: a task of 3 % of the jobs crashes each worker that starts it, mostly some
 	// milliseconds after its start. The worker is back after 1 to 4 s.
 	CrashingTasks bool
+	// WorkerCuts: a worker responds to nothing for 2 to 12 s, several at a time. Its lease and its runs
+	// go on.
+	WorkerCuts bool
 	// LongCuts: an entry is cut off from some or all agents for 3 to 9 s. It still reaches the log.
 	LongCuts bool
 	// ChangingCapacity: the capacity of a worker shrinks to 10 % to 90 % for 1 to 12 s.
--- a/ptdrill/ptdrill_test.go
+++ b/ptdrill/ptdrill_test.go
@@ -119,6 +119,16 @@
 	play(test, ptdrill.Setting{Durable: true, Faults: ptdrill.Faults{Single: true, Mass: true, LongCuts: true}})
 }
 
+// Guards against failing a job whose workers were cut off and have survived.
+func TestSeedsWithDurableJobsAndWorkerCuts(test *testing.T) {
+	play(test, ptdrill.Setting{Durable: true, Faults: ptdrill.Faults{WorkerCuts: true}})
+}
+
+// Tasks that are isolated one after the other need longer to settle.
+func TestSeedsWithWorkerCutsAndTasksThatCrashTheirWorkers(test *testing.T) {
+	play(test, ptdrill.Setting{Durable: true, SettleTime: 90 * time.Second, Faults: ptdrill.Faults{WorkerCuts: true, CrashingTasks: true}})
+}
+
 func TestSeedsWithChangingCapacity(test *testing.T) {
 	play(test, ptdrill.Setting{Durable: true, Faults: ptdrill.Faults{Single: true, Mass: true, ChangingCapacity: true}})
 }
--- a/ptdrill/worker.go
+++ b/ptdrill/worker.go
@@ -184,7 +184,11 @@
 	delete(worker.runs, id)
 	worker.recordEnded(id)
 	worker.sequence++
-	worker.ends = append(worker.ends, ptrun.ListedEnd{Sequence: worker.sequence, End: ptrun.End{Run: id, Result: result}})
+	listed := ptrun.End{Run: id, Result: result}
+	if result == ptrun.Lost {
+		listed.Reason = ptrun.ReasonLeaseEnforced
+	}
+	worker.ends = append(worker.ends, ptrun.ListedEnd{Sequence: worker.sequence, End: listed})
 	simulation.monitor.runEnded(id, worker)
 	polls := worker.polls
 	worker.polls = nil
--- a/ptgraph/ptgraph.go
+++ b/ptgraph/ptgraph.go
@@ -8,7 +8,8 @@
 //     that did not complete the task, the task is pending again. Only a failed run uses up
 //     an attempt; a run that was stopped, lost or never started does not.
 //  3. A task that has failed as often as its queue allows fails the job. So does a task that
-//     crashes its workers (crash.go).
+//     crashes its workers. A worker that is only silent has not crashed: its loss is taken back
+//     once it responds (crash.go).
 //  4. A job ends when all of its tasks are done, when it fails, or when it is given up. The
 //     owner must then stop the runs that are still placed.
 //  5. A refusal states that no run of the job has started or will start. A job can
@@ -260,7 +261,7 @@
 		}
 		first := len(ready)
 		for index := range job.tasks[i] {
-			if task := &job.tasks[i][index]; task.Pending() && !job.awaitsSave(task) {
+			if task := &job.tasks[i][index]; task.Pending() && !job.awaitsSave(task) && !task.IsHeld() {
 				ready = append(ready, task)
 			}
 		}
--- a/ptruncontrol/durable.go
+++ b/ptruncontrol/durable.go
@@ -45,6 +45,11 @@
 	case run == nil && isNew && core.unacked[id] != nil && core.ends[id] == nil:
 		core.ends[id] = &endRecord{end: listed.End, at: now, expiresAt: ptid.Never}
 		core.emit(BroadcastEnd{End: listed.End})
+	case run == nil && isNew && core.unacked[id] != nil:
+		// The end was declared before, for lack of a response. The listed one shows that the worker has
+		// not crashed.
+		core.ends[id].end = listed.End
+		core.emit(BroadcastEnd{End: listed.End})
 	}
 }
 
--- a/ptsim/entry.go
+++ b/ptsim/entry.go
@@ -123,7 +123,7 @@
 			entry.send(agent, func() { agent.applyEffects(agent.core.QueryRun(entry.owner(), effect.Run, simulation.Now())) })
 		case ptassign.JobEnded:
 			simulation.jobEnded(effect.Job.ID, effect.Job.State(), effect.Refusal != nil)
-		case ptassign.SaveProgress, ptassign.RejectEnd, ptassign.RequestAdvice, ptassign.WorkerQuarantined:
+		case ptassign.SaveProgress, ptassign.RejectEnd, ptassign.TaskHeld, ptassign.LossResolved, ptassign.RequestAdvice, ptassign.WorkerQuarantined:
 		}
 	}
 }
