A cancellation that precedes the spec of its job is kept

Cause: the log carries out a write without a response seconds late. The owner ignored the cancellation of a job that it did not know, and looked for none when the spec came.

Change: the owner keeps the cancellations of unknown jobs for as long as the state of an ended job, and ends a job that has one as soon as its spec is read, on every path. Then it deletes them; before, they stayed in the log for good. The state of a job that is read from the log, because its owner does not respond, takes its cancellation into account.

Ruled out: a lost record (the next owner reads it), runs that are not stopped (the jobs had not started).

--- a/ptbroker/durable.go
+++ b/ptbroker/durable.go
@@ -121,9 +121,11 @@
 	// has not read yet. unresolved holds the runs of unknown jobs. resolving holds the jobs with
 	// a log lookup in progress. missing holds the jobs that the log does not contain.
 	orphanProgress map[ptid.JobID]ptjobstore.Progress
-	unresolved     map[ptid.JobID][]unresolvedRun
-	resolving      map[ptid.JobID]bool
-	missing        map[ptid.JobID]bool
+	// cancelled holds the cancellations of unknown jobs (cancel.go).
+	cancelled  map[ptid.JobID]*cancellation
+	unresolved map[ptid.JobID][]unresolvedRun
+	resolving  map[ptid.JobID]bool
+	missing    map[ptid.JobID]bool
 }
 
 // markChanged marks a job whose progress must be saved.
@@ -164,12 +166,6 @@
 	return broker.putRecord(ctx, spec.ID, ptjobstore.Record{Key: ptjobstore.SpecKey(spec.ID), Value: record})
 }
 
-// CancelDurable writes the cancellation of a job to the log.
-func (broker *Broker) CancelDurable(ctx context.Context, id ptid.JobID) (err error) {
-	defer func() { broker.deps.Log.Info("put cancellation record", "job", id, "error", errorText(err)) }()
-	return broker.putRecord(ctx, id, ptjobstore.Record{Key: ptjobstore.CancelKey(id), Value: []byte("{}")})
-}
-
 func errorText(err error) string {
 	if err == nil {
 		return ""
@@ -267,7 +263,7 @@
 			number: number, epoch: membership.Epoch, stop: stop, jobs: make(map[ptid.JobID]*durableJob),
 			dirty: make(map[ptid.JobID]bool), scheduled: make(map[ptid.JobID]*durableJob), recovering: true, acquiredAt: broker.deps.Clock.Now(),
 			orphanProgress: make(map[ptid.JobID]ptjobstore.Progress), unresolved: make(map[ptid.JobID][]unresolvedRun),
-			resolving: make(map[ptid.JobID]bool), missing: make(map[ptid.JobID]bool),
+			resolving: make(map[ptid.JobID]bool), missing: make(map[ptid.JobID]bool), cancelled: make(map[ptid.JobID]*cancellation),
 		}
 		ownership.partitions[number] = partition
 		go broker.runPartition(partitionCtx, partition)
@@ -377,6 +373,8 @@
 		switch {
 		case isCancellation && len(record.Value) > 0:
 			broker.cancelJob(partition, id)
+		case isCancellation:
+			delete(partition.cancelled, id)
 		case !isCancellation && len(record.Value) > 0 && partition.jobs[id] == nil:
 			broker.addJob(partition, id, record.Value)
 		}
@@ -397,6 +395,9 @@
 		delete(partition.orphanProgress, id)
 	}
 	partition.jobs[id] = job
+	if partition.cancelled[id] != nil && !job.progress.State.Ended() {
+		broker.cancelJob(partition, id)
+	}
 	if job.progress.State.Ended() {
 		broker.adoptUnresolved(partition, id)
 		return
@@ -446,16 +447,6 @@
 	}
 }
 
-// cancelJob ends a job that a caller has cancelled. The caller of cancelJob holds the lock.
-func (broker *Broker) cancelJob(partition *ownedPartition, id ptid.JobID) {
-	job := partition.jobs[id]
-	if job == nil || job.progress.State.Ended() {
-		return
-	}
-	broker.deps.Log.Info("durable job cancelled", "job", id, "partition", partition.number)
-	broker.endJob(partition, job, ptgraph.GivenUp)
-}
-
 // endJob ends a job with all its occurrences. The caller holds the lock.
 func (broker *Broker) endJob(partition *ownedPartition, job *durableJob, state ptgraph.State) {
 	job.progress.State, job.progress.EndedAt = state, time.Now()
@@ -635,6 +626,7 @@
 		if now >= partition.nextCleanupAt {
 			partition.nextCleanupAt = now.Add(broker.setting.EndedJobRetention / cleanupsPerRetention)
 			broker.deleteExpiredJobs(partition)
+			broker.deleteExpiredCancellations(partition, now)
 			broker.resolveOrphanProgress(partition)
 		}
 		if len(partition.dirty) > 0 && !partition.saving {
@@ -819,11 +811,7 @@
 func (broker *Broker) deleteJob(partition *ownedPartition, id ptid.JobID, job *durableJob) {
 	var err error
 	for _, key := range []string{ptjobstore.SpecKey(id), ptjobstore.CancelKey(id)} {
-		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
-		err = broker.ownership.store.Put(ctx, partition.number, ptjobstore.Record{Key: key})
-		cancel()
-		if err != nil {
-			broker.deps.Log.Info("failed to delete record of expired job", "key", key, "error", err.Error())
+		if err = broker.deleteRecord(partition, key); err != nil {
 			break
 		}
 	}
--- a/ptbroker/peers.go
+++ b/ptbroker/peers.go
@@ -177,8 +177,17 @@
 			return 0, false, err
 		}
 		return progress.State, true, nil
+	case len(spec) == 0:
+		return 0, false, nil
+	}
+	cancelled, err := broker.ownership.store.IsCancelled(ctx, partition, id)
+	switch {
+	case err != nil:
+		return 0, false, ErrStateUnknown
+	case cancelled:
+		return ptgraph.GivenUp, true, nil
 	default:
-		return ptgraph.Pending, len(spec) > 0, nil
+		return ptgraph.Pending, true, nil
 	}
 }
 
--- a/ptjobstore/ptjobstore.go
+++ b/ptjobstore/ptjobstore.go
@@ -188,6 +188,8 @@
 	// Lookup returns the latest spec and the latest progress of a job; each is nil if there is
 	// no record.
 	Lookup(ctx context.Context, partition Partition, job ptid.JobID) (spec, progress []byte, err error)
+	// IsCancelled reports whether there is a cancellation of a job.
+	IsCancelled(ctx context.Context, partition Partition, job ptid.JobID) (cancelled bool, err error)
 	// Fence makes the log reject progress writes of owners with a lower epoch.
 	Fence(ctx context.Context, partition Partition, epoch Epoch) (err error)
 	// Save writes progress as the owner of an epoch. sequence counts the owner's writes
--- a/ptstandin/job_store.go
+++ b/ptstandin/job_store.go
@@ -149,6 +149,18 @@
 	return spec, store.progress[partition][string(job)], store.injectedFault(JobStoreRead)
 }
 
+// IsCancelled implements [ptjobstore.Store].
+func (store *JobStoreClient) IsCancelled(_ context.Context, partition ptjobstore.Partition, job ptid.JobID) (cancelled bool, err error) {
+	store.mu.Lock()
+	defer store.mu.Unlock()
+	for _, record := range store.logs[partition] {
+		if record.Key == ptjobstore.CancelKey(job) {
+			cancelled = len(record.Value) > 0
+		}
+	}
+	return cancelled, store.injectedFault(JobStoreRead)
+}
+
 // Fence implements [ptjobstore.Store].
 func (store *JobStoreClient) Fence(_ context.Context, partition ptjobstore.Partition, epoch ptjobstore.Epoch) (err error) {
 	return store.save(partition, epoch, nil)
