A best-effort job is cancelled at whichever entry its caller waits

Cause: what is not open at an entry was taken for a durable job. Its cancellation was stored, which nobody reads for a best-effort job.

Change: an entry that does not know the job asks the others, unless the job is known as a durable one, and does not acknowledge the cancellation while one of them does not respond. Ruled out: to ask always (a durable job's cancellation would depend on all entries).

--- a/ptbroker/peers.go
+++ b/ptbroker/peers.go
@@ -212,10 +212,14 @@
 }
 
 // Job implements the DRPC service for other entries. It returns the state of a job that this
-// entry owns or, if the query contains a record, writes the record to the log.
+// entry owns. If the query contains a record, Job writes it to the log; if it is a cancellation, Job
+// cancels a job whose callers wait at this entry.
 func (broker *Broker) Job(ctx context.Context, query *ptwire.JobQuery) (reply *ptwire.JobReply, err error) {
-	if query.PutKey != "" {
+	switch {
+	case query.PutKey != "":
 		return broker.putForPeer(ctx, query), nil
+	case query.Cancel:
+		return broker.cancelForPeer(ptid.JobID(query.Job)), nil
 	}
 	view, known := broker.localView(ptid.JobID(query.Job))
 	return &ptwire.JobReply{Known: known, Ended: view.state.Ended(), EndsSoon: view.selfTerminating, Tasks: []*ptwire.TaskEnd{{State: uint32(view.state)}}}, nil
