--- a/review/harness-2/cluster.go
+++ b/review/harness-2/cluster.go
@@ -20,7 +20,7 @@
 	zoneName    = "caerdydd"
 	queueHost   = "jobs.example"
 	queuePrefix = "/queue-a/"
-	// workerCapacity is the capacity of a minion in thousandths of a core.
+	// workerCapacity is the capacity of a worker in thousandths of a core.
 	workerCapacity = 64000
 	restartDelay   = 500 * time.Millisecond
 )
@@ -117,9 +117,9 @@
 )
 
 func (cluster *cluster) configure(version int, extra string) {
-	cluster.store.put("keyed.op", "config", fmt.Appendf(nil, `{"version":%d,"routes":[{"name":"queue-a","host":%q,"path-prefix":%q,"timeout-ms":1500,`+
+	cluster.store.put("keyed.op", "config", fmt.Appendf(nil, `{"version":%d,"routes":[{"name":"queue-a","host":%q,%q:%q,"timeout-ms":1500,`+
 		`"target-latency-ms":60,"priority":0,"backend":%q,"max-attempts":2,"stretch":1.6}%s],"backends":[{"name":%q}],"limits":{}}`,
-		version, queueHost, queuePrefix, serviceName, extra, serviceName))
+		version, queueHost, wire.Prefix, queuePrefix, serviceName, extra, serviceName))
 }
 
 // settingsText returns the settings that both roles share.
@@ -244,7 +244,7 @@
 	_ = process.command.Process.Signal(signal)
 }
 
-// startAll starts all processes and minions, but the entries from the given one on, and waits until
+// startAll starts all processes and workers, but the entries from the given one on, and waits until
 // the entries are ready.
 func (cluster *cluster) startAll(entries int) error {
 	for _, process := range cluster.entries[:entries] {
--- a/review/harness-2/jobs.go
+++ b/review/harness-2/jobs.go
@@ -15,7 +15,7 @@
 
 // jobBody returns the body of a job of one step. fields are further fields of the step.
 func jobBody(count, cpu int, work, fields string) string {
-	return fmt.Sprintf(`{"spec":%s,"steps":[{"count":%d,"cpu":%d,"mem-mb":64%s}]}`, strconv.Quote(work), count, cpu, fields)
+	return fmt.Sprintf(`{"spec":%s,"steps":[{"count":%d,"cpu":%d,%q:64%s}]}`, strconv.Quote(work), count, cpu, wire.Memory, fields)
 }
 
 // submit hands in a job that has to be kept until it is accepted.
--- a/review/harness-2/losses.go
+++ b/review/harness-2/losses.go
@@ -16,12 +16,12 @@
 	idleLimit  = 3 * time.Second
 )
 
-// emptied takes four of eleven minions away, one after the other, each while it runs the only task of a
+// emptied takes four of eleven workers away, one after the other, each while it runs the only task of a
 // job.
 func emptied(record *record, trouble bool) (verdict string, err error) {
 	const (
 		removals = 4
-		// A minion serves for drain-ms and a little longer.
+		// A worker serves for drain-ms and a little longer.
 		serveFor = 2300 * time.Millisecond
 		settle   = 15 * time.Second
 		watch    = 10 * time.Second
@@ -45,7 +45,7 @@
 		if trouble {
 			time.Sleep(300 * time.Millisecond)
 			cluster.workerOf(run).leave(serveFor)
-			record.event("%d minions are left", cluster.liveWorkers())
+			record.event("%d workers are left", cluster.liveWorkers())
 		}
 	}
 	lastChange := time.Now()
@@ -63,7 +63,7 @@
 		}
 	}
 	if idle := time.Since(idleSince); idle > finishTime+idleLimit {
-		return fmt.Sprintf("LOST: the job has had nothing running for %s, while %d minions are idle: %s", idle.Round(time.Millisecond), cluster.liveWorkers(), describe(record.runsOf(task))), errBroken
+		return fmt.Sprintf("LOST: the job has had nothing running for %s, while %d workers are idle: %s", idle.Round(time.Millisecond), cluster.liveWorkers(), describe(record.runsOf(task))), errBroken
 	}
 	return "the job runs: " + describe(record.runsOf(task)), nil
 }
--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -1,7 +1,7 @@
 //go:build review2
 
 // Command harness-2 plays the scripts of the second review. It starts the programs of the project as
-// separate processes on loopback addresses, and has stand-ins for the platform's store, the minions
+// separate processes on loopback addresses, and has stand-ins for the platform's store, the workers
 // and the clients.
 //
 //	harness-2 SCENARIO RECORD
--- a/review/harness-2/pending.go
+++ b/review/harness-2/pending.go
@@ -33,7 +33,7 @@
 	}
 	for until := time.Now().Add(15 * time.Second); len(record.all()) < workers; time.Sleep(50 * time.Millisecond) {
 		if time.Now().After(until) {
-			return "", fmt.Errorf("only %d minions are in use", len(record.all()))
+			return "", fmt.Errorf("only %d workers are in use", len(record.all()))
 		}
 	}
 	var accepted atomic.Int64
--- a/review/harness-2/starved.go
+++ b/review/harness-2/starved.go
@@ -10,12 +10,12 @@
 
 func init() { scenarios["starved"] = starved }
 
-// starved takes four of eleven minions away, one after the other: those that run the two tasks of a job
+// starved takes four of eleven workers away, one after the other: those that run the two tasks of a job
 // that lasts, and those to which these tasks have moved.
 func starved(record *record, trouble bool) (verdict string, err error) {
 	const (
 		tasks, rounds = 2, 2
-		// A minion serves for drain-ms and a little longer.
+		// A worker serves for drain-ms and a little longer.
 		serveFor = 2300 * time.Millisecond
 		gap      = time.Second
 		watch    = 30 * time.Second
@@ -46,7 +46,7 @@
 		time.Sleep(gap)
 		if trouble {
 			cluster.leaveInTurn(leaving, serveFor, gap)
-			record.event("%d minions are left", cluster.liveWorkers())
+			record.event("%d workers are left", cluster.liveWorkers())
 		}
 	}
 	for calmSince := time.Now(); time.Since(calmSince) < watch; {
@@ -61,12 +61,12 @@
 		}
 	}
 	if len(idle) > 0 {
-		return fmt.Sprintf("LOST: %d of %d tasks that last don't run, with %d minions up:\n%s", len(idle), tasks, cluster.liveWorkers(), strings.Join(idle, "\n")), errBroken
+		return fmt.Sprintf("LOST: %d of %d tasks that last don't run, with %d workers up:\n%s", len(idle), tasks, cluster.liveWorkers(), strings.Join(idle, "\n")), errBroken
 	}
 	return fmt.Sprintf("all %d tasks run", tasks), nil
 }
 
-// leaveInTurn takes minions away, each a little after the one before has begun to drain, and waits for
+// leaveInTurn takes workers away, each a little after the one before has begun to drain, and waits for
 // their ends.
 func (cluster *cluster) leaveInTurn(leaving []*worker, serveFor, gap time.Duration) {
 	ended := make(chan struct{}, len(leaving))
--- a/review/harness-2/store.go
+++ b/review/harness-2/store.go
@@ -169,14 +169,14 @@
 		return
 	}
 	switch request.URL.Path {
-	case "/log-append":
+	case wire.Append:
 		status, answer := store.append(topic, part, query.Get("producer") != "", query.Get("epoch"), query.Get("seq"), body)
 		writeJSON(writer, status, answer)
-	case "/log-read":
-		store.read(request.Context(), machine, writer, topic, part, query.Get("from"), query.Get("wait-ms"))
-	case "/log-newest":
+	case wire.Read:
+		store.read(request.Context(), machine, writer, topic, part, query.Get("from"), query.Get(wire.Wait))
+	case wire.Newest:
 		writeJSON(writer, http.StatusOK, store.page(topic, part, query.Get("after")))
-	case "/log-join":
+	case wire.Join:
 		writeJSON(writer, http.StatusOK, store.join(body))
 	case "/log-leave":
 		store.leave(body)
--- a/review/harness-2/worker.go
+++ b/review/harness-2/worker.go
@@ -60,7 +60,7 @@
 	return text
 }
 
-// worker is a stand-in of a minion. Crash and restart replace its incarnation.
+// worker is a stand-in of a worker. Crash and restart replace its incarnation.
 type worker struct {
 	cluster          *cluster
 	machine          string
@@ -173,11 +173,11 @@
 	}
 	body, _ := json.Marshal(map[string]any{
 		"backend": serviceName, "address": worker.address, "zone": zoneName, "version": "v1", "slots": 8, "state": state, "cold-left-ms": 0,
-		"capacity": map[string]any{"cpu": worker.capacity, "mem-mb": 262144, "gpu": 0}, "labels": []string{"a", "r1-1"},
+		"capacity": map[string]any{"cpu": worker.capacity, wire.Memory: 262144, "gpu": 0}, "labels": []string{"a", "r1-1"},
 		"clock-ms": worker.clock(), "seq": worker.sequence, "born": worker.born.UnixMilli(),
 	})
 	worker.mu.Unlock()
-	return worker.post("/Instances.Heartbeat/"+id, body), true
+	return worker.post(wire.Heartbeat+id, body), true
 }
 
 // post sends a report to the agent.
@@ -234,25 +234,44 @@
 	worker.endSignal = make(chan struct{})
 }
 
+// workerCall is a call to a worker. Each kind of call has some of the fields.
 type workerCall struct {
-	Task    string `json:"task"`
-	Run     uint64 `json:"run"`
-	Spec    string `json:"spec"`
-	Until   int64  `json:"deadline-ms"`
-	Token   uint64 `json:"fence-token"`
-	Seen    uint64 `json:"seen-upto"`
-	WaitMs  int64  `json:"wait-ms"`
-	Percent int    `json:"percent"`
+	task, spec       string
+	run, token, seen uint64
+	until, waitMs    int64
+}
+
+func parseCall(body []byte) (call workerCall, err error) {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(body, &fields); err != nil {
+		return call, err
+	}
+	targets := map[string]any{
+		"task": &call.task, "spec": &call.spec, "run": &call.run, "deadline-ms": &call.until,
+		wire.Token: &call.token, wire.Seen: &call.seen, wire.Wait: &call.waitMs,
+	}
+	for name, target := range targets {
+		if len(fields[name]) == 0 {
+			continue
+		}
+		if err := json.Unmarshal(fields[name], target); err != nil {
+			return call, err
+		}
+	}
+	return call, nil
 }
 
 func (worker *worker) serve(id string, writer http.ResponseWriter, request *http.Request) {
-	var call workerCall
 	body, err := io.ReadAll(request.Body)
-	if err != nil || json.Unmarshal(body, &call) != nil {
+	if err != nil {
+		return
+	}
+	call, err := parseCall(body)
+	if err != nil {
 		writer.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if request.URL.Path == "/hold" && call.WaitMs > 0 {
+	if request.URL.Path == "/hold" && call.waitMs > 0 {
 		// The lease is extended when the call arrives, and the response waits for an end.
 		status, answer := worker.execute(id, request, call)
 		if status != http.StatusOK || len(answer["finished"].([][]any)) > 0 {
@@ -265,9 +284,9 @@
 		select {
 		case <-signal:
 		case <-request.Context().Done():
-		case <-time.After(time.Duration(min(call.WaitMs, 2000)) * time.Millisecond):
+		case <-time.After(time.Duration(min(call.waitMs, 2000)) * time.Millisecond):
 		}
-		call.Until = 0
+		call.until = 0
 	}
 	status, answer := worker.execute(id, request, call)
 	writeJSON(writer, status, answer)
@@ -281,28 +300,28 @@
 	if !worker.isLive(id) || expected != "" && expected != worker.id {
 		return http.StatusMisdirectedRequest, answer
 	}
-	if call.Token < worker.token {
+	if call.token < worker.token {
 		answer["reason"] = "fence"
 		return http.StatusConflict, answer
 	}
-	worker.token = call.Token
+	worker.token = call.token
 	worker.settle()
-	key := fmt.Sprintf("%s/%d", call.Task, call.Run)
+	key := fmt.Sprintf("%s/%d", call.task, call.run)
 	switch request.URL.Path {
-	case "/run-start":
+	case wire.Start:
 		if reason := worker.startRun(key, call); reason != "" {
 			answer["reason"] = reason
 			return http.StatusConflict, answer
 		}
-	case "/run-stop":
-		worker.highest[call.Task] = max(worker.highest[call.Task], call.Run)
+	case wire.Stop:
+		worker.highest[call.task] = max(worker.highest[call.task], call.run)
 		if worker.active[key] != nil {
-			worker.cluster.record.event("minion %s was told to stop %s run %d", worker.id, call.Task, call.Run)
+			worker.cluster.record.event("worker %s was told to stop %s run %d", worker.id, call.task, call.run)
 			worker.end(key, "stopped")
 		}
 	case "/hold":
-		worker.extend(call.Until)
-		worker.acknowledge(call.Seen)
+		worker.extend(call.until)
+		worker.acknowledge(call.seen)
 		answer["running"], answer["finished"] = worker.rows()
 	case "/pace":
 	default:
@@ -344,23 +363,23 @@
 	switch {
 	case worker.active[key] != nil:
 		return ""
-	case call.Run <= worker.highest[call.Task]:
-		worker.extend(call.Until)
+	case call.run <= worker.highest[call.task]:
+		worker.extend(call.until)
 		return "old"
-	case worker.clock() > call.Until:
+	case worker.clock() > call.until:
 		return "late"
 	}
-	run := &taskRun{task: call.Task, number: call.Run, worker: worker.id, machine: worker.machine, spec: call.Spec, started: time.Now()}
-	if err := json.NewDecoder(strings.NewReader(call.Spec)).Decode(&run.work); err != nil {
+	run := &taskRun{task: call.task, number: call.run, worker: worker.id, machine: worker.machine, spec: call.spec, started: time.Now()}
+	if err := json.NewDecoder(strings.NewReader(call.spec)).Decode(&run.work); err != nil {
 		return "room"
 	}
 	worker.active[key] = run
-	worker.extend(call.Until)
+	worker.extend(call.until)
 	worker.cluster.record.started(run)
 	return ""
 }
 
-// leave empties the minion and takes it away: it reports that it drains, goes on for a while after the
+// leave empties the worker and takes it away: it reports that it drains, goes on for a while after the
 // acknowledgement, deregisters and ends.
 func (worker *worker) leave(serveFor time.Duration) {
 	worker.mu.Lock()
@@ -368,9 +387,9 @@
 	id := worker.id
 	worker.mu.Unlock()
 	acknowledged, _ := worker.beat(id)
-	worker.cluster.record.event("minion %s reports that it drains, acknowledged: %t", id, acknowledged)
+	worker.cluster.record.event("worker %s reports that it drains, acknowledged: %t", id, acknowledged)
 	time.Sleep(serveFor)
-	acknowledged = worker.post("/Instances.Deregister/"+id, []byte("{}"))
-	worker.cluster.record.event("minion %s deregisters, acknowledged: %t, and ends", id, acknowledged)
-	worker.endLife("ended with its minion")
+	acknowledged = worker.post(wire.Deregister+id, []byte("{}"))
+	worker.cluster.record.event("worker %s deregisters, acknowledged: %t, and ends", id, acknowledged)
+	worker.endLife("ended with its worker")
 }
