review: two trials, jobs that block all others and workers that are not used any more

Cause: placeWaiting stops after 64 jobs that it can't place, whatever they wait for; a worker with three failures takes one run at a time until a run is done, which tasks that last never give.

--- a/review/harness-2/cluster.go
+++ b/review/harness-2/cluster.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -22,6 +23,7 @@
 	queuePrefix = "/queue-a/"
 	// workerCapacity is the capacity of a worker in thousandths of a core.
 	workerCapacity = 64000
+	workersPerRack = 3
 	restartDelay   = 500 * time.Millisecond
 )
 
@@ -53,6 +55,8 @@
 	agents    []*process
 	workers   []*worker
 	seeds     int
+	// calm is true once tasks that last fail no more.
+	calm atomic.Bool
 }
 
 // newCluster prepares a deployment; the first seeds entries are the seeds of all processes.
@@ -122,6 +126,9 @@
 		version, queueHost, wire.Prefix, queuePrefix, serviceName, extra, serviceName))
 }
 
+// rackLabel returns the label of the rack of a worker.
+func rackLabel(index int) string { return fmt.Sprintf("r1-%d", index/workersPerRack+1) }
+
 // settingsText returns the settings that both roles share.
 func (cluster *cluster) settingsText(name, class, serves, ip, storeAddress string) string {
 	seeds := []string{}
@@ -199,7 +206,7 @@
 	text := fmt.Sprintf(cluster.settingsText(name, "side", `"side"`, cluster.ip(groupAgent, index), storeAddress),
 		fmt.Sprintf("app = %q\nbackend = %q\n[bind-addrs]\ncontrol = %q", app, serviceName, control))
 	cluster.agents = append(cluster.agents, &process{name: name, role: "agent", settings: text})
-	cluster.workers = append(cluster.workers, newWorker(cluster, name, app, control, workerCapacity))
+	cluster.workers = append(cluster.workers, newWorker(cluster, name, app, control, workerCapacity, rackLabel(index)))
 	return nil
 }
 
--- a/review/harness-2/worker.go
+++ b/review/harness-2/worker.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -29,6 +30,8 @@
 	Ms      int64 `json:"ms,omitempty"`
 	Lasting bool  `json:"lasting,omitempty"`
 	Fails   bool  `json:"fails,omitempty"`
+	// FailsMs is how long a run of a lasting task takes on average until it fails; zero if it does not.
+	FailsMs int64 `json:"failsMs,omitempty"`
 }
 
 // taskRun is a run of a task as its worker sees it.
@@ -40,6 +43,8 @@
 	work    work
 	spec    string
 	started time.Time
+	// failsAt is when a run of a lasting task fails; zero if it does not.
+	failsAt time.Time
 	// ended is zero while the run is active.
 	ended time.Time
 	how   string
@@ -66,6 +71,7 @@
 	machine          string
 	address, control string
 	capacity         int64
+	rack             string
 
 	mu        sync.Mutex
 	server    *http.Server
@@ -85,8 +91,8 @@
 	closed    chan struct{}
 }
 
-func newWorker(cluster *cluster, machine, address, control string, capacity int64) *worker {
-	return &worker{cluster: cluster, machine: machine, address: address, control: control, capacity: capacity, closed: make(chan struct{})}
+func newWorker(cluster *cluster, machine, address, control string, capacity int64, rack string) *worker {
+	return &worker{cluster: cluster, machine: machine, address: address, control: control, capacity: capacity, rack: rack, closed: make(chan struct{})}
 }
 
 // start begins a new incarnation.
@@ -173,7 +179,7 @@
 	}
 	body, _ := json.Marshal(map[string]any{
 		"backend": serviceName, "address": worker.address, "zone": zoneName, "version": "v1", "slots": 8, "state": state, "cold-left-ms": 0,
-		"capacity": map[string]any{"cpu": worker.capacity, wire.Memory: 262144, "gpu": 0}, "labels": []string{"a", "r1-1"},
+		"capacity": map[string]any{"cpu": worker.capacity, wire.Memory: 262144, "gpu": 0}, "labels": []string{"a", worker.rack},
 		"clock-ms": worker.clock(), "seq": worker.sequence, "born": worker.born.UnixMilli(),
 	})
 	worker.mu.Unlock()
@@ -215,6 +221,8 @@
 		switch {
 		case expired:
 			worker.end(key, "lapsed")
+		case !run.failsAt.IsZero() && now.After(run.failsAt) && !worker.cluster.calm.Load():
+			worker.end(key, "failed")
 		case complete && run.work.Fails:
 			worker.end(key, "failed")
 		case complete:
@@ -373,6 +381,9 @@
 	if err := json.NewDecoder(strings.NewReader(call.spec)).Decode(&run.work); err != nil {
 		return "room"
 	}
+	if run.work.FailsMs > 0 {
+		run.failsAt = run.started.Add(time.Duration(rand.ExpFloat64() * float64(run.work.FailsMs) * float64(time.Millisecond)))
+	}
 	worker.active[key] = run
 	worker.extend(call.until)
 	worker.cluster.record.started(run)
