review: cases are renumbered, two give their places to graver ones

Change: unknown-agent is case 8, starved 9, budget 10. The cases of minions that are emptied under one task and of pending-jobs are taken out; their scenarios stay in the harness.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -6,4 +6,4 @@
   exit 2
 fi
 export TROUBLE="${TROUBLE:-1}"
-exec target/review2 emptied review/8/record.txt
+exec target/review2 unknown-agent review/8/record.txt
