--- a/review/harness-2/fragile.go
+++ b/review/harness-2/fragile.go
@@ -42,10 +42,10 @@
 	}
 	time.Sleep(watch)
 	var lost []string
-	idle := 0
+	notStarted := 0
 	for _, id := range plain {
 		if len(record.runsOf(id+".0.0.0")) == 0 {
-			idle++
+			notStarted++
 			lost = append(lost, fmt.Sprintf("%s: %s, a job of 0.2 s, has not been started for %s", id, cluster.state(record, 1, id), watch))
 		}
 	}
@@ -60,7 +60,7 @@
 	}
 	if len(lost) > 0 {
 		return fmt.Sprintf("LOST: %d of %d tasks that last are not started again, %d of %d other jobs are not started, while %d workers with 64 cores each run %d tasks of 2 cores:\n%s",
-			len(lost)-idle, jobs, idle, plainJobs, cluster.liveWorkers(), cluster.activeRuns(record), strings.Join(lost, "\n")), errBroken
+			len(lost)-notStarted, jobs, notStarted, plainJobs, cluster.liveWorkers(), cluster.activeRuns(record), strings.Join(lost, "\n")), errBroken
 	}
 	return fmt.Sprintf("all %d tasks run, and %d other jobs have run", jobs, plainJobs), nil
 }
--- a/review/harness-2/jobs.go
+++ b/review/harness-2/jobs.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 )
 
@@ -76,3 +77,43 @@
 	}
 	return text
 }
+
+// handIn hands in jobs of one task, to all entries in turn.
+func (cluster *cluster) handIn(record *record, count int, gap time.Duration, body string) (ids []string, err error) {
+	var mu sync.Mutex
+	var callers sync.WaitGroup
+	for index := range count {
+		callers.Go(func() {
+			id, submitErr := submit(cluster, record, index%3, body)
+			mu.Lock()
+			defer mu.Unlock()
+			if submitErr != nil {
+				err = submitErr
+				return
+			}
+			ids = append(ids, id)
+		})
+		time.Sleep(gap)
+	}
+	callers.Wait()
+	return ids, err
+}
+
+// isDone reports whether the only task of a job has ended as done.
+func (cluster *cluster) isDone(record *record, id string) bool {
+	for _, run := range record.runsOf(id + ".0.0.0") {
+		if run.how == "done" {
+			return true
+		}
+	}
+	return false
+}
+
+func (cluster *cluster) activeRuns(record *record) (count int) {
+	for _, run := range record.all() {
+		if run.ended.IsZero() {
+			count++
+		}
+	}
+	return count
+}
--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -6,6 +6,8 @@
 //
 //	harness-2 SCENARIO RECORD
 //
+// The scenarios "emptied" and "pending" belong to no case; REPORT-2.md tells of them.
+//
 // It exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. With TROUBLE=0
 // it does the same without the disruption.
 package main
--- a/review/harness-2/rack.go
+++ b/review/harness-2/rack.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"strings"
-	"sync"
 	"time"
 )
 
@@ -15,24 +14,20 @@
 // rack, and then hands in jobs that may run anywhere.
 func rackLost(record *record, trouble bool) (verdict string, err error) {
 	const (
-		workers, lostRack        = 11, 4
-		labelledJobs, plainJobs  = 300, 60
-		labelledGap, plainGap    = 10 * time.Millisecond, 50 * time.Millisecond
-		afterCrash               = 3 * time.Second
-		watch                    = finishTime + 10*time.Second
-		labelledCPU, labelledFor = 400, 3600
+		workers                 = 11
+		labelledJobs, plainJobs = 300, 60
+		labelledGap, plainGap   = 10 * time.Millisecond, 50 * time.Millisecond
+		afterCrash              = 3 * time.Second
+		watch                   = finishTime + 10*time.Second
 	)
 	cluster, err := startCluster(record, 3, 0, workers)
 	if err != nil {
 		return "", err
 	}
 	time.Sleep(3 * time.Second)
+	// The last rack has two workers.
 	label := rackLabel(workers - 1)
-	if label != rackLabel((lostRack-1)*workersPerRack) {
-		return "", fmt.Errorf("rack %d has no workers", lostRack)
-	}
-	_, err = cluster.handIn(record, labelledJobs, labelledGap, jobBody(1, labelledCPU, fmt.Sprintf(`{"ms":%d}`, labelledFor),
-		fmt.Sprintf(`,"estimate-ms":%d,"constraints":%q`, labelledFor, label)))
+	_, err = cluster.handIn(record, labelledJobs, labelledGap, jobBody(1, 400, `{"ms":3600}`, fmt.Sprintf(`,"estimate-ms":3600,"constraints":%q`, label)))
 	if err != nil {
 		return "", err
 	}
@@ -72,43 +67,3 @@
 	}
 	return fmt.Sprintf("all %d jobs that may run anywhere have run", len(plain)), nil
 }
-
-// handIn hands in jobs of one task, to all entries in turn.
-func (cluster *cluster) handIn(record *record, count int, gap time.Duration, body string) (ids []string, err error) {
-	var mu sync.Mutex
-	var callers sync.WaitGroup
-	for index := range count {
-		callers.Go(func() {
-			id, submitErr := submit(cluster, record, index%3, body)
-			mu.Lock()
-			defer mu.Unlock()
-			if submitErr != nil {
-				err = submitErr
-				return
-			}
-			ids = append(ids, id)
-		})
-		time.Sleep(gap)
-	}
-	callers.Wait()
-	return ids, err
-}
-
-// isDone reports whether the only task of a job has ended as done.
-func (cluster *cluster) isDone(record *record, id string) bool {
-	for _, run := range record.runsOf(id + ".0.0.0") {
-		if run.how == "done" {
-			return true
-		}
-	}
-	return false
-}
-
-func (cluster *cluster) activeRuns(record *record) (count int) {
-	for _, run := range record.all() {
-		if run.ended.IsZero() {
-			count++
-		}
-	}
-	return count
-}
