--- a/review/harness-2/budget.go
+++ b/review/harness-2/budget.go
@@ -14,12 +14,13 @@
 const (
 	// Each hopelessJob-th job can never be done.
 	budgetJobs, hopelessJob = 490, 16
+	budgetWaves             = 4
 	budgetGap               = 7 * time.Millisecond
 	turnAwayAtJob           = 330
 	turnedAwayFor           = 5500 * time.Millisecond
 )
 
-// budget lets the store turn one entry away, and later another one, while some of the jobs have tasks that
+// budget lets the store turn the entries away, one after the other, while some of the jobs have tasks that
 // fail each time. The queue allows two attempts.
 func budget(record *record, trouble bool) (verdict string, err error) {
 	const attempts = 2
@@ -29,8 +30,8 @@
 	}
 	time.Sleep(6 * time.Second)
 	var ids []string
-	for away := range 2 {
-		ids = append(ids, cluster.hopelessWave(record, away, trouble)...)
+	for wave := range budgetWaves {
+		ids = append(ids, cluster.hopelessWave(record, wave%3, trouble)...)
 		time.Sleep(turnedAwayFor + 3*time.Second)
 	}
 	time.Sleep(10 * time.Second)
