review: the harness writes its record at once and ends after 118 s

Change: the record goes through a buffer; a run that takes too long kills its processes and exits with 2.

--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -17,12 +17,17 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
+	"time"
 )
 
 // errBroken is the result of a scenario in which the rule was broken.
 var errBroken = errors.New("BROKEN")
 
+// timeLimit is how long a script may take, all processes ended.
+const timeLimit = 118 * time.Second
+
 // scenario plays a case.
 type scenario func(record *record, trouble bool) (verdict string, err error)
 
@@ -40,6 +45,11 @@
 		stopAll()
 		os.Exit(2)
 	}()
+	time.AfterFunc(timeLimit, func() {
+		killAll()
+		fmt.Println("could not run: it took too long")
+		os.Exit(2)
+	})
 	kept := &record{}
 	verdict, err := scenarios[os.Args[1]](kept, os.Getenv("TROUBLE") != "0")
 	stopAll()
@@ -70,6 +80,17 @@
 	running = nil
 }
 
+// killAll ends the processes without waiting for their ends.
+func killAll() {
+	for _, cluster := range running {
+		for _, process := range slices.Concat(cluster.entries, cluster.agents) {
+			if process.command != nil {
+				_ = process.command.Process.Kill()
+			}
+		}
+	}
+}
+
 // startCluster starts a deployment of entries, of which all but the last late ones are started, and
 // workers.
 func startCluster(record *record, entries, late, workers int) (started *cluster, err error) {
--- a/review/harness-2/record.go
+++ b/review/harness-2/record.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"os"
@@ -64,16 +65,17 @@
 		return err
 	}
 	defer func() { _ = file.Close() }()
-	fmt.Fprintln(file, verdict)
-	fmt.Fprintln(file, "\n== events")
+	buffer := bufio.NewWriter(file)
+	fmt.Fprintln(buffer, verdict)
+	fmt.Fprintln(buffer, "\n== events")
 	for _, event := range record.events {
-		fmt.Fprintln(file, event)
+		fmt.Fprintln(buffer, event)
 	}
-	fmt.Fprintln(file, "\n== runs")
+	fmt.Fprintln(buffer, "\n== runs")
 	for _, run := range record.all() {
-		fmt.Fprintln(file, run)
+		fmt.Fprintln(buffer, run)
 	}
-	return nil
+	return buffer.Flush()
 }
 
 func copyAll(target io.Writer, source io.Reader) (int64, error) {
