ptevacuation: evacuate availability zones

Cause: an operator can't keep new tasks out of an availability zone that is about to fail. Stopping its agents one by one loses the runs there and takes effect at different times. Change: a record evacuate/ZONE in the operator's topic evacuates a zone, its deletion takes that back. Entries read the records, and entries and agents pass the state on over their sessions, so that an entry that the store refuses learns it too. Entries give the workers of the zone no orders, leave them out of the forecast, and refuse best-effort jobs that need them (reason evacuated); durable jobs wait without blocking others. The agent starts nothing in its own zone, whatever entries order. The workers return in steps of a quarter every 500 ms. Where the settings have bounds.evacuate-ms, an entry without a state places nothing. The types of refusals move to refusal.go. Ruled out: agents that read the store (a call for each agent, and nothing to gain: entries tell them); reporting evacuated workers as unusable (an entry could not tell why a job has no worker); sending the state in every frame (bytes between zones); a state per entry without revisions (after a deletion, late frames would evacuate the zone again). Measured: tests of ptevacuation, ptassign, ptruncontrol, ptrunner, ptbroker, ptexplain and of the new code in platform pass, the latter also with -race.

--- a/ptassign/agents.go
+++ b/ptassign/agents.go
@@ -41,6 +41,7 @@
 	service              ptid.ServiceName
 	sameZone             bool
 	connected            bool
+	zonePlacement
 	// connectedAt is when the agent opened its first session after it had none.
 	connectedAt, disconnectedAt ptid.Instant
 	state                       AgentState
@@ -74,12 +75,7 @@
 // is asked for the state of all other runs. A greeting of an earlier incarnation proves nothing:
 // a paused entry may read it late, and the wall clock of the agent's VM may have been set back.
 func (core *Core) AgentConnected(name ptid.AgentName, incarnation ptid.Incarnation, service ptid.ServiceName, sameZone bool, now ptid.Instant) (effects []Effect) {
-	agent := core.agents[name]
-	if agent == nil {
-		agent = &agentRecord{name: name, runs: make(map[ptrun.ID]*placedRun), observed: newObservations()}
-		core.agents[name] = agent
-		core.sortedAgents = slices.SortedFunc(maps.Values(core.agents), func(left, right *agentRecord) int { return cmp.Compare(left.name, right.name) })
-	}
+	agent := core.agentOf(name)
 	if agent.incarnation < incarnation {
 		core.loseRuns(agent, ptrun.ReasonRestarted, bestEffortRuns, now)
 		agent.observed, agent.quarantined = newObservations(), false
@@ -100,6 +96,16 @@
 	return core.takeEffects()
 }
 
+// agentOf returns the record of an agent, which it creates if there is none.
+func (core *Core) agentOf(name ptid.AgentName) (agent *agentRecord) {
+	if agent = core.agents[name]; agent == nil {
+		agent = &agentRecord{name: name, runs: make(map[ptrun.ID]*placedRun), observed: newObservations()}
+		core.agents[name] = agent
+		core.sortedAgents = slices.SortedFunc(maps.Values(core.agents), func(left, right *agentRecord) int { return cmp.Compare(left.name, right.name) })
+	}
+	return agent
+}
+
 func sortedRuns(runs map[ptrun.ID]*placedRun) []ptrun.ID {
 	return slices.SortedFunc(maps.Keys(runs), ptrun.Compare)
 }
--- a/ptassign/durable.go
+++ b/ptassign/durable.go
@@ -21,7 +21,7 @@
 
 // isOnHold reports whether the tasks of a job are not placed now.
 func (core *Core) isOnHold(job *Job, now ptid.Instant) bool {
-	return job.Recovering || job.Durable && now >= core.ownershipExpiresAt
+	return job.Recovering || job.Durable && now >= core.ownershipExpiresAt || core.awaitsReturn(job)
 }
 
 // SubmitDurable admits a durable job with the progress that an earlier owner has stored; nil
--- a/ptassign/forecast.go
+++ b/ptassign/forecast.go
@@ -25,6 +25,8 @@
 		}
 	}
 	switch {
+	case core.isRefusedForEvacuation(job, now):
+		return &Refusal{Reason: Evacuated, RetryAfter: minRetryAfter}
 	case workers == 0:
 		return &Refusal{Reason: NoWorker, RetryAfter: minRetryAfter}
 	case fitting == 0:
@@ -37,14 +39,13 @@
 	return nil
 }
 
-// isAvailable reports whether the agent has a session and has reported a usable worker.
-func (agent *agentRecord) isAvailable() bool {
-	return agent.connected && agent.hasReport && !agent.state.Unusable
-}
+// isAvailable reports whether the agent has a session and has reported a usable worker, which is not
+// withheld for an evacuation.
+func (agent *agentRecord) isAvailable() bool { return agent.hasUsableWorker() && !agent.withheld }
 
 // HasWorker reports whether any agent has a session and has reported a usable worker.
 func (core *Core) HasWorker() bool {
-	return slices.ContainsFunc(core.sortedAgents, (*agentRecord).isAvailable)
+	return slices.ContainsFunc(core.sortedAgents, (*agentRecord).hasUsableWorker)
 }
 
 // mayReconnect reports whether the agent lost its session so recently that it may soon
@@ -53,7 +54,7 @@
 // If all links fail at once, an entry has no agents for some hundreds of milliseconds. Most
 // jobs that arrive in this period can still be completed in time, so they are not refused.
 func (agent *agentRecord) mayReconnect(now ptid.Instant) bool {
-	return !agent.isAvailable() && !agent.state.Unusable && agent.state.Worker != "" && now.Sub(agent.disconnectedAt) <= ptlink.ReconnectTimeout
+	return !agent.isAvailable() && !agent.withheld && !agent.state.Unusable && agent.state.Worker != "" && now.Sub(agent.disconnectedAt) <= ptlink.ReconnectTimeout
 }
 
 // jobsWithoutWorker returns the jobs of which no run can have started and whose service has no
@@ -64,7 +65,7 @@
 	}
 	served := make(map[ptid.ServiceName]bool)
 	for _, agent := range core.sortedAgents {
-		if agent.connected || agent.mayReconnect(now) {
+		if agent.connected && !agent.withheld || agent.mayReconnect(now) {
 			served[agent.service] = true
 		}
 	}
@@ -92,7 +93,7 @@
 	queueKey := job.queueKey(now)
 	ownRate := core.requestRate(job, now)
 	for _, other := range core.waiting {
-		if other.Queue.Service != job.Queue.Service {
+		if other.Queue.Service != job.Queue.Service || core.awaitsReturn(other) {
 			continue
 		}
 		ownRate += core.requestRate(other, now)
@@ -151,7 +152,7 @@
 func (core *Core) availableCapacity(service ptid.ServiceName, ownRate ptrun.MillicoresPerSecond, now ptid.Instant) (capacity AvailableCapacity) {
 	runningCPU, reservedCPU, expectedWork, requestedByOthers, reporting := 0.0, ptrun.Millicores(0), 0.0, ptrun.MillicoresPerSecond(0), 0
 	for _, agent := range core.sortedAgents {
-		if agent.service != service || !agent.connected || agent.state.Unusable {
+		if agent.service != service || !agent.connected || agent.state.Unusable || agent.withheld {
 			continue
 		}
 		if agent.isUsable(now) {
--- a/ptassign/ptassign.go
+++ b/ptassign/ptassign.go
@@ -118,29 +118,6 @@
 	return cmp.Or(cmp.Compare(left.ID, right.ID), cmp.Compare(left.Occurrence, right.Occurrence))
 }
 
-// RefusalReason is why a job was not admitted, or was ended before any run of it started.
-type RefusalReason string
-
-// Refusal reasons.
-const (
-	NoWorker        RefusalReason = "noWorker"
-	NoFittingWorker RefusalReason = "unfitting"
-	ForecastTooLate RefusalReason = "forecast"
-	TooLate         RefusalReason = "tooLate"
-)
-
-// Refusal reports that no run of a job has started or will start.
-type Refusal struct {
-	Reason     RefusalReason
-	RetryAfter time.Duration
-	// ForecastWait is the forecast waiting time that led to the refusal. DemandAhead is the
-	// demand that was queued ahead of the job. Capacity is the capacity that was available to the
-	// entry's jobs.
-	ForecastWait time.Duration
-	DemandAhead  ptrun.Millicores
-	Capacity     AvailableCapacity
-}
-
 // Job is an admitted job.
 type Job struct {
 	*ptgraph.Job
@@ -175,6 +152,8 @@
 	isolatedRuns    int
 	// heldSince contains the tasks that wait for the resolution of their losses.
 	heldSince map[ptrun.TaskID]ptid.Instant
+	// evacuationNeed is valid while the job waits and workers are withheld.
+	evacuationNeed evacuationNeed
 }
 
 // Key returns the key of the job.
@@ -323,6 +302,7 @@
 	// ownershipExpiresAt is when another entry may own the durable jobs.
 	ownershipExpiresAt ptid.Instant
 	lastTickAt         ptid.Instant
+	evacuation         evacuation
 }
 
 // New returns a core without jobs or agents. The seed makes its random choices reproducible.
@@ -436,7 +416,7 @@
 		core.stopHangingRuns(agent, now)
 	}
 	core.reviewHeldTasks(now)
-	core.expireAll(core.jobsWithoutWorker(now), NoWorker, now)
+	core.refuseUnservable(now)
 	var expired []Key
 	for key, job := range core.bestEffort {
 		if now.Add(job.expectedDuration) >= job.ExpiresAt && job.expired(now) {
--- a/ptassign/queue.go
+++ b/ptassign/queue.go
@@ -75,7 +75,7 @@
 // head and stops after maxBlockedJobs jobs that could not be placed completely, because the
 // jobs behind them would find no free capacity either.
 func (core *Core) placeWaiting(now ptid.Instant) {
-	if len(core.waiting) == 0 {
+	if len(core.waiting) == 0 || core.awaitsEvacuation() {
 		return
 	}
 	if now.Sub(core.sortedAt) >= sortInterval+time.Duration(len(core.waiting))*sortIntervalPerJob {
@@ -91,7 +91,7 @@
 			job.inQueue = false
 			continue
 		case core.isOnHold(job, now):
-		case !core.placeJob(job, now):
+		case !core.placeJob(job, now) && !core.isBlockedByEvacuation(job):
 			blocked++
 		}
 		if core.readyDemand(job) == 0 && job.waitingSuspects == 0 && len(job.PlacedRuns()) > 0 {
--- a/ptbroker/ptbroker.go
+++ b/ptbroker/ptbroker.go
@@ -33,6 +33,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/primrosetiller/primrosetiller/ptassign"
+	"github.com/primrosetiller/primrosetiller/ptevacuation"
 	"github.com/primrosetiller/primrosetiller/ptgraph"
 	"github.com/primrosetiller/primrosetiller/ptid"
 	"github.com/primrosetiller/primrosetiller/ptjobstore"
@@ -63,6 +64,9 @@
 	ShutdownTimeout time.Duration
 	// EndedJobRetention is how long the state of an ended durable job can be queried.
 	EndedJobRetention time.Duration
+	// RequireEvacuation means that nothing is placed before it is known which availability zones are
+	// evacuated.
+	RequireEvacuation bool
 	Seed              uint64
 }
 
@@ -140,6 +144,10 @@
 	counters counters
 	// capacityRequests is the capacity needed per service as of the last tick.
 	capacityRequests atomic.Pointer[map[ptid.ServiceName]ptrun.CapacityRequest]
+	// evacuation is the state of the evacuated zones; nil if none is known. evacuationConfirmedAt is
+	// when the store last confirmed it.
+	evacuation            atomic.Pointer[ptevacuation.State]
+	evacuationConfirmedAt atomic.Int64
 
 	mu            sync.Mutex
 	core          *ptassign.Core
@@ -195,6 +203,10 @@
 	gauge(ptmetric.OpenJobs, func() int { return broker.core.OpenJobs() })
 	gauge(ptmetric.WaitingJobs, func() int { return broker.core.WaitingJobs() })
 	gauge(ptmetric.Sessions, func() int { return len(broker.agentSessions) })
+	broker.registerEvacuationGauges()
+	if setting.RequireEvacuation {
+		broker.core.RequireEvacuation()
+	}
 	return broker
 }
 
--- a/ptbroker/session.go
+++ b/ptbroker/session.go
@@ -12,6 +12,7 @@
 	"storj.io/drpc/drpcserver"
 
 	"github.com/primrosetiller/primrosetiller/ptassign"
+	"github.com/primrosetiller/primrosetiller/ptevacuation"
 	"github.com/primrosetiller/primrosetiller/ptfitness"
 	"github.com/primrosetiller/primrosetiller/ptid"
 	"github.com/primrosetiller/primrosetiller/ptjobstore"
@@ -44,6 +45,8 @@
 	session  *ptsession.Session
 	clock    ptlink.ClockOffset
 	openedAt ptid.Instant
+	// evacuation is what the agent knows of the evacuated zones.
+	evacuation ptevacuation.Exchange
 	// lastSentAt is when the latest frame was sent.
 	lastSentAt atomic.Int64
 }
@@ -104,6 +107,7 @@
 	if len(frame.RunOrders) > 0 {
 		frame.AgentClockNanos = int64(agent.clock.ToPeerClock(now))
 	}
+	frame.Evacuation = agent.evacuation.ToSend(agent.broker.evacuationState())
 	if requests := agent.broker.capacityRequests.Load(); requests != nil {
 		frame.Want = (*requests)[ptid.ServiceName(agent.greeting.Service)].Message()
 	}
@@ -122,6 +126,7 @@
 		return
 	}
 	now := broker.deps.Clock.Now()
+	broker.handleEvacuation(agent, frame.Evacuation)
 	broker.handleReport(agent, frame.Room, now)
 	for _, message := range frame.RunEnds {
 		end := ptrun.EndFromMessage(message)
@@ -216,13 +221,14 @@
 	if problem == "" {
 		agent.clock.AddSample(frame.AgentClockNanos, broker.deps.Clock.Now())
 		agent.session = ptsession.New(ptlink.EntrySide, broker.deps.Clock, stream, func() { _ = conn.Close() }, interval, agent)
+		broker.receiveEvacuation(agent, frame.Evacuation)
 		problem = broker.register(agent, frame.Room)
 	}
 	if problem != "" {
 		_ = stream.Send(&ptwire.Frame{Welcome: &ptwire.Welcome{Entry: string(broker.setting.Name), Refused: problem}})
 		return nil, errors.Wrap(ptsession.ErrProtocol, problem)
 	}
-	err = stream.Send(&ptwire.Frame{Welcome: &ptwire.Welcome{
+	err = stream.Send(&ptwire.Frame{Evacuation: agent.evacuation.ToSend(broker.evacuationState()), Welcome: &ptwire.Welcome{
 		Entry: string(broker.setting.Name), Incarnation: uint64(broker.incarnation), Session: greeting.Session,
 		HeartbeatIntervalNanos: int64(interval), AvailabilityZone: string(broker.setting.Zone),
 	}})
@@ -257,6 +263,7 @@
 	broker.sessions.Store(int64(len(broker.agentSessions)))
 	greeting, now := agent.greeting, broker.deps.Clock.Now()
 	agent.openedAt = now
+	broker.core.AgentLocated(agent.name(), ptid.Zone(greeting.AvailabilityZone), now)
 	broker.execute(broker.core.AgentConnected(agent.name(), ptid.Incarnation(greeting.Incarnation), ptid.ServiceName(greeting.Service),
 		ptid.Zone(greeting.AvailabilityZone) == broker.setting.Zone, now))
 	broker.handleReport(agent, report, now)
--- a/ptmetric/ptmetric.go
+++ b/ptmetric/ptmetric.go
@@ -68,6 +68,8 @@
 	WorkerCrashes    Name = "primrosetiller_worker_crashes_total"
 	JobSeconds       Name = "primrosetiller_job_seconds"
 	StoreCalls       Name = "primrosetiller_store_calls_total"
+	EvacuatedZones   Name = "primrosetiller_evacuated_zones"
+	EvacuationAge    Name = "primrosetiller_evacuation_age_seconds"
 )
 
 // Description documents one metric.
@@ -117,6 +119,8 @@
 	{UnaccountedRuns, "Unaccounted runs", "Active runs in the newest listing of this agent's worker that are not in the agent's records: started by an earlier agent process, or declared ended too early.", "2.0"},
 	{JobSeconds, "Duration of a job", "Seconds from the arrival of a graph job to its end.", "2.0"},
 	{StoreCalls, "Calls to the platform's store", "Calls to the platform's store, by operation and result: done, refused, failed.", "2.0"},
+	{EvacuatedZones, "Evacuated zones", "Availability zones that are evacuated, as known to this process.", "2.1"},
+	{EvacuationAge, "Age of the evacuation state", "Seconds since the platform's store last confirmed to this entry which availability zones are evacuated, or since the start of the entry.", "2.1"},
 	{SessionBytes, "Bytes on sessions", "Bytes on the sessions of this process, by direction: sent, received.", "1.0"},
 }
 
--- a/ptrun/ptrun.go
+++ b/ptrun/ptrun.go
@@ -185,6 +185,8 @@
 	ReasonUnknownRun     Reason = "unknownRun"
 	ReasonOtherOwner     Reason = "otherOwner"
 	ReasonGangIncomplete Reason = "gangIncomplete"
+	// ReasonEvacuated means that the availability zone of the worker is evacuated.
+	ReasonEvacuated Reason = "evacuated"
 )
 
 // WorkerIdentity distinguishes workers and the incarnations of one worker.
@@ -201,13 +203,15 @@
 	Capacity Demand
 	Labels   []string
 	Draining bool
+	// ColdFor is how long the worker still takes to warm up; zero if it is warm or says nothing.
+	ColdFor time.Duration
 	// Sequence numbers the announcements of one incarnation; announcements with a lower number
 	// are dropped.
 	Sequence uint64
 }
 
 // SaysSame reports whether two announcements say the same about the worker. Their sequence numbers
-// may differ.
+// and the remaining times to warm up may differ.
 func (worker *Worker) SaysSame(other *Worker) bool {
 	return worker.WorkerIdentity == other.WorkerIdentity && worker.Service == other.Service && worker.Zone == other.Zone &&
 		worker.Capacity == other.Capacity && slices.Equal(worker.Labels, other.Labels) && worker.Draining == other.Draining
--- a/ptruncontrol/ptruncontrol.go
+++ b/ptruncontrol/ptruncontrol.go
@@ -434,6 +434,7 @@
 	probeTurns       *ptfitness.ProbeTurns
 	reportedSeverity ptfitness.Severity
 	draining         bool
+	evacuation       evacuation
 	// held is the sum of the demands of the runs that hold capacity.
 	held ptrun.Demand
 	// leaseMustExpire is true while the lease must expire, since a run that is to be stopped is active
@@ -503,6 +504,7 @@
 		return nil
 	}
 	core.worker, core.known, core.unannounced, core.restored = worker, true, false, false
+	core.evacuation.noteColdness(&worker, now)
 	core.updateClock(clock, now)
 	if worker.Draining {
 		core.refuseWaiting(ptrun.ReasonDraining, now)
@@ -695,22 +697,15 @@
 		core.probeTurns.Probed()
 	}
 	offered := core.consumeOffer(&order)
-	switch {
-	case core.draining || core.worker.Draining:
-		core.finishUnstarted(ordered, ptrun.ReasonDraining, now)
-	case !core.isUsable():
-		core.finishUnstarted(ordered, ptrun.ReasonWorkerAbsent, now)
-	case !core.worker.Capacity.Covers(order.Demand) || !order.Demand.Covers(ptrun.Demand{}):
-		core.finishUnstarted(ordered, ptrun.ReasonNoCapacity, now)
-	case ordered.isolated && !core.mayIsolate(now):
-		core.finishUnstarted(ordered, ptrun.ReasonNoCapacity, now)
-	default:
-		if offered && core.mayStart(now) && core.canStart(ordered) {
-			// The run starts before the waiting runs, because the capacity was reserved for it.
-			core.start(ordered, now)
-		}
-		core.startWaiting(now)
+	if reason := core.refusalOf(ordered, now); reason != ptrun.ReasonNone {
+		core.finishUnstarted(ordered, reason, now)
+		return core.takeEffects()
 	}
+	if offered && core.mayStart(now) && core.canStart(ordered) {
+		// The run starts before the waiting runs, because the capacity was reserved for it.
+		core.start(ordered, now)
+	}
+	core.startWaiting(now)
 	return core.takeEffects()
 }
 
@@ -757,7 +752,7 @@
 // demand may start.
 func (core *Core) mayStart(now ptid.Instant) bool {
 	core.leaseMustExpire = core.isStopOverdue(now) || core.mustLetLeaseExpire(now) || now.Add(maxStartTime) > core.leaseLimit()
-	return core.isUsable() && !core.worker.Draining && core.clock > 0 && !core.fencePending && core.UnaccountedRuns() == 0 && !core.leaseMustExpire
+	return core.isUsable() && !core.worker.Draining && !core.evacuation.active && core.clock > 0 && !core.fencePending && core.UnaccountedRuns() == 0 && !core.leaseMustExpire
 }
 
 // isUsable reports whether the worker responds and has announced its capacity.
--- a/ptruncontrol/responses.go
+++ b/ptruncontrol/responses.go
@@ -334,6 +334,7 @@
 	core.rebroadcastEnds(now)
 	core.broadcastCrashes(now)
 	core.endIsolations(now)
+	core.evacuation.updateReturn(now)
 	core.reviewThrottle(now)
 	core.assignProbeTurn(now)
 	core.startWaiting(now)
@@ -364,14 +365,14 @@
 }
 
 // CapacityReport returns the current report for an entry. The demands of waiting runs and the
-// capacity offered to other entries count as held. Unaccounted runs, overdue stops
-// and a pending fence count as the whole capacity.
+// capacity offered to other entries count as held. Unaccounted runs, overdue stops,
+// a pending fence and an evacuation count as the whole capacity.
 func (core *Core) CapacityReport(entry ptid.EntryName) (report CapacityReport) {
 	report = CapacityReport{
 		Worker: core.worker.ID, Capacity: core.worker.Capacity, Labels: core.worker.Labels,
 		RequestedByOthers: core.requestedByOthers(entry),
 		Assessment:        core.estimator.Assessment(), MayProbe: core.probeTurns.Holder() == entry, Isolating: core.isIsolating(),
-		Unusable: !core.isUsable() || core.draining || core.worker.Draining,
+		Unusable: !core.isUsable() || core.draining || core.worker.Draining || core.evacuation.isReturning(),
 	}
 	for _, run := range core.runs {
 		report.Held = report.Held.Plus(run.Demand)
@@ -381,7 +382,7 @@
 		}
 	}
 	report.Held = report.Held.Plus(core.offeredToOthers(entry))
-	if core.UnaccountedRuns() > 0 || core.leaseMustExpire || core.fencePending || report.Isolating {
+	if core.UnaccountedRuns() > 0 || core.leaseMustExpire || core.fencePending || report.Isolating || core.evacuation.active {
 		report.Held = report.Held.Max(report.Capacity)
 	}
 	return report
--- a/ptrunner/ptrunner.go
+++ b/ptrunner/ptrunner.go
@@ -38,6 +38,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/primrosetiller/primrosetiller/ptevacuation"
 	"github.com/primrosetiller/primrosetiller/ptid"
 	"github.com/primrosetiller/primrosetiller/ptmetric"
 	"github.com/primrosetiller/primrosetiller/ptrun"
@@ -113,6 +114,7 @@
 	peers        map[ptid.EntryName]*peer
 	dialing      map[string]bool
 	sessionCount uint64
+	evacuation   ptevacuation.State
 	listingOK    bool
 	// backupListUntil is the time until which the backup loop requests listings.
 	backupListUntil ptid.Instant
@@ -137,6 +139,7 @@
 	gauge(ptmetric.HoldingRuns, func() int { _, holding := runner.core.RunCounts(); return holding })
 	gauge(ptmetric.UnaccountedRuns, func() int { return runner.core.UnaccountedRuns() })
 	gauge(ptmetric.Sessions, func() int { return len(runner.peers) })
+	gauge(ptmetric.EvacuatedZones, func() int { return runner.evacuation.Len() })
 	return runner
 }
 
--- a/ptrunner/session.go
+++ b/ptrunner/session.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"storj.io/drpc/drpcconn"
 
+	"github.com/primrosetiller/primrosetiller/ptevacuation"
 	"github.com/primrosetiller/primrosetiller/ptid"
 	"github.com/primrosetiller/primrosetiller/ptjobstore"
 	"github.com/primrosetiller/primrosetiller/ptlink"
@@ -50,6 +51,7 @@
 	busy       bool
 	reported   ptruncontrol.CapacityReport
 	reportedAt ptid.Instant
+	evacuation ptevacuation.Exchange
 }
 
 // setBusy adjusts the heartbeat interval, which is shorter while the entry has runs on the
@@ -75,6 +77,7 @@
 	defer runner.mu.Unlock()
 	report := runner.core.CapacityReport(peer.owner.Entry)
 	peer.reported, peer.reportedAt = report, now
+	frame.Evacuation = peer.evacuation.ToSend(runner.evacuation)
 	frame.Room = reportMessage(report, now)
 }
 
@@ -105,6 +108,10 @@
 	if runner.peers[peer.owner.Entry] != peer {
 		return
 	}
+	// The orders of the frame may be for a zone that is evacuated by the same frame.
+	if runner.handleEvacuation(&peer.evacuation, frame.Evacuation, peer.owner.Entry, now) {
+		peer.session.Post(func(*ptwire.Frame) {})
+	}
 	runner.execute(runner.core.RequestCapacity(peer.owner.Entry, ptrun.CapacityRequestFromMessage(frame.Want), now))
 	for _, ref := range frame.RunAcks {
 		runner.core.AcknowledgeEnd(ptrun.IDFromRef(ref))
@@ -210,18 +217,20 @@
 	if err != nil {
 		return false, errors.Wrap(err, "open session")
 	}
-	welcome, err := runner.handshake(stream)
+	newPeer := &peer{runner: runner}
+	welcome, err := runner.handshake(stream, newPeer)
 	if err != nil {
 		return false, err
 	}
 	greetingTimer.Stop()
-	return true, runner.serveSession(stream, func() { _ = netConn.Close() }, welcome)
+	return true, runner.serveSession(stream, func() { _ = netConn.Close() }, welcome, newPeer)
 }
 
-func (runner *Runner) handshake(stream ptwire.DRPCDispatcher_SessionClient) (welcome *ptwire.Welcome, err error) {
+// handshake exchanges the first frames of a session, which carry the states of the evacuated zones.
+func (runner *Runner) handshake(stream ptwire.DRPCDispatcher_SessionClient, newPeer *peer) (welcome *ptwire.Welcome, err error) {
 	runner.mu.Lock()
 	runner.sessionCount++
-	frame := &ptwire.Frame{AgentClockNanos: int64(runner.deps.Clock.Now()), Greeting: &ptwire.Greeting{
+	frame := &ptwire.Frame{AgentClockNanos: int64(runner.deps.Clock.Now()), Evacuation: newPeer.evacuation.ToSend(runner.evacuation), Greeting: &ptwire.Greeting{
 		Agent: string(runner.setting.Name), Incarnation: uint64(runner.incarnation), Session: runner.sessionCount,
 		Service: string(runner.setting.Service), AvailabilityZone: string(runner.setting.Zone),
 		Region: string(runner.setting.Region), Protocol: protocolVersion,
@@ -237,14 +246,16 @@
 	if reply.Welcome == nil || reply.Welcome.Refused != "" {
 		return nil, errors.Wrap(errGreetingRefused, reply.GetWelcome().GetRefused())
 	}
+	runner.mu.Lock()
+	defer runner.mu.Unlock()
+	// If the agent's state is newer, the first frame after the greeting carries it.
+	runner.handleEvacuation(&newPeer.evacuation, reply.Evacuation, ptid.EntryName(reply.Welcome.Entry), runner.deps.Clock.Now())
 	return reply.Welcome, nil
 }
 
-func (runner *Runner) serveSession(stream ptsession.Stream, closer func(), welcome *ptwire.Welcome) (err error) {
-	newPeer := &peer{
-		runner: runner, heartbeatInterval: time.Duration(welcome.HeartbeatIntervalNanos), near: ptid.Zone(welcome.AvailabilityZone) == runner.setting.Zone,
-		owner: ptruncontrol.Owner{Entry: ptid.EntryName(welcome.Entry), Incarnation: ptid.Incarnation(welcome.Incarnation)},
-	}
+func (runner *Runner) serveSession(stream ptsession.Stream, closer func(), welcome *ptwire.Welcome, newPeer *peer) (err error) {
+	newPeer.heartbeatInterval, newPeer.near = time.Duration(welcome.HeartbeatIntervalNanos), ptid.Zone(welcome.AvailabilityZone) == runner.setting.Zone
+	newPeer.owner = ptruncontrol.Owner{Entry: ptid.EntryName(welcome.Entry), Incarnation: ptid.Incarnation(welcome.Incarnation)}
 	newPeer.session = ptsession.New(ptlink.AgentSide, runner.deps.Clock, stream, closer, newPeer.heartbeatInterval, newPeer)
 	runner.mu.Lock()
 	previous := runner.peers[newPeer.owner.Entry]
