ptfitness, ptassign, ptruncontrol: use a recovered worker within a second

Four memories: (1) the entry with the probe turn compares the cost of the quarantined worker with the others and uses the turn only where these are full; (2) a probe of 60 to 200 ms renews a small part of the evidence of 600 ms, so several probes are needed; (3) the pause between them doubles to 2 s; (4) the entry's moving average, backoff and the ratios of runs that were placed earlier outlast the quarantine. An idle agent also did not report that its worker needs no more probes. Change: the turn is used with the first short task; progress of a probe below 0.6 times the slowdown replaces the evidence; pauses up to 500 ms and none after an improvement; entries discard what they measured before the recovery, and an own value above 1.25 times the agent's decays; the end of the need of probes is reported at once. Ruled out: the hang timeout and the one-task rule alone (they end with the quarantine). A probe turn test assumed pauses of 2 s; it now bounds the turns by pauses of 500 ms.

--- a/ptassign/agents.go
+++ b/ptassign/agents.go
@@ -147,7 +147,7 @@
 	if agent.state.Worker != state.Worker {
 		agent.observed, agent.quarantined = newObservations(), false
 	}
-	agent.observed.mergeReport(state.Assessment, now)
+	agent.mergeReport(&state, now)
 	agent.setWorker(state.Worker)
 	severityChanged := agent.state.Assessment.Severity() != state.Assessment.Severity()
 	agent.state, agent.hasReport = state, true
--- a/ptassign/choose.go
+++ b/ptassign/choose.go
@@ -11,6 +11,9 @@
 // choose returns the agent on whose worker the task is placed; nil if no worker can run it
 // now.
 func (core *Core) choose(job *Job, task *ptgraph.Task, now ptid.Instant) (chosen *agentRecord) {
+	if chosen = core.probeTarget(job, task, now); chosen != nil {
+		return chosen
+	}
 	chosen = core.chooseFrom(core.usable, job, task, now)
 	if chosen == nil && core.mayUseQuarantined(job, now) {
 		chosen = core.chooseFrom(core.quarantinedAgents, job, task, now)
--- a/ptassign/ends.go
+++ b/ptassign/ends.go
@@ -72,7 +72,7 @@
 	switch end.Result {
 	case ptrun.Done:
 		seconds := end.RunTime.Seconds()
-		agent.observed.runDone(seconds/max(run.expectedRunTime.Seconds(), 0.001), now)
+		agent.observed.runDone(seconds/max(run.expectedRunTime.Seconds(), 0.001), run.placedAt, now)
 		queue := run.job.Queue.Name
 		if average, seen := core.averageRunTime[queue]; seen {
 			core.averageRunTime[queue] = average + averageWeight*(min(seconds, 4*average)-average)
--- a/ptassign/fitness.go
+++ b/ptassign/fitness.go
@@ -1,7 +1,6 @@
 package ptassign
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -35,11 +34,6 @@
 	// maxTickGap is the longest time between two ticks that counts towards the hang timeout. In
 	// a longer gap the entry did not run, and the ends of runs may still be unread.
 	maxTickGap = 50 * time.Millisecond
-	// If an entry has measured a high slowdown and the agent reports a lower slowdown, the
-	// entry's value approaches the agent's value with the time constant localSlowdownDecay: after
-	// this time a third of the difference is left. The agent's value is more reliable, because
-	// the agent sees the runs of all entries.
-	localSlowdownDecay = time.Second
 	// quarantineFallbackAfter is how long a durable job waits for other workers before it may
 	// use quarantined ones.
 	quarantineFallbackAfter = time.Second
@@ -60,6 +54,10 @@
 	backoffUntil  ptid.Instant
 	probing       bool
 	reportedAt    ptid.Instant
+	// recoveredAt is when the agent's assessment last showed that the worker has recovered.
+	recoveredAt ptid.Instant
+	// turnSince is when the entry got its current turn to probe the worker.
+	turnSince ptid.Instant
 }
 
 func newObservations() observations { return observations{slowdown: 1, nextBackoff: initialBackoff} }
@@ -153,15 +151,6 @@
 	return agent.observed.slowdown
 }
 
-// mergeReport moves the slowdown that the entry has measured for a slow worker towards the
-// slowdown that the agent reports.
-func (observed *observations) mergeReport(assessment ptfitness.Assessment, now ptid.Instant) {
-	if assessment.Known() && observed.slowdown > max(probeOnlySlowdown, assessment.Slowdown) {
-		observed.slowdown += (assessment.Slowdown - observed.slowdown) * (1 - math.Exp(-now.Sub(observed.reportedAt).Seconds()/localSlowdownDecay.Seconds()))
-	}
-	observed.reportedAt = now
-}
-
 // assessableRunTime returns the expected run time of a task if the actual run time can be
 // used to assess the worker, otherwise zero.
 func (core *Core) assessableRunTime(chosen *agentRecord, job *Job, step *ptgraph.Step) (expected time.Duration) {
@@ -174,8 +163,12 @@
 
 func (observed *observations) runDiscarded() { observed.probing = false }
 
-func (observed *observations) runDone(ratio float64, now ptid.Instant) {
-	observed.slowdown += slowdownWeight * (min(ratio, 10) - observed.slowdown)
+// runDone records the end of a run that took ratio times its expected run time. The ratio of a run
+// that was placed before the worker recovered is not counted.
+func (observed *observations) runDone(ratio float64, placedAt, now ptid.Instant) {
+	if placedAt >= observed.recoveredAt {
+		observed.slowdown += slowdownWeight * (min(ratio, 10) - observed.slowdown)
+	}
 	observed.failureStreak, observed.lastEndAt, observed.probing = 0, now, false
 	observed.backoffUntil, observed.nextBackoff = 0, initialBackoff
 }
--- a/ptassign/ptassign.go
+++ b/ptassign/ptassign.go
@@ -313,9 +313,8 @@
 	// placeWaiting.
 	usable  []*agentRecord
 	maxFree ptrun.Demand
-	// quarantinedAgents contains the agents whose worker is quarantined, except the agents in
-	// usable. It is updated together with usable.
-	quarantinedAgents []*agentRecord
+	// probeTargets are the quarantined agents in usable, quarantinedAgents the other ones.
+	quarantinedAgents, probeTargets []*agentRecord
 	// waitingSince is the start of the current period in which jobs request capacity;
 	// [ptid.Never] if no job requests capacity. requestsSentAt is when CapacityRequestsToSend
 	// last asked for frames that carry only capacity requests.
--- a/ptassign/queue.go
+++ b/ptassign/queue.go
@@ -106,11 +106,14 @@
 
 // updateUsable determines the agents that may get tasks now.
 func (core *Core) updateUsable(now ptid.Instant) {
-	core.usable, core.quarantinedAgents = core.usable[:0], core.quarantinedAgents[:0]
+	core.usable, core.quarantinedAgents, core.probeTargets = core.usable[:0], core.quarantinedAgents[:0], core.probeTargets[:0]
 	for _, agent := range core.sortedAgents {
 		switch {
 		case agent.isUsable(now):
 			core.usable = append(core.usable, agent)
+			if agent.quarantined {
+				core.probeTargets = append(core.probeTargets, agent)
+			}
 		case agent.quarantined:
 			core.quarantinedAgents = append(core.quarantinedAgents, agent)
 		}
--- a/ptfitness/ptfitness.go
+++ b/ptfitness/ptfitness.go
@@ -25,6 +25,8 @@
 //  5. A quarantined worker gets one probe run at a time, from one entry at a time: its
 //     agent assigns the [ProbeTurns]. While the probes don't improve the assessment, the
 //     pause between two turns doubles.
+//  6. A sharp rise of the progress of a probe replaces the evidence of a slow period (see
+//     recovery.go), so that a recovered worker is used again after one probe.
 //
 // # Usage
 //
@@ -141,6 +143,10 @@
 	// resumed is true from the start of a run that resumes from a checkpoint until the first
 	// progress of the run is recorded. This progress shows how much of the run was done before.
 	resumed bool
+	// startedAt is when the run started. showsProgress is true once a listing has shown a part of
+	// the run as done.
+	startedAt     ptid.Instant
+	showsProgress bool
 }
 
 // Estimator measures the slowdown and the failure rate of one worker.
@@ -148,7 +154,9 @@
 	runs map[ptrun.ID]*observedRun
 	// wall is the sum of the observed wall times of runs. work is the expected run time of the
 	// work that was done in this wall time. Both are in seconds and decay exponentially.
-	wall, work    float64
+	wall, work float64
+	// recent is the evidence that ends the memory of a slow period.
+	recent        recentEvidence
 	failureRate   float64
 	lastFailedJob ptid.JobID
 	measuredAt    ptid.Instant
@@ -163,7 +171,7 @@
 // unlimited; they don't count for the slowdown.
 func (estimator *Estimator) Started(run ptrun.ID, expected time.Duration, resumed bool, now ptid.Instant) {
 	if expected > 0 {
-		estimator.runs[run] = &observedRun{expected: expected, observedAt: now, resumed: resumed}
+		estimator.runs[run] = &observedRun{expected: expected, observedAt: now, resumed: resumed, startedAt: now}
 	}
 }
 
@@ -187,10 +195,17 @@
 		return
 	}
 	wall, work := now.Sub(run.observedAt).Seconds(), (done-run.done)*run.expected.Seconds()
-	run.done, run.observedAt = done, now
+	recentWall, recentWork := wall, work
+	if done == 1 && !run.showsProgress {
+		// Workers need not report progress. The work then was done since the start.
+		recentWall = now.Sub(run.startedAt).Seconds()
+	}
+	run.done, run.observedAt, run.showsProgress = done, now, run.showsProgress || done > 0
+	estimator.recent.add(recentWall, recentWork)
 	decay := math.Exp(-wall / slowdownDecay.Seconds())
 	estimator.wall, estimator.work = estimator.wall*decay+wall, estimator.work*decay+work
 	estimator.measuredAt = now
+	estimator.detectRecovery(recentWall)
 }
 
 // Done records the end of a run that succeeded.
--- a/ptruncontrol/health.go
+++ b/ptruncontrol/health.go
@@ -19,12 +19,13 @@
 }
 
 // reportSeverity notifies all entries when the severity of the worker's health assessment
-// changes. Entries must learn of it at once: a worker on which every run fails immediately
-// looks idle, and receives dozens of runs within a few milliseconds.
+// changes, or whether the worker needs probes. Entries must learn of it at once: a worker on which every run fails immediately
+// looks idle, and receives dozens of runs within a few milliseconds. An idle worker that no longer
+// needs probes sends no other frame soon, and would stay in quarantine without a probe turn.
 func (core *Core) reportSeverity() {
 	assessment := core.estimator.Assessment()
-	if severity := assessment.Severity(); severity != core.reportedSeverity {
-		core.reportedSeverity = severity
+	if assessment.Severity() != core.reported.Severity() || assessment.NeedsProbes() != core.reported.NeedsProbes() {
+		core.reported = assessment
 		core.emit(AssessmentChanged{Assessment: assessment})
 	}
 }
@@ -34,6 +35,7 @@
 func (core *Core) assignProbeTurn(now ptid.Instant) {
 	core.reportSeverity()
 	assessment := core.estimator.Assessment()
+	core.probeTurns.Observe(assessment)
 	var entries []ptid.EntryName
 	if assessment.NeedsProbes() {
 		for name, owner := range core.owners {
--- a/ptruncontrol/ptruncontrol.go
+++ b/ptruncontrol/ptruncontrol.go
@@ -428,12 +428,12 @@
 	epochs   map[ptjobstore.Partition]ptjobstore.Epoch
 	throttle throttle
 	// estimator assesses the health of the worker from the runs of all entries. probeTurns
-	// assigns the turn to probe a suspect worker. reportedSeverity is the severity that was
-	// last sent to the entries.
-	estimator        *ptfitness.Estimator
-	probeTurns       *ptfitness.ProbeTurns
-	reportedSeverity ptfitness.Severity
-	draining         bool
+	// assigns the turn to probe a suspect worker. reported is the assessment that was last sent to
+	// all entries because it had changed.
+	estimator  *ptfitness.Estimator
+	probeTurns *ptfitness.ProbeTurns
+	reported   ptfitness.Assessment
+	draining   bool
 	// held is the sum of the demands of the runs that hold capacity.
 	held ptrun.Demand
 	// leaseMustExpire is true while the lease must expire, since a run that is to be stopped is active
@@ -691,7 +691,7 @@
 	}
 	ordered := &run{Order: order, percent: fullPercent, orderedPercent: fullPercent, isolated: order.Isolation > 0}
 	core.runs[order.Run] = ordered
-	if core.reportedSeverity > 0 {
+	if core.reported.NeedsProbes() {
 		core.probeTurns.Probed()
 	}
 	offered := core.consumeOffer(&order)
--- a/ptsim/agent.go
+++ b/ptsim/agent.go
@@ -52,6 +52,8 @@
 	// time at which the worker became slow or began to fail runs; ptid.Never if it is healthy.
 	slowdown    float64
 	faultySince ptid.Instant
+	// recoveredAt is when the worker was last slow; zero if it has not been slow.
+	recoveredAt ptid.Instant
 }
 
 // activeRun is a run on a worker.
@@ -89,7 +91,10 @@
 	for _, run := range agent.running {
 		agent.advance(run)
 	}
-	agent.slowdown = factor
+	agent.slowdown, agent.recoveredAt = factor, 0
+	if factor == 1 {
+		agent.recoveredAt = agent.simulation.Now()
+	}
 	agent.setFaulty(factor > 1)
 	for _, id := range slices.SortedFunc(maps.Keys(agent.running), ptrun.Compare) {
 		agent.schedule(id, agent.running[id])
@@ -106,8 +111,12 @@
 
 func (simulation *simulation) newAgent(index int) *agent {
 	factor := capacityFactors[index%len(capacityFactors)]
+	speeds := workerSpeeds
+	if len(simulation.setting.Speeds) > 0 {
+		speeds = simulation.setting.Speeds
+	}
 	agent := &agent{
-		simulation: simulation, index: index, slowdown: 1, faultySince: ptid.Never, speed: workerSpeeds[simulation.random.IntN(len(workerSpeeds))],
+		simulation: simulation, index: index, slowdown: 1, faultySince: ptid.Never, speed: speeds[simulation.random.IntN(len(speeds))],
 		capacity: ptrun.Demand{
 			CPU: ptrun.Millicores(factor * float64(simulation.setting.Capacity.CPU)), Memory: ptrun.Mebibytes(factor * float64(simulation.setting.Capacity.Memory)),
 		},
@@ -300,6 +309,9 @@
 	runTime, result := time.Millisecond, ptrun.Done
 	if caller != nil {
 		runTime = time.Duration(float64(caller.runTimes[id.Task.Index]) / agent.speed)
+		if setting := &simulation.setting; setting.StragglerShare > 0 && simulation.random.Float64() < setting.StragglerShare {
+			runTime = time.Duration(float64(runTime) * setting.StragglerFactor)
+		}
 	}
 	if agent.failing {
 		runTime, result = time.Millisecond, ptrun.Failed
@@ -308,6 +320,9 @@
 	agent.running[id] = run
 	if agent.faultySince != ptid.Never && simulation.Now().Sub(agent.faultySince) > faultDetectionTime {
 		simulation.report.WastedStarts++
+		if len(agent.running) == 1 {
+			simulation.report.WastedProbes++
+		}
 	}
 	agent.applyEffects(agent.core.HandleStartResponse(id, agent.clock(), nil, simulation.Now()))
 	agent.schedule(id, run)
--- a/ptsim/ptsim.go
+++ b/ptsim/ptsim.go
@@ -139,6 +139,10 @@
 	InZone, CrossZone time.Duration
 	// MessageCost is the processor time that an entry needs for each message.
 	MessageCost time.Duration
+	// Speeds are the speeds that workers can have, drawn at random; empty means workerSpeeds.
+	Speeds []float64
+	// StragglerShare of the runs take StragglerFactor times as long.
+	StragglerShare, StragglerFactor float64
 }
 
 // Count is the number of jobs by outcome. GivenUp counts the jobs that did not complete, or
@@ -179,10 +183,14 @@
 	// entry.
 	Orders, ReturnedOrders, CapacityReports, CapacityRequests, Acknowledgements, ReservationReports int
 	// WastedStarts is the number of runs that started on workers that had been failing or
-	// slow for longer than [faultDetectionTime].
-	WastedStarts int
+	// slow for longer than [faultDetectionTime]. WastedProbes is the part of it that started on
+	// workers without other runs.
+	WastedStarts, WastedProbes int
 	// IdleShare is the mean share of the capacity that was idle while jobs were waiting.
 	IdleShare float64
+	// Recovery is the utilization of workers that were slow and are sound again, relative to the
+	// mean utilization of all workers, by time since their recovery in steps of [RecoveryStep].
+	Recovery []float64
 }
 
 // WeightedUtility returns the utility of all kinds, weighted by the processor time that their
@@ -222,6 +230,7 @@
 	// waiting; idleSamples counts these samples.
 	idleSum     float64
 	idleSamples int
+	recovery    []recoverySum
 }
 
 // Run simulates a load and returns the outcomes.
@@ -250,10 +259,12 @@
 		}
 	}
 	simulation.Every(tickInterval, simulation.sampleIdleCapacity)
+	simulation.Every(tickInterval, simulation.sampleRecovery)
 	simulation.RunUntil(simulation.Now().Add(setting.Span + warmUp))
 	for _, count := range simulation.report.Entries {
 		simulation.report.Total.add(count)
 	}
+	simulation.reportRecovery()
 	simulation.report.IdleShare = simulation.idleSum / float64(max(1, simulation.idleSamples))
 	return simulation.report
 }
