--- a/ptbroker/evacuation.go
+++ b/ptbroker/evacuation.go
@@ -80,8 +80,9 @@
 	}
 	broker.deps.Log.Info("evacuation changed", "zones", newest.Zones(), "revision", newest.Revision(), "source", source, "agent", agent)
 	for _, zone := range newest.Zones() {
-		if !before.Contains(zone) && zone != broker.setting.Zone && !broker.core.HasAgentIn(zone) {
-			broker.deps.Log.Info("evacuated zone is unknown: no agent in it has had a session", "zone", zone)
+		// An entry that has just started has no sessions yet, which says nothing about the zone.
+		if !before.Contains(zone) && zone != broker.setting.Zone && len(broker.agentSessions) > 0 && !broker.core.HasAgentIn(zone) {
+			broker.deps.Log.Info("no agent of the evacuated zone has had a session", "zone", zone)
 		}
 	}
 	for _, name := range broker.sortedSessions() {
