ptassign: tests of what an evacuation must not count or block

Change: tests for running capacity in an evacuated zone, lost sessions, partly needed zones, gangs with a limit per worker, and isolation. Ruled out: more of them in platform, where each takes seconds.

--- a/ptassign/evacuation_test.go
+++ b/ptassign/evacuation_test.go
@@ -351,3 +351,89 @@
 		fixture.SetEvacuation(evacuated(4), at(0))
 	})).To(Equal(without))
 }
+
+// Guards against a forecast that counts on the capacity that runs in an evacuated zone will release.
+func TestRunsInAnEvacuatedZoneReleaseNoCapacity(test *testing.T) {
+	admitted := func(fixture *fixture, now ptid.Instant) (count int) {
+		for range 100 {
+			if _, refusal, _ := fixture.submit(1, 100*time.Millisecond, now); refusal == nil {
+				count++
+			}
+		}
+		return count
+	}
+	without := newFixture(test, 0)
+	for _, index := range []int{1, 3, 5, 7} {
+		without.connect(index, at(0))
+	}
+	without.submit(4, 100*time.Millisecond, at(0))
+	with := zonedFixture(test, 8)
+	_, _, effects := with.submit(8, 100*time.Millisecond, at(0))
+	with.expect.Expect(orders(effects)).To(HaveLen(8))
+	with.SetEvacuation(evacuated(1, "a"), at(1))
+	with.expect.Expect(admitted(with, at(2))).To(Equal(admitted(without, at(2))))
+}
+
+// Guards against the reasons `unfitting` and `noWorker` for an entry that has just lost the sessions with the
+// evacuated zones, and against jobs that wait for an agent that can't serve them.
+func TestLostSessionsWithEvacuatedZones(test *testing.T) {
+	fixture := zonedFixture(test, 2)
+	expect := fixture.expect
+	fixture.SetEvacuation(evacuated(1, "a", "b"), at(0))
+	fixture.AgentDisconnected(agentName(0), at(10))
+	fixture.AgentDisconnected(agentName(1), at(10))
+	_, refusal, _ := fixture.submitSteps(at(20), ptgraph.Step{Count: 1, Demand: ptrun.Demand{CPU: 9000}})
+	expect.Expect(refusal.Reason).To(Equal(ptassign.Evacuated))
+
+	fixture = zonedFixture(test, 2)
+	fixture.AgentDisconnected(agentName(0), at(0))
+	fixture.submit(1, 100*time.Millisecond, at(0))
+	_, refusal, _ = fixture.submit(1, 100*time.Millisecond, at(0))
+	fixture.expect.Expect(refusal).To(BeNil())
+	fixture.SetEvacuation(evacuated(1, "c"), at(1))
+	fixture.AgentDisconnected(agentName(1), at(2))
+	// The only agent with a session is in an evacuated zone, and has not reported its worker.
+	fixture.AgentLocated("other", "c", at(3))
+	fixture.AgentConnected("other", 1, service, true, at(3))
+	ends := ended(fixture.Tick(at(1100)))
+	fixture.expect.Expect(ends).NotTo(BeEmpty())
+	fixture.expect.Expect(ends[0].Refusal.Reason).To(Equal(ptassign.NoWorker))
+}
+
+// Guards against jobs of which a part needs the zone, and which keep all others from being placed.
+func TestDurableJobsOfWhichAPartNeedsTheZoneDoNotBlock(test *testing.T) {
+	fixture := zonedFixture(test, 2)
+	fixture.SetEvacuation(evacuated(1, "a"), at(0))
+	for range 100 {
+		fixture.submitDurableSteps(at(0), step(1, "a"), step(1, "b"))
+	}
+	fixture.Tick(at(25))
+	fixture.expect.Expect(orders(fixture.submitDurableSteps(at(30), step(1, "b")))).To(HaveLen(1))
+}
+
+// Guards against a gang that is admitted although its limit per worker needs workers of the zone.
+func TestGangWithALimitPerWorkerNeedsTheZone(test *testing.T) {
+	fixture := zonedFixture(test, 2)
+	expect := fixture.expect
+	gang := ptgraph.Step{Count: 2, Demand: ptrun.Demand{CPU: 100}, Estimate: 100 * time.Millisecond, Gang: true}
+	limited := gang
+	limited.MaxPerWorker = 1
+	fixture.SetEvacuation(evacuated(1, "a"), at(0))
+	_, refusal, effects := fixture.submitSteps(at(1), gang)
+	expect.Expect(refusal).To(BeNil())
+	expect.Expect(orders(effects)).To(HaveLen(2))
+	_, refusal, _ = fixture.submitSteps(at(1), limited)
+	expect.Expect(refusal.Reason).To(Equal(ptassign.Evacuated))
+}
+
+// Guards against isolated runs on more than half of the workers that are left.
+func TestIsolatedRunsUseHalfOfTheWorkersThatAreNotEvacuated(test *testing.T) {
+	fixture := zonedFixture(test, 8)
+	var first []ptassign.SendOrder
+	fixture.SetEvacuation(evacuated(1, "a"), at(0))
+	for _, id := range []ptid.JobID{"00000000000000a1", "00000000000000a2", "00000000000000a3", "00000000000000a4"} {
+		first = append(first, orders(fixture.submitDurable(id, 1))...)
+	}
+	fixture.expect.Expect(first).To(HaveLen(4))
+	fixture.expect.Expect(fixture.lose(first, 1000)).To(HaveLen(2))
+}
