ptassign, platform: a starting entry waits for its configuration and its first agents

Cause: after a loss of power of all VMs, callers reach an entry before it has read the configuration and before agents open sessions. Ruled out: waiting for a share of the agents, because a starting entry does not know how many there are.

--- a/ptassign/forecast.go
+++ b/ptassign/forecast.go
@@ -27,6 +27,8 @@
 	switch {
 	case core.isRefusedForEvacuation(job, now):
 		return &Refusal{Reason: Evacuated, RetryAfter: minRetryAfter}
+	case workers == 0 && core.expectsAgents(job.Queue.Service, now):
+		return nil
 	case workers == 0:
 		return &Refusal{Reason: NoWorker, RetryAfter: minRetryAfter}
 	case fitting == 0:
@@ -70,7 +72,7 @@
 		}
 	}
 	for _, job := range core.waiting {
-		if !job.Durable && !served[job.Queue.Service] && job.CertainlyUnstarted() && !job.State().Ended() {
+		if !job.Durable && !served[job.Queue.Service] && !core.expectsAgents(job.Queue.Service, now) && job.CertainlyUnstarted() && !job.State().Ended() {
 			keys = append(keys, job.Key())
 		}
 	}
--- a/ptassign/ptassign.go
+++ b/ptassign/ptassign.go
@@ -301,7 +301,9 @@
 	// ownershipExpiresAt is when another entry may own the durable jobs.
 	ownershipExpiresAt ptid.Instant
 	lastTickAt         ptid.Instant
-	evacuation         evacuation
+	// agentsExpectedUntil is the end of the time in which agents may open their first sessions.
+	agentsExpectedUntil ptid.Instant
+	evacuation          evacuation
 }
 
 // New returns a core without jobs or agents. The seed makes its random choices reproducible.
--- /dev/null
+++ b/ptassign/startup_test.go
@@ -0,0 +1,45 @@
+package ptassign_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/primrosetiller/primrosetiller/ptassign"
+)
+
+// After a loss of power of all VMs, callers reach an entry before its agents do. Without the grace, their
+// jobs are refused although a worker is connected some hundred milliseconds later.
+func TestJobsOfAStartingEntryWaitForTheFirstAgents(test *testing.T) {
+	fixture := newFixture(test, 0)
+	fixture.ExpectAgents(at(0).Add(ptassign.StartupGrace))
+	job, refusal, effects := fixture.submit(1, 500*time.Millisecond, at(20))
+	fixture.expect.Expect(refusal).To(BeNil())
+	fixture.expect.Expect(orders(effects)).To(BeEmpty())
+	fixture.expect.Expect(ended(fixture.Tick(at(200)))).To(BeEmpty())
+	fixture.AgentConnected(agentName(0), 1, service, true, at(250))
+	sent := orders(fixture.report(0, ptassign.AgentState{}))
+	fixture.expect.Expect(sent).To(HaveLen(1))
+	fixture.expect.Expect(sent[0].Job).To(Equal(job))
+}
+
+// A job that waits for the first agents must be refused as soon as it can't end in time, or when the
+// grace is over, and jobs that arrive later at once.
+func TestJobsOfAStartingEntryAreRefusedIfNoAgentConnects(test *testing.T) {
+	fixture := newFixture(test, 0)
+	graceEnd := at(0).Add(ptassign.StartupGrace)
+	fixture.ExpectAgents(graceEnd)
+	_, refusal, _ := fixture.submit(1, 50*time.Millisecond, at(20))
+	fixture.expect.Expect(refusal).To(BeNil())
+	_, refusal, _ = fixture.submit(1, 900*time.Millisecond, at(500))
+	fixture.expect.Expect(refusal).To(BeNil())
+	early := ended(fixture.Tick(graceEnd - 1))
+	fixture.expect.Expect(early).To(HaveLen(1))
+	fixture.expect.Expect(early[0].Refusal.Reason).To(Equal(ptassign.TooLate))
+	late := ended(fixture.Tick(graceEnd))
+	fixture.expect.Expect(late).To(HaveLen(1))
+	fixture.expect.Expect(late[0].Refusal.Reason).To(Equal(ptassign.NoWorker))
+	_, refusal, _ = fixture.submit(1, 900*time.Millisecond, graceEnd)
+	fixture.expect.Expect(refusal.Reason).To(Equal(ptassign.NoWorker))
+}
--- a/ptbroker/ptbroker.go
+++ b/ptbroker/ptbroker.go
@@ -192,6 +192,7 @@
 			queueTime: deps.Metrics.Histogram(ptmetric.QueueSeconds), jobTime: deps.Metrics.Histogram(ptmetric.JobSeconds),
 		},
 	}
+	broker.core.ExpectAgents(deps.Clock.Now().Add(ptassign.StartupGrace))
 	broker.ownership.memberID = newMemberID(deps.PeerAddress, broker.incarnation)
 	gauge := func(name ptmetric.Name, read func() int) {
 		deps.Metrics.Gauge(name, func() float64 {
--- a/ptqueue/ptqueue.go
+++ b/ptqueue/ptqueue.go
@@ -110,14 +110,31 @@
 type CatalogStore struct {
 	mu      sync.Mutex
 	current atomic.Pointer[Catalog]
+	// loaded is closed when there is a catalog.
+	loaded chan struct{}
 }
 
 // NewCatalogStore returns a store without a catalog.
-func NewCatalogStore() *CatalogStore { return &CatalogStore{} }
+func NewCatalogStore() *CatalogStore { return &CatalogStore{loaded: make(chan struct{})} }
 
 // Load returns the newest catalog; nil if there has been none.
 func (store *CatalogStore) Load() *Catalog { return store.current.Load() }
 
+// Await returns the newest catalog. If there has been none, it waits for the first one for at most the
+// given time, and returns nil if none has come.
+func (store *CatalogStore) Await(wait time.Duration) *Catalog {
+	if catalog := store.Load(); catalog != nil || wait <= 0 {
+		return catalog
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-store.loaded:
+	case <-timer.C:
+	}
+	return store.Load()
+}
+
 // Update stores a catalog if it is newer than the current one, and reports whether it did.
 func (store *CatalogStore) Update(catalog *Catalog) (changed bool) {
 	store.mu.Lock()
@@ -125,6 +142,8 @@
 	if current := store.current.Load(); current != nil && catalog.Version <= current.Version {
 		return false
 	}
-	store.current.Store(catalog)
+	if store.current.Swap(catalog) == nil {
+		close(store.loaded)
+	}
 	return true
 }
