--- a/ptsim/agent.go
+++ b/ptsim/agent.go
@@ -107,7 +107,7 @@
 func (simulation *simulation) newAgent(index int) *agent {
 	factor := capacityFactors[index%len(capacityFactors)]
 	agent := &agent{
-		simulation: simulation, index: index, slowdown: 1, faultySince: ptid.Never, speed: workerSpeeds[simulation.random.IntN(len(workerSpeeds))],
+		simulation: simulation, index: index, slowdown: 1, faultySince: ptid.Never, speed: simulation.drawSpeed(),
 		capacity: ptrun.Demand{
 			CPU: ptrun.Millicores(factor * float64(simulation.setting.Capacity.CPU)), Memory: ptrun.Mebibytes(factor * float64(simulation.setting.Capacity.Memory)),
 		},
@@ -299,7 +299,7 @@
 	caller := simulation.callers[id.Task.Job]
 	runTime, result := time.Millisecond, ptrun.Done
 	if caller != nil {
-		runTime = time.Duration(float64(caller.runTimes[id.Task.Index]) / agent.speed)
+		runTime = time.Duration(float64(caller.runTimes[id.Task.Index]) / agent.speed * simulation.drawStraggling())
 	}
 	if agent.failing {
 		runTime, result = time.Millisecond, ptrun.Failed
--- a/ptsim/entry.go
+++ b/ptsim/entry.go
@@ -95,6 +95,7 @@
 		panic(err)
 	}
 	if refusal != nil {
+		entry.simulation.refused(spec)
 		entry.simulation.jobEnded(spec.ID, 0, true)
 	}
 	entry.applyEffects(effects)
@@ -122,6 +123,9 @@
 			agent := simulation.agentOf(effect.Agent)
 			entry.send(agent, func() { agent.applyEffects(agent.core.QueryRun(entry.owner(), effect.Run, simulation.Now())) })
 		case ptassign.JobEnded:
+			if effect.Refusal != nil {
+				simulation.report.RefusedLater++
+			}
 			simulation.jobEnded(effect.Job.ID, effect.Job.State(), effect.Refusal != nil)
 		case ptassign.SaveProgress, ptassign.RejectEnd, ptassign.TaskHeld, ptassign.LossResolved, ptassign.RequestAdvice, ptassign.WorkerQuarantined:
 		}
--- a/ptsim/ptsim.go
+++ b/ptsim/ptsim.go
@@ -74,6 +74,8 @@
 	TargetLatency time.Duration
 	// CallerTimeout is the time from the submission of a job to its deadline.
 	CallerTimeout time.Duration
+	// Value is the value of a job in time; zero if only the processor time of jobs is weighed.
+	Value float64
 }
 
 // Surge multiplies the arrival rate of a kind by Factor. It begins From after the start of the
@@ -139,6 +141,7 @@
 	InZone, CrossZone time.Duration
 	// MessageCost is the processor time that an entry needs for each message.
 	MessageCost time.Duration
+	HardLoad
 }
 
 // Count is the number of jobs by outcome. GivenUp counts the jobs that did not complete, or
@@ -183,14 +186,18 @@
 	WastedStarts int
 	// IdleShare is the mean share of the capacity that was idle while jobs were waiting.
 	IdleShare float64
+	WorkReport
 }
 
-// WeightedUtility returns the utility of all kinds, weighted by the processor time that their
-// jobs request.
+// WeightedUtility returns the utility of all kinds, weighted by the value of their jobs or, if
+// the kinds have no values, by the processor time that their jobs request.
 func (report Report) WeightedUtility(setting Setting) (utility float64) {
 	totalWeight := 0.0
 	for i, kind := range setting.Kinds {
 		weight := kind.PerSecond * kind.MeanTasks * kind.MeanRunTime.Seconds() * float64(kind.CPU)
+		if kind.Value > 0 {
+			weight = kind.PerSecond * kind.Value
+		}
 		utility += weight * report.Kinds[i].Utility()
 		totalWeight += weight
 	}
@@ -205,6 +212,8 @@
 	expiresAt   ptid.Instant
 	runTimes    map[ptid.TaskIndex]time.Duration
 	entry       *entry
+	// work is the processor time that the job needs on workers of speed 1, in core-seconds.
+	work float64
 }
 
 // simulation is the state of one simulation.
@@ -213,11 +222,13 @@
 
 	setting Setting
 	random  *rand.Rand
-	entries []*entry
-	agents  []*agent
-	callers map[ptid.JobID]*caller
-	report  Report
-	jobs    int
+	// stragglers has a state of its own, so that the jobs of a setting don't depend on the runs.
+	stragglers *rand.Rand
+	entries    []*entry
+	agents     []*agent
+	callers    map[ptid.JobID]*caller
+	report     Report
+	jobs       int
 	// idleSum adds up the idle share of the capacity over the samples taken while jobs were
 	// waiting; idleSamples counts these samples.
 	idleSum     float64
@@ -227,7 +238,7 @@
 // Run simulates a load and returns the outcomes.
 func Run(setting Setting) (report Report) {
 	simulation := &simulation{
-		Timeline: pttimeline.New(start), setting: setting, random: rand.New(rand.NewPCG(setting.Seed, 11)),
+		Timeline: pttimeline.New(start), setting: setting, random: rand.New(rand.NewPCG(setting.Seed, 11)), stragglers: rand.New(rand.NewPCG(setting.Seed, 12)),
 		callers: make(map[ptid.JobID]*caller),
 		report:  Report{Entries: make([]Count, len(setting.Entries)), Kinds: make([]Count, len(setting.Kinds))},
 	}
@@ -236,6 +247,7 @@
 	}
 	for index := range setting.Workers {
 		simulation.agents = append(simulation.agents, simulation.newAgent(index))
+		simulation.report.Capacity += simulation.agents[index].speed * float64(simulation.agents[index].capacity.CPU) / 1000
 	}
 	for _, agent := range simulation.agents {
 		agent.startProcess()
@@ -250,6 +262,7 @@
 		}
 	}
 	simulation.Every(tickInterval, simulation.sampleIdleCapacity)
+	simulation.Every(tickInterval, simulation.sampleUse)
 	simulation.RunUntil(simulation.Now().Add(setting.Span + warmUp))
 	for _, count := range simulation.report.Entries {
 		simulation.report.Total.add(count)
@@ -326,6 +339,7 @@
 			rate *= surge.Factor
 		}
 	}
+	rate *= setting.Swing.factor(now.Sub(from), setting.Entries[index].Zone, setting.Zones)
 	simulation.After(time.Duration(simulation.random.ExpFloat64()/rate*float64(time.Second)), func() {
 		if simulation.Now().Sub(from) > setting.Span {
 			return
@@ -360,20 +374,23 @@
 	count := max(1, int(math.Round(kind.MeanTasks*simulation.randomFactor(taskCountSigma))))
 	meanRunTime := time.Duration(float64(kind.MeanRunTime) * simulation.randomFactor(jobRunTimeSigma))
 	caller := &caller{kind: kindIndex, submittedAt: now, runTimes: make(map[ptid.TaskIndex]time.Duration, count), entry: entry}
-	longest := time.Duration(0)
+	longest, total := time.Duration(0), time.Duration(0)
 	for task := range count {
 		runTime := time.Duration(float64(meanRunTime) * simulation.randomFactor(taskRunTimeSigma))
 		caller.runTimes[ptid.TaskIndex(task)] = runTime
-		longest = max(longest, runTime)
+		longest, total = max(longest, runTime), total+runTime
 	}
 	objective := time.Duration(kind.Stretch*float64(longest)) + kind.TargetLatency
 	caller.objective, caller.expiresAt = now.Add(objective), now.Add(expiryFactor*objective)
 	simulation.callers[id] = caller
+	estimate := time.Duration(float64(meanRunTime) * simulation.randomFactor(estimateSigma))
+	demand := ptrun.Demand{CPU: ptrun.Millicores(float64(kind.CPU) * simulation.randomFactor(demandSigma)), Memory: 64}
+	caller.work = total.Seconds() * float64(demand.CPU) / 1000
 	simulation.record(caller, func(count *Count) { count.Submitted++ })
+	simulation.recordSubmission(caller, longest)
 	spec := ptassign.Spec{
 		Spec: ptgraph.Spec{ID: id, MaxAttempts: 4, Steps: []ptgraph.Step{{
-			Count: count, Estimate: time.Duration(float64(meanRunTime) * simulation.randomFactor(estimateSigma)),
-			Demand: ptrun.Demand{CPU: ptrun.Millicores(float64(kind.CPU) * simulation.randomFactor(demandSigma)), Memory: 64},
+			Count: count, Estimate: estimate, Demand: demand,
 		}}},
 		Queue: ptqueue.Queue{
 			Name: kind.Name, Service: service, Priority: kind.Priority, MaxAttempts: 4, Stretch: kind.Stretch, TargetLatency: kind.TargetLatency,
@@ -386,7 +403,7 @@
 // record applies change to the counts of the job's entry and of the job's kind. Jobs that arrived
 // before CountFrom are ignored.
 func (simulation *simulation) record(caller *caller, change func(count *Count)) {
-	if caller.submittedAt < start.Add(warmUp+simulation.setting.CountFrom) {
+	if !simulation.counts(caller.submittedAt) {
 		return
 	}
 	change(&simulation.report.Entries[caller.entry.index])
@@ -409,4 +426,5 @@
 			count.InTime++
 		}
 	})
+	simulation.recordEnd(caller, state == ptgraph.Completed)
 }
