ptassign: the forecast counts free capacity in whole tasks

Cause: the forecast added up the remainders of all workers. Every entry took the sum for free and admitted jobs that had to wait. Change: each worker's free capacity counts only as far as whole tasks of the job fit into it.

--- a/ptassign/forecast.go
+++ b/ptassign/forecast.go
@@ -100,7 +100,7 @@
 			ahead += core.readyDemand(other)
 		}
 	}
-	capacity = core.availableCapacity(job.Queue.Service, ownRate, now)
+	capacity = core.availableCapacity(job.Queue.Service, ownRate, job.minDemand.CPU, now)
 	capacity.ReservedPerSecond = ptrun.MillicoresPerSecond(core.reservedRate(job, now))
 	return capacity.waitFor(ahead + core.readyDemand(job)), ahead, capacity
 }
@@ -116,7 +116,7 @@
 	}
 	capacities := make(map[ptid.ServiceName]AvailableCapacity)
 	for service, request := range core.CapacityRequests(now) {
-		capacities[service] = core.availableCapacity(service, request.Rate, now)
+		capacities[service] = core.availableCapacity(service, request.Rate, request.MinDemand.CPU, now)
 	}
 	ahead := make(map[ptid.ServiceName]ptrun.Millicores)
 	for _, job := range core.waiting {
@@ -138,7 +138,8 @@
 
 // AvailableCapacity is the capacity that is available to the jobs of an entry.
 type AvailableCapacity struct {
-	// Free is the CPU capacity that is free now. FreedPerSecond is the rate at which capacity
+	// Free is the CPU capacity that is free now, counted in whole tasks on each worker.
+	// FreedPerSecond is the rate at which capacity
 	// becomes free for this entry.
 	Free           ptrun.Millicores
 	FreedPerSecond ptrun.MillicoresPerSecond
@@ -147,15 +148,15 @@
 }
 
 // availableCapacity returns the capacity that is available to this entry's jobs if they need
-// capacity at the given rate.
-func (core *Core) availableCapacity(service ptid.ServiceName, ownRate ptrun.MillicoresPerSecond, now ptid.Instant) (capacity AvailableCapacity) {
+// capacity at the given rate and their smallest task has the given CPU demand.
+func (core *Core) availableCapacity(service ptid.ServiceName, ownRate ptrun.MillicoresPerSecond, taskCPU ptrun.Millicores, now ptid.Instant) (capacity AvailableCapacity) {
 	runningCPU, reservedCPU, expectedWork, requestedByOthers, reporting := 0.0, ptrun.Millicores(0), 0.0, ptrun.MillicoresPerSecond(0), 0
 	for _, agent := range core.sortedAgents {
 		if agent.service != service || !agent.connected || agent.state.Unusable {
 			continue
 		}
 		if agent.isUsable(now) {
-			capacity.Free += max(0, agent.free().CPU)
+			capacity.Free += wholeTasks(agent.free().CPU, taskCPU)
 		}
 		// Capacity that the runs of other entries release is available to all entries, so
 		// heldByOthers counts too. A slow worker releases capacity later.
@@ -179,6 +180,15 @@
 	return capacity
 }
 
+// wholeTasks returns the part of a worker's free CPU capacity that whole tasks can use.
+//
+// Workers that are full have remainders smaller than a task. Their sum over many workers is
+// enough for many jobs, none of whose tasks could be placed: 5 % of the capacity of 61 workers.
+func wholeTasks(free, task ptrun.Millicores) ptrun.Millicores {
+	task = max(1, task)
+	return max(0, free) / task * task
+}
+
 // minUnreservedShare is the least share of FreedPerSecond that remains for a job after the
 // reservation for more urgent jobs.
 const minUnreservedShare = 0.05
