--- a/ptsim/agent.go
+++ b/ptsim/agent.go
@@ -111,12 +111,8 @@
 
 func (simulation *simulation) newAgent(index int) *agent {
 	factor := capacityFactors[index%len(capacityFactors)]
-	speeds := workerSpeeds
-	if len(simulation.setting.Speeds) > 0 {
-		speeds = simulation.setting.Speeds
-	}
 	agent := &agent{
-		simulation: simulation, index: index, slowdown: 1, faultySince: ptid.Never, speed: speeds[simulation.random.IntN(len(speeds))],
+		simulation: simulation, index: index, slowdown: 1, faultySince: ptid.Never, speed: simulation.drawSpeed(),
 		capacity: ptrun.Demand{
 			CPU: ptrun.Millicores(factor * float64(simulation.setting.Capacity.CPU)), Memory: ptrun.Mebibytes(factor * float64(simulation.setting.Capacity.Memory)),
 		},
@@ -308,10 +304,7 @@
 	caller := simulation.callers[id.Task.Job]
 	runTime, result := time.Millisecond, ptrun.Done
 	if caller != nil {
-		runTime = time.Duration(float64(caller.runTimes[id.Task.Index]) / agent.speed)
-		if setting := &simulation.setting; setting.StragglerShare > 0 && simulation.random.Float64() < setting.StragglerShare {
-			runTime = time.Duration(float64(runTime) * setting.StragglerFactor)
-		}
+		runTime = time.Duration(float64(caller.runTimes[id.Task.Index]) / agent.speed * simulation.drawStraggling())
 	}
 	if agent.failing {
 		runTime, result = time.Millisecond, ptrun.Failed
--- a/ptsim/recovery_test.go
+++ b/ptsim/recovery_test.go
@@ -33,7 +33,7 @@
 			kind("hold", 600, 2, 200*time.Millisecond, 1),
 		},
 		Span: 4 * time.Second, InZone: 100 * time.Microsecond, CrossZone: 1400 * time.Microsecond, MessageCost: 50 * time.Microsecond,
-		Speeds: []float64{0.8, 1, 1.25},
+		HardLoad: ptsim.HardLoad{Speeds: []float64{0.8, 1, 1.25}},
 	}
 	if customer == "L" {
 		setting.CrossZone = 500 * time.Microsecond
