ptassign: keep the check of a usable worker inlined

Change: the flag is agentRecord.inService, the contrary of withheld, beside connected; isAvailable is one expression. Ruled out: the zone beside the flag (no effect); a negated disjunction (the same size, but the linter objects).

--- a/ptassign/agents.go
+++ b/ptassign/agents.go
@@ -41,7 +41,9 @@
 	service              ptid.ServiceName
 	sameZone             bool
 	connected            bool
-	zonePlacement
+	// inService is false while the availability zone is evacuated, and until the worker has returned
+	// afterwards: the worker is withheld.
+	inService bool
 	// connectedAt is when the agent opened its first session after it had none.
 	connectedAt, disconnectedAt ptid.Instant
 	state                       AgentState
@@ -59,6 +61,7 @@
 	// expectedWork is the sum of the expected run times of the runs, each multiplied by its
 	// reserved CPU.
 	expectedWork float64
+	zone         ptid.Zone
 }
 
 // free returns the worker's capacity less all known reservations.
@@ -99,7 +102,7 @@
 // agentOf returns the record of an agent, which it creates if there is none.
 func (core *Core) agentOf(name ptid.AgentName) (agent *agentRecord) {
 	if agent = core.agents[name]; agent == nil {
-		agent = &agentRecord{name: name, runs: make(map[ptrun.ID]*placedRun), observed: newObservations()}
+		agent = &agentRecord{name: name, inService: true, runs: make(map[ptrun.ID]*placedRun), observed: newObservations()}
 		core.agents[name] = agent
 		core.sortedAgents = slices.SortedFunc(maps.Values(core.agents), func(left, right *agentRecord) int { return cmp.Compare(left.name, right.name) })
 	}
--- a/ptassign/evacuation.go
+++ b/ptassign/evacuation.go
@@ -22,13 +22,6 @@
 	withheld int
 }
 
-// zonePlacement is the place of an agent in its availability zone.
-type zonePlacement struct {
-	zone ptid.Zone
-	// withheld means that the zone is evacuated, or that the worker has not returned since.
-	withheld bool
-}
-
 // evacuationNeed is how many of a job's ready tasks can run only on withheld workers.
 type evacuationNeed uint8
 
@@ -76,8 +69,8 @@
 func (core *Core) updateWithheld(now ptid.Instant) {
 	core.evacuation.withheld = 0
 	for _, agent := range core.sortedAgents {
-		agent.withheld = core.evacuation.state.Contains(agent.zone) || now < core.evacuation.returns.ReturnsAt(agent.zone, agent.name)
-		if agent.withheld {
+		agent.inService = !core.evacuation.state.Contains(agent.zone) && now >= core.evacuation.returns.ReturnsAt(agent.zone, agent.name)
+		if !agent.inService {
 			core.evacuation.withheld++
 		}
 	}
@@ -112,7 +105,7 @@
 	var refused []Key
 	withheldServices := make(map[ptid.ServiceName]bool)
 	for _, agent := range core.sortedAgents {
-		if agent.withheld {
+		if !agent.inService {
 			withheldServices[agent.service] = core.isWithheld(agent.service, now)
 		}
 	}
@@ -133,7 +126,7 @@
 		if agent.service == service && agent.isServing(now) {
 			return false
 		}
-		withheld = withheld || agent.service == service && agent.withheld && agent.state.Worker != ""
+		withheld = withheld || agent.service == service && !agent.inService && agent.state.Worker != ""
 	}
 	return withheld
 }
@@ -196,7 +189,7 @@
 	for _, agent := range core.sortedAgents {
 		switch {
 		case agent.service != job.Queue.Service:
-		case agent.withheld:
+		case !agent.inService:
 			withheld += agent.tasksAtOnce(step, needed)
 		case agent.isServing(now):
 			if serving += agent.tasksAtOnce(step, needed); serving >= needed {
--- a/ptassign/forecast.go
+++ b/ptassign/forecast.go
@@ -41,7 +41,9 @@
 
 // isAvailable reports whether the agent has a session and has reported a usable worker, which is not
 // withheld for an evacuation.
-func (agent *agentRecord) isAvailable() bool { return agent.hasUsableWorker() && !agent.withheld }
+func (agent *agentRecord) isAvailable() bool {
+	return agent.connected && agent.hasReport && !agent.state.Unusable && agent.inService
+}
 
 // HasWorker reports whether any agent has a session and has reported a usable worker.
 func (core *Core) HasWorker() bool {
@@ -54,7 +56,7 @@
 // If all links fail at once, an entry has no agents for some hundreds of milliseconds. Most
 // jobs that arrive in this period can still be completed in time, so they are not refused.
 func (agent *agentRecord) mayReconnect(now ptid.Instant) bool {
-	return !agent.isAvailable() && !agent.withheld && !agent.state.Unusable && agent.state.Worker != "" && now.Sub(agent.disconnectedAt) <= ptlink.ReconnectTimeout
+	return !agent.isAvailable() && agent.inService && !agent.state.Unusable && agent.state.Worker != "" && now.Sub(agent.disconnectedAt) <= ptlink.ReconnectTimeout
 }
 
 // jobsWithoutWorker returns the jobs of which no run can have started and whose service has no
@@ -65,7 +67,7 @@
 	}
 	served := make(map[ptid.ServiceName]bool)
 	for _, agent := range core.sortedAgents {
-		if agent.connected && !agent.withheld || agent.mayReconnect(now) {
+		if agent.connected && agent.inService || agent.mayReconnect(now) {
 			served[agent.service] = true
 		}
 	}
@@ -152,7 +154,7 @@
 func (core *Core) availableCapacity(service ptid.ServiceName, ownRate ptrun.MillicoresPerSecond, now ptid.Instant) (capacity AvailableCapacity) {
 	runningCPU, reservedCPU, expectedWork, requestedByOthers, reporting := 0.0, ptrun.Millicores(0), 0.0, ptrun.MillicoresPerSecond(0), 0
 	for _, agent := range core.sortedAgents {
-		if agent.service != service || !agent.connected || agent.state.Unusable || agent.withheld {
+		if agent.service != service || !agent.connected || agent.state.Unusable || !agent.inService {
 			continue
 		}
 		if agent.isUsable(now) {
--- a/ptassign/suspect.go
+++ b/ptassign/suspect.go
@@ -122,7 +122,7 @@
 func (core *Core) mayIsolate(service ptid.ServiceName) bool {
 	workers, isolating := 0, 0
 	for _, agent := range core.sortedAgents {
-		if agent.service != service || !agent.connected || agent.withheld {
+		if agent.service != service || !agent.connected || !agent.inService {
 			continue
 		}
 		workers++
