ptassign: Retry-After is spread over the time that refused work needs

Cause: jobs refused by the forecast got max(1 s, wait), and those refused at a tick or without workers exactly 1 s. Callers who return do so together and are refused again. Change: the delay is the forecast wait plus a part, by a hash of the job's ID, of a span of 1 s times (1 + offered over admitted demand of the queue, time constant 0.5 s), from 2 s to 8 s. Never below the forecast wait or 1 s. Ruled out: random numbers of the core (the placements after a refusal would draw others); spreads below 1 s (callers get whole seconds).

--- a/ptassign/ends.go
+++ b/ptassign/ends.go
@@ -142,7 +142,7 @@
 	}
 	var refusal *Refusal
 	if unstarted {
-		refusal = &Refusal{Reason: reason, RetryAfter: minRetryAfter}
+		refusal = &Refusal{Reason: reason, RetryAfter: core.retryAfter(job, 0, now)}
 	}
 	core.closeJob(job, refusal, now)
 }
--- a/ptassign/forecast.go
+++ b/ptassign/forecast.go
@@ -26,13 +26,13 @@
 	}
 	switch {
 	case workers == 0:
-		return &Refusal{Reason: NoWorker, RetryAfter: minRetryAfter}
+		return &Refusal{Reason: NoWorker, RetryAfter: core.retryAfter(job, 0, now)}
 	case fitting == 0:
-		return &Refusal{Reason: NoFittingWorker, RetryAfter: minRetryAfter}
+		return &Refusal{Reason: NoFittingWorker, RetryAfter: core.retryAfter(job, 0, now)}
 	}
 	wait, ahead, capacity := core.forecast(job, now)
 	if now.Add(wait) > job.latestStart() && wait > 0 || now.Add(wait+job.expectedDuration) > job.ExpiresAt {
-		return &Refusal{Reason: ForecastTooLate, RetryAfter: max(minRetryAfter, wait), ForecastWait: wait, DemandAhead: ahead, Capacity: capacity}
+		return &Refusal{Reason: ForecastTooLate, RetryAfter: core.retryAfter(job, wait, now), ForecastWait: wait, DemandAhead: ahead, Capacity: capacity}
 	}
 	return nil
 }
--- a/ptassign/ptassign.go
+++ b/ptassign/ptassign.go
@@ -91,8 +91,6 @@
 	// defaultRunTime is the expected run time where no estimate was declared and no run has
 	// been measured.
 	defaultRunTime = 200 * time.Millisecond
-	// minRetryAfter is the shortest retry delay that is returned with a refusal.
-	minRetryAfter = time.Second
 )
 
 // Spec describes a submitted job.
@@ -380,6 +378,7 @@
 		Job: graph, Queue: spec.Queue, SubmittedAt: now, Deadline: spec.Deadline, expectedDuration: duration, readyCPU: -1,
 		Objective: now.Add(objective), ExpiresAt: min(now.Add(ExpiryFactor*objective), spec.Deadline),
 	}
+	core.demandOf(job, now).offered += float64(core.readyDemand(job))
 	if refusal = core.refusalFor(job, now); refusal != nil {
 		core.countOutcome(job, false, now)
 		return nil, refusal, nil, nil
--- a/ptassign/reservation.go
+++ b/ptassign/reservation.go
@@ -24,17 +24,18 @@
 type queueDemand struct {
 	service  ptid.ServiceName
 	priority int
-	// cpu is the CPU demand of admitted jobs. ended is the number of jobs that have ended or were
+	// cpu is the CPU demand of admitted jobs, offered that of all submitted jobs. ended is the number of jobs that have ended or were
 	// refused. missed is the number of these jobs that did not complete by their objective; it
 	// includes the refused jobs.
-	cpu, ended, missed float64
+	cpu, offered, ended, missed float64
 	// decayedAt is the instant up to which the decay has been applied.
 	decayedAt ptid.Instant
 }
 
 func (demand *queueDemand) decay(now ptid.Instant) {
 	factor := math.Exp(-now.Sub(demand.decayedAt).Seconds() / demandDecay.Seconds())
-	demand.cpu, demand.ended, demand.missed, demand.decayedAt = demand.cpu*factor, demand.ended*factor, demand.missed*factor, now
+	demand.cpu, demand.offered, demand.decayedAt = demand.cpu*factor, demand.offered*factor, now
+	demand.ended, demand.missed = demand.ended*factor, demand.missed*factor
 }
 
 // demandOf returns the demand of the job's queue, decayed to the given instant.
