--- a/ptsim/entry.go
+++ b/ptsim/entry.go
@@ -19,10 +19,12 @@
 	busyUntil ptid.Instant
 	// sentAt is the time of the last message to each agent.
 	sentAt []ptid.Instant
+	// quarantined contains the agents whose workers the entry has quarantined.
+	quarantined map[ptid.AgentName]bool
 }
 
 func (simulation *simulation) newEntry(index int) *entry {
-	entry := &entry{simulation: simulation, index: index, core: ptassign.New(uint64(simulation.random.Int64())), sentAt: make([]ptid.Instant, simulation.setting.Workers)}
+	entry := &entry{simulation: simulation, index: index, core: ptassign.New(uint64(simulation.random.Int64())), sentAt: make([]ptid.Instant, simulation.setting.Workers), quarantined: make(map[ptid.AgentName]bool)}
 	simulation.Every(tickInterval, func() { entry.process(entry.tick) })
 	return entry
 }
@@ -127,7 +129,11 @@
 				simulation.report.RefusedLater++
 			}
 			simulation.jobEnded(effect.Job.ID, effect.Job.State(), effect.Refusal != nil)
-		case ptassign.SaveProgress, ptassign.RejectEnd, ptassign.TaskHeld, ptassign.LossResolved, ptassign.RequestAdvice, ptassign.WorkerQuarantined:
+		case ptassign.WorkerQuarantined:
+			if delete(entry.quarantined, effect.Agent); effect.Quarantined {
+				entry.quarantined[effect.Agent] = true
+			}
+		case ptassign.SaveProgress, ptassign.RejectEnd, ptassign.TaskHeld, ptassign.LossResolved, ptassign.RequestAdvice:
 		}
 	}
 }
--- a/ptsim/hardload.go
+++ b/ptsim/hardload.go
@@ -20,6 +20,36 @@
 	Swing                           Swing
 	// DontCountLast is the time before the end of the arrivals in which jobs aren't counted.
 	DontCountLast time.Duration
+	// InspectAt is when Report.Inspected is taken, counted from the start of the arrivals; zero
+	// means never.
+	InspectAt time.Duration
+}
+
+// Inspection is the state of all entries at one instant.
+type Inspection struct {
+	// WaitingJobs is the number of jobs that wait for capacity. LateJobs is the number of open jobs
+	// that have missed their objective, and AbandonedJobs the number of those whose callers have
+	// stopped waiting two ticks ago or earlier.
+	WaitingJobs, LateJobs, AbandonedJobs int
+	// Quarantined adds up, over all entries, the workers that they have quarantined.
+	Quarantined int
+}
+
+// inspect takes the inspection of all entries.
+func (simulation *simulation) inspect() {
+	inspected, now := &simulation.report.Inspected, simulation.Now()
+	for _, entry := range simulation.entries {
+		inspected.WaitingJobs += entry.core.WaitingJobs()
+		inspected.Quarantined += len(entry.quarantined)
+	}
+	for _, caller := range simulation.callers {
+		switch {
+		case now > caller.submittedAt.Add(simulation.setting.Kinds[caller.kind].CallerTimeout+2*tickInterval):
+			inspected.AbandonedJobs++
+		case now > caller.objective:
+			inspected.LateJobs++
+		}
+	}
 }
 
 // Swing varies the arrival rate as a sine.
--- a/ptsim/ptsim.go
+++ b/ptsim/ptsim.go
@@ -187,6 +187,7 @@
 	// IdleShare is the mean share of the capacity that was idle while jobs were waiting.
 	IdleShare float64
 	WorkReport
+	Inspected Inspection
 }
 
 // WeightedUtility returns the utility of all kinds, weighted by the value of their jobs or, if
@@ -263,6 +264,9 @@
 	}
 	simulation.Every(tickInterval, simulation.sampleIdleCapacity)
 	simulation.Every(tickInterval, simulation.sampleUse)
+	if setting.InspectAt > 0 {
+		simulation.After(setting.InspectAt, simulation.inspect)
+	}
 	simulation.RunUntil(simulation.Now().Add(setting.Span + warmUp))
 	for _, count := range simulation.report.Entries {
 		simulation.report.Total.add(count)
