--- a/ptassign/forecast.go
+++ b/ptassign/forecast.go
@@ -30,13 +30,13 @@
 	case workers == 0 && core.expectsAgents(job.Queue.Service, now):
 		return nil
 	case workers == 0:
-		return &Refusal{Reason: NoWorker, RetryAfter: minRetryAfter}
+		return &Refusal{Reason: NoWorker, RetryAfter: core.retryAfter(job, 0, now)}
 	case fitting == 0:
-		return &Refusal{Reason: NoFittingWorker, RetryAfter: minRetryAfter}
+		return &Refusal{Reason: NoFittingWorker, RetryAfter: core.retryAfter(job, 0, now)}
 	}
 	wait, ahead, capacity := core.forecast(job, now)
 	if now.Add(wait) > job.latestStart() && wait > 0 || now.Add(wait+job.expectedDuration) > job.ExpiresAt {
-		return &Refusal{Reason: ForecastTooLate, RetryAfter: max(minRetryAfter, wait), ForecastWait: wait, DemandAhead: ahead, Capacity: capacity}
+		return &Refusal{Reason: ForecastTooLate, RetryAfter: core.retryAfter(job, wait, now), ForecastWait: wait, DemandAhead: ahead, Capacity: capacity}
 	}
 	return nil
 }
@@ -97,7 +97,7 @@
 	queueKey := job.queueKey(now)
 	ownRate := core.requestRate(job, now)
 	for _, other := range core.waiting {
-		if other.Queue.Service != job.Queue.Service || core.awaitsReturn(other) {
+		if other.Queue.Service != job.Queue.Service || core.awaitsReturn(other) || !core.isServed(other, now) {
 			continue
 		}
 		ownRate += core.requestRate(other, now)
@@ -126,7 +126,7 @@
 	ahead := make(map[ptid.ServiceName]ptrun.Millicores)
 	for _, job := range core.waiting {
 		service := job.Queue.Service
-		if job.State().Ended() || core.isOnHold(job, now) {
+		if job.State().Ended() || core.isOnHold(job, now) || !core.isServed(job, now) {
 			continue
 		}
 		ahead[service] += core.readyDemand(job)
@@ -223,6 +223,7 @@
 		}
 		if cpu == 0 {
 			job.minDemand = task.Step.Reservation()
+			job.firstDemand, job.constrained = job.minDemand, core.constraints.of(constraintOf(job, task.Step))
 		}
 		cpu += max(1, task.Step.Demand.CPU)
 		job.minDemand = job.minDemand.Min(task.Step.Reservation())
--- a/ptsim/ptsim.go
+++ b/ptsim/ptsim.go
@@ -191,6 +191,7 @@
 	// mean utilization of all workers, by time since their recovery in steps of [RecoveryStep].
 	Recovery []float64
 	WorkReport
+	Inspected Inspection
 }
 
 // WeightedUtility returns the utility of all kinds, weighted by the value of their jobs or, if
@@ -269,6 +270,9 @@
 	simulation.Every(tickInterval, simulation.sampleIdleCapacity)
 	simulation.Every(tickInterval, simulation.sampleRecovery)
 	simulation.Every(tickInterval, simulation.sampleUse)
+	if setting.InspectAt > 0 {
+		simulation.After(setting.InspectAt, simulation.inspect)
+	}
 	simulation.RunUntil(simulation.Now().Add(setting.Span + warmUp))
 	for _, count := range simulation.report.Entries {
 		simulation.report.Total.add(count)
