ptlocality: wait for near workers by expected value

Cause: a task far from the rack of its data takes remote-factor times as long. It was placed far whenever the rack had no room at that moment, and a fixed cost of 0.5 stood for the loss. Change: the pure core ptlocality decides between a far run now and a wait for a near worker. ptassign asks it in placeJob, counts the waiting tasks by label, converts the run times of far runs, admits jobs of a lost rack only if they are useful far away, and leaves contested racks to the tasks that prefer them. Metrics, a bounded log line, racks and hotspots in ptsim.

--- a/ptassign/choose.go
+++ b/ptassign/choose.go
@@ -11,6 +11,7 @@
 // choose returns the agent on whose worker the task is placed; nil if no worker can run it
 // now.
 func (core *Core) choose(job *Job, task *ptgraph.Task, now ptid.Instant) (chosen *agentRecord) {
+	core.prepareFarCost(job, task, now)
 	chosen = core.chooseFrom(core.usable, job, task, now)
 	if chosen == nil && core.mayUseQuarantined(job, now) {
 		chosen = core.chooseFrom(core.quarantinedAgents, job, task, now)
@@ -61,7 +62,8 @@
 	// capacity.
 	otherZonePenalty = 0.3
 	// remotePenalty is added to the cost of a worker without the step's preferred label, because
-	// such a worker is not in the rack that holds the step's data.
+	// such a worker is not in the rack that holds the step's data. Where the remote factor is
+	// known and matters, the cost is computed instead (locality.go).
 	remotePenalty = 0.5
 	// loadPenalty times the square of a worker's CPU utilization is added to the worker's cost,
 	// because the free capacity of a highly utilized worker may be gone when the order arrives.
@@ -79,7 +81,10 @@
 		cost += otherZonePenalty
 	}
 	if task.Step.PreferredLabel != "" && !slices.Contains(candidate.state.Labels, task.Step.PreferredLabel) {
-		cost += remotePenalty
+		cost += core.remoteCost(task)
+	}
+	if len(core.locality.contestedUntil) > 0 {
+		cost += core.contestedCost(candidate, task)
 	}
 	return cost
 }
--- a/ptassign/ends.go
+++ b/ptassign/ends.go
@@ -71,8 +71,8 @@
 func (core *Core) learn(agent *agentRecord, run *placedRun, end ptrun.End, now ptid.Instant) {
 	switch end.Result {
 	case ptrun.Done:
-		seconds := end.RunTime.Seconds()
-		agent.observed.runDone(seconds/max(run.expectedRunTime.Seconds(), 0.001), now)
+		seconds := core.nearSeconds(agent, run, end)
+		agent.observed.runDone(end.RunTime.Seconds()/max(run.expectedRunTime.Seconds(), 0.001), now)
 		queue := run.job.Queue.Name
 		if average, seen := core.averageRunTime[queue]; seen {
 			core.averageRunTime[queue] = average + averageWeight*(min(seconds, 4*average)-average)
@@ -86,6 +86,7 @@
 		agent.observed.runFailed(end.Run.Task.Job, now)
 	case ptrun.Stopped, ptrun.Lost, ptrun.NeverStarted:
 		agent.observed.runDiscarded()
+		run.job.farRunDiscarded()
 	}
 }
 
--- a/ptassign/forecast.go
+++ b/ptassign/forecast.go
@@ -30,6 +30,7 @@
 	case fitting == 0:
 		return &Refusal{Reason: NoFittingWorker, RetryAfter: minRetryAfter}
 	}
+	core.expectFar(job, now)
 	wait, ahead, capacity := core.forecast(job, now)
 	if now.Add(wait) > job.latestStart() && wait > 0 || now.Add(wait+job.expectedDuration) > job.ExpiresAt {
 		return &Refusal{Reason: ForecastTooLate, RetryAfter: max(minRetryAfter, wait), ForecastWait: wait, DemandAhead: ahead, Capacity: capacity}
@@ -97,7 +98,7 @@
 		}
 		ownRate += core.requestRate(other, now)
 		if other.queueKey(now) <= queueKey {
-			ahead += core.readyDemand(other)
+			ahead += core.readyDemand(other) - other.nearWaitDemand()
 		}
 	}
 	capacity = core.availableCapacity(job.Queue.Service, ownRate, now)
@@ -124,13 +125,14 @@
 		if job.State().Ended() || core.isOnHold(job, now) {
 			continue
 		}
-		ahead[service] += core.readyDemand(job)
+		demand := core.readyDemand(job) - job.nearWaitDemand()
+		ahead[service] += demand
 		if job.Durable || now <= job.latestStart() || !job.CertainlyUnstarted() {
 			continue
 		}
 		if wait := capacities[service].waitFor(ahead[service]); now.Add(wait+job.expectedDuration) > job.ExpiresAt {
 			keys = append(keys, job.Key())
-			ahead[service] -= core.readyDemand(job)
+			ahead[service] -= demand
 		}
 	}
 	return keys
--- a/ptassign/ptassign.go
+++ b/ptassign/ptassign.go
@@ -175,6 +175,7 @@
 	isolatedRuns    int
 	// heldSince contains the tasks that wait for the resolution of their losses.
 	heldSince map[ptrun.TaskID]ptid.Instant
+	locality  *jobLocality
 }
 
 // Key returns the key of the job.
@@ -308,9 +309,8 @@
 	estimateBias float64
 	random       *rand.Rand
 	effects      []Effect
-	// usable contains the agents of all services that may get tasks now, and maxFree the
-	// component-wise maximum of their free capacity. Both are valid only during a call of
-	// placeWaiting.
+	// usable contains the agents of all services that may get tasks now, and maxFree the maximum
+	// of their free capacity by component. Both are valid only during a call of placeWaiting.
 	usable  []*agentRecord
 	maxFree ptrun.Demand
 	// quarantinedAgents contains the agents whose worker is quarantined, except the agents in
@@ -323,6 +323,7 @@
 	// ownershipExpiresAt is when another entry may own the durable jobs.
 	ownershipExpiresAt ptid.Instant
 	lastTickAt         ptid.Instant
+	locality           locality
 }
 
 // New returns a core without jobs or agents. The seed makes its random choices reproducible.
@@ -331,8 +332,7 @@
 		agents: make(map[ptid.AgentName]*agentRecord), jobs: make(map[Key]*Job), bestEffort: make(map[Key]*Job),
 		stopping: make(map[Key]*Job), heldJobs: make(map[Key]*Job),
 		averageRunTime: make(map[ptid.ProfileName]float64), demands: make(map[ptid.ProfileName]*queueDemand), estimateBias: 1, waitingSince: ptid.Never,
-		ownershipExpiresAt: ptid.Never,
-		random:             rand.New(rand.NewPCG(seed, 1)),
+		ownershipExpiresAt: ptid.Never, random: rand.New(rand.NewPCG(seed, 1)),
 	}
 }
 
--- a/ptassign/queue.go
+++ b/ptassign/queue.go
@@ -83,6 +83,7 @@
 		slices.SortStableFunc(core.waiting, func(left, right *Job) int { return compareJobs(left, right, now) })
 	}
 	core.updateUsable(now)
+	core.startNearScan(now)
 	blocked, examined, retained := 0, 0, 0
 	for ; examined < len(core.waiting) && blocked < maxBlockedJobs; examined++ {
 		job := core.waiting[examined]
@@ -133,6 +134,7 @@
 		core.placeSuspects(job, now)
 	}
 	if core.readyDemand(job) > 0 && job.Queue.Advice == nil && !core.maxFree.Covers(job.minDemand) && !core.mayUseQuarantined(job, now) {
+		core.noteBlocked(job)
 		return false
 	}
 	ready := job.Ready()
@@ -151,6 +153,9 @@
 			continue
 		}
 		chosen := core.choose(job, task, now)
+		if core.waitsForNear(chosen, job, task, len(ready)+1, now) {
+			continue
+		}
 		if chosen == nil {
 			core.requestAdvice(job, task, now)
 			return false
@@ -198,7 +203,7 @@
 // reserve adds a run to the agent's list and reserves the run's capacity; for an isolated run, that is
 // the whole worker.
 func (core *Core) reserve(chosen *agentRecord, job *Job, task *ptgraph.Task, run ptrun.ID, isolated bool, now ptid.Instant) {
-	expected := core.expectedRunTime(job.Queue.Name, task.Step)
+	expected := core.expectedRunTimeAt(chosen, job, task.Step)
 	placed := &placedRun{
 		job: job, task: task, reservation: task.Step.Reservation(), placedAt: now, expectedRunTime: expected,
 		hangsAt: now.Add(hangTimeout(task, expected)), incarnation: chosen.connectedIncarnation, isolated: isolated, worker: chosen.state.Worker,
--- a/ptbroker/ptbroker.go
+++ b/ptbroker/ptbroker.go
@@ -64,6 +64,9 @@
 	// EndedJobRetention is how long the state of an ended durable job can be queried.
 	EndedJobRetention time.Duration
 	Seed              uint64
+	// RemoteFactor is how many times as long a task takes away from the rack of its data; zero if
+	// it is unknown.
+	RemoteFactor float64
 }
 
 // Dependencies holds the services that a broker uses.
@@ -141,11 +144,12 @@
 	// capacityRequests is the capacity needed per service as of the last tick.
 	capacityRequests atomic.Pointer[map[ptid.ServiceName]ptrun.CapacityRequest]
 
-	mu            sync.Mutex
-	core          *ptassign.Core
-	agentSessions map[ptid.AgentName]*agentSession
-	handles       map[ptid.JobID]*JobHandle
-	ownership     ownership
+	mu             sync.Mutex
+	core           *ptassign.Core
+	agentSessions  map[ptid.AgentName]*agentSession
+	handles        map[ptid.JobID]*JobHandle
+	ownership      ownership
+	localityReport *localityReport
 	// adviceMu is held during a call to the advisor.
 	adviceMu sync.Mutex
 	peers    *peers
@@ -177,13 +181,14 @@
 	broker := &Broker{
 		setting: setting, deps: deps, incarnation: ptid.NewIncarnation(time.Now()),
 		core: ptassign.New(setting.Seed), agentSessions: make(map[ptid.AgentName]*agentSession),
-		handles: make(map[ptid.JobID]*JobHandle), peers: newPeers(),
+		handles: make(map[ptid.JobID]*JobHandle), peers: newPeers(), localityReport: newLocalityReport(deps),
 		ownership: ownership{store: deps.JobStore, partitions: make(map[ptjobstore.Partition]*ownedPartition), startedAt: deps.Clock.Now()},
 		counters: counters{
 			orders: deps.Metrics.Counter(ptmetric.RunOrders), retries: deps.Metrics.Counter(ptmetric.Retries),
 			queueTime: deps.Metrics.Histogram(ptmetric.QueueSeconds), jobTime: deps.Metrics.Histogram(ptmetric.JobSeconds),
 		},
 	}
+	broker.core.SetRemoteFactor(setting.RemoteFactor)
 	broker.ownership.memberID = newMemberID(deps.PeerAddress, broker.incarnation)
 	gauge := func(name ptmetric.Name, read func() int) {
 		deps.Metrics.Gauge(name, func() float64 {
@@ -310,6 +315,8 @@
 		case ptassign.WorkerQuarantined:
 			broker.deps.Log.Info("worker quarantine changed", "agent", effect.Agent, "aside", effect.Quarantined, "pace", effect.Assessment.Slowdown,
 				"failing", effect.Assessment.FailureRate, "age", broker.deps.Clock.Now().Sub(effect.Assessment.MeasuredAt).String())
+		case ptassign.LocalityEvent:
+			broker.localityReport.handle(effect, broker.deps.Clock.Now())
 		case ptassign.RunsLost:
 			broker.deps.Log.Info("runs declared lost", "agent", effect.Agent, "reason", effect.Reason, "runs", effect.Runs,
 				"disconnectedFor", broker.deps.Clock.Now().Sub(effect.DisconnectedAt).String())
--- a/ptdrill/entry.go
+++ b/ptdrill/entry.go
@@ -136,7 +136,7 @@
 			entry.simulation.trace("%s holds %v: %+v", entry.name(), effect.Task, effect.Losses)
 		case ptassign.LossResolved:
 			entry.simulation.trace("%s resolves the loss of %v: survived %t", entry.name(), effect.Run, effect.Fate == ptgraph.WorkerSurvived)
-		case ptassign.RequestAdvice, ptassign.WorkerQuarantined:
+		case ptassign.RequestAdvice, ptassign.WorkerQuarantined, ptassign.LocalityEvent:
 		}
 	}
 }
--- a/ptmetric/ptmetric.go
+++ b/ptmetric/ptmetric.go
@@ -68,6 +68,9 @@
 	WorkerCrashes    Name = "primrosetiller_worker_crashes_total"
 	JobSeconds       Name = "primrosetiller_job_seconds"
 	StoreCalls       Name = "primrosetiller_store_calls_total"
+	NearWaits        Name = "primrosetiller_near_waits_total"
+	NearWaitsPaid    Name = "primrosetiller_near_waits_paid_total"
+	FarPlacements    Name = "primrosetiller_far_placements_total"
 )
 
 // Description documents one metric.
@@ -117,6 +120,9 @@
 	{UnaccountedRuns, "Unaccounted runs", "Active runs in the newest listing of this agent's worker that are not in the agent's records: started by an earlier agent process, or declared ended too early.", "2.0"},
 	{JobSeconds, "Duration of a job", "Seconds from the arrival of a graph job to its end.", "2.0"},
 	{StoreCalls, "Calls to the platform's store", "Calls to the platform's store, by operation and result: done, refused, failed.", "2.0"},
+	{NearWaits, "Waits for near workers", "Tasks that began to wait for a worker near their data although a far worker had room.", "2.2"},
+	{NearWaitsPaid, "Waits that paid", "Tasks that waited for a near worker and were placed on one within the expected time.", "2.2"},
+	{FarPlacements, "Far placements", "Tasks that were placed on a far worker because near workers had no room. Counted only for queues whose stretch is below remote-factor.", "2.2"},
 	{SessionBytes, "Bytes on sessions", "Bytes on the sessions of this process, by direction: sent, received.", "1.0"},
 }
 
--- a/ptsim/agent.go
+++ b/ptsim/agent.go
@@ -142,7 +142,7 @@
 	agent.incarnation++
 	agent.core, agent.startedAt, agent.running, agent.lastEnd = ptruncontrol.New(1), now, make(map[ptrun.ID]*activeRun), 0
 	agent.sentReports = make([]sentReport, len(simulation.entries))
-	agent.core.HandleAnnouncement(ptrun.Worker{WorkerIdentity: agent.identity(), Service: service, Capacity: agent.capacity, Sequence: 1}, agent.clock(), now)
+	agent.core.HandleAnnouncement(ptrun.Worker{WorkerIdentity: agent.identity(), Service: service, Capacity: agent.capacity, Labels: agent.labels(), Sequence: 1}, agent.clock(), now)
 	agent.listRuns(nil)
 	for _, entry := range simulation.entries {
 		agent.applyEffects(agent.core.SessionOpened(entry.owner(), now))
@@ -189,7 +189,7 @@
 		entry.process(func() {
 			onArrival()
 			entry.applyEffects(entry.core.AgentReported(agent.name(), ptassign.AgentState{
-				Worker: report.Worker, Capacity: report.Capacity, Held: report.Held, Own: report.Own, Unusable: report.Unusable, RequestedByOthers: report.RequestedByOthers,
+				Worker: report.Worker, Capacity: report.Capacity, Held: report.Held, Own: report.Own, Labels: report.Labels, Unusable: report.Unusable, RequestedByOthers: report.RequestedByOthers,
 				Assessment: report.Assessment, MayProbe: report.MayProbe,
 			}, agent.simulation.Now()))
 			received := agent.simulation.Now()
@@ -299,7 +299,7 @@
 	caller := simulation.callers[id.Task.Job]
 	runTime, result := time.Millisecond, ptrun.Done
 	if caller != nil {
-		runTime = time.Duration(float64(caller.runTimes[id.Task.Index]) / agent.speed)
+		runTime = time.Duration(float64(caller.runTimes[id.Task.Index]) / agent.speed * agent.farFactor(caller))
 	}
 	if agent.failing {
 		runTime, result = time.Millisecond, ptrun.Failed
--- a/ptsim/entry.go
+++ b/ptsim/entry.go
@@ -23,6 +23,8 @@
 
 func (simulation *simulation) newEntry(index int) *entry {
 	entry := &entry{simulation: simulation, index: index, core: ptassign.New(uint64(simulation.random.Int64())), sentAt: make([]ptid.Instant, simulation.setting.Workers)}
+	entry.core.SetRemoteFactor(simulation.setting.Locality.KnownFactor)
+	entry.core.SetLocalityPolicy(simulation.setting.Locality.Policy)
 	simulation.Every(tickInterval, func() { entry.process(entry.tick) })
 	return entry
 }
@@ -123,6 +125,8 @@
 			entry.send(agent, func() { agent.applyEffects(agent.core.QueryRun(entry.owner(), effect.Run, simulation.Now())) })
 		case ptassign.JobEnded:
 			simulation.jobEnded(effect.Job.ID, effect.Job.State(), effect.Refusal != nil)
+		case ptassign.LocalityEvent:
+			simulation.report.LocalityOutcomes[effect.Outcome]++
 		case ptassign.SaveProgress, ptassign.RejectEnd, ptassign.TaskHeld, ptassign.LossResolved, ptassign.RequestAdvice, ptassign.WorkerQuarantined:
 		}
 	}
--- a/ptsim/ptsim.go
+++ b/ptsim/ptsim.go
@@ -139,6 +139,7 @@
 	InZone, CrossZone time.Duration
 	// MessageCost is the processor time that an entry needs for each message.
 	MessageCost time.Duration
+	Locality    Locality
 }
 
 // Count is the number of jobs by outcome. GivenUp counts the jobs that did not complete, or
@@ -181,6 +182,8 @@
 	// WastedStarts is the number of runs that started on workers that had been failing or
 	// slow for longer than [faultDetectionTime].
 	WastedStarts int
+	// LocalityOutcomes counts the choices between near and far workers.
+	LocalityOutcomes map[ptassign.LocalityOutcome]int
 	// IdleShare is the mean share of the capacity that was idle while jobs were waiting.
 	IdleShare float64
 }
@@ -205,6 +208,8 @@
 	expiresAt   ptid.Instant
 	runTimes    map[ptid.TaskIndex]time.Duration
 	entry       *entry
+	// preferred is the label of the rack that holds the job's data; empty if there is none.
+	preferred string
 }
 
 // simulation is the state of one simulation.
@@ -229,7 +234,7 @@
 	simulation := &simulation{
 		Timeline: pttimeline.New(start), setting: setting, random: rand.New(rand.NewPCG(setting.Seed, 11)),
 		callers: make(map[ptid.JobID]*caller),
-		report:  Report{Entries: make([]Count, len(setting.Entries)), Kinds: make([]Count, len(setting.Kinds))},
+		report:  Report{Entries: make([]Count, len(setting.Entries)), Kinds: make([]Count, len(setting.Kinds)), LocalityOutcomes: make(map[ptassign.LocalityOutcome]int)},
 	}
 	for index := range setting.Entries {
 		simulation.entries = append(simulation.entries, simulation.newEntry(index))
@@ -359,7 +364,7 @@
 	id := ptid.JobID(fmt.Sprintf("%016x", simulation.jobs))
 	count := max(1, int(math.Round(kind.MeanTasks*simulation.randomFactor(taskCountSigma))))
 	meanRunTime := time.Duration(float64(kind.MeanRunTime) * simulation.randomFactor(jobRunTimeSigma))
-	caller := &caller{kind: kindIndex, submittedAt: now, runTimes: make(map[ptid.TaskIndex]time.Duration, count), entry: entry}
+	caller := &caller{kind: kindIndex, submittedAt: now, runTimes: make(map[ptid.TaskIndex]time.Duration, count), entry: entry, preferred: simulation.preferredRack(kind.Name)}
 	longest := time.Duration(0)
 	for task := range count {
 		runTime := time.Duration(float64(meanRunTime) * simulation.randomFactor(taskRunTimeSigma))
@@ -373,7 +378,7 @@
 	spec := ptassign.Spec{
 		Spec: ptgraph.Spec{ID: id, MaxAttempts: 4, Steps: []ptgraph.Step{{
 			Count: count, Estimate: time.Duration(float64(meanRunTime) * simulation.randomFactor(estimateSigma)),
-			Demand: ptrun.Demand{CPU: ptrun.Millicores(float64(kind.CPU) * simulation.randomFactor(demandSigma)), Memory: 64},
+			Demand: ptrun.Demand{CPU: ptrun.Millicores(float64(kind.CPU) * simulation.randomFactor(demandSigma)), Memory: 64}, PreferredLabel: caller.preferred,
 		}}},
 		Queue: ptqueue.Queue{
 			Name: kind.Name, Service: service, Priority: kind.Priority, MaxAttempts: 4, Stretch: kind.Stretch, TargetLatency: kind.TargetLatency,
