--- a/ptassign/ptassign.go
+++ b/ptassign/ptassign.go
@@ -151,6 +151,7 @@
 	heldSince map[ptrun.TaskID]ptid.Instant
 	// evacuationNeed is valid while the job waits and workers are withheld.
 	evacuationNeed evacuationNeed
+	locality       *jobLocality
 }
 
 // Key returns the key of the job.
@@ -285,9 +286,8 @@
 	estimateBias float64
 	random       *rand.Rand
 	effects      []Effect
-	// usable contains the agents of all services that may get tasks now, and maxFree the
-	// component-wise maximum of their free capacity. Both are valid only during a call of
-	// placeWaiting.
+	// usable contains the agents of all services that may get tasks now, and maxFree the maximum
+	// of their free capacity by component. Both are valid only during a call of placeWaiting.
 	usable  []*agentRecord
 	maxFree ptrun.Demand
 	// probeTargets are the quarantined agents in usable, quarantinedAgents the other ones.
@@ -302,6 +302,7 @@
 	// agentsExpectedUntil is the end of the time in which agents may open their first sessions.
 	agentsExpectedUntil ptid.Instant
 	evacuation          evacuation
+	locality            locality
 }
 
 // New returns a core without jobs or agents. The seed makes its random choices reproducible.
@@ -310,8 +311,7 @@
 		agents: make(map[ptid.AgentName]*agentRecord), jobs: make(map[Key]*Job), bestEffort: make(map[Key]*Job),
 		stopping: make(map[Key]*Job), heldJobs: make(map[Key]*Job),
 		averageRunTime: make(map[ptid.ProfileName]float64), demands: make(map[ptid.ProfileName]*queueDemand), estimateBias: 1, waitingSince: ptid.Never,
-		ownershipExpiresAt: ptid.Never,
-		random:             rand.New(rand.NewPCG(seed, 1)),
+		ownershipExpiresAt: ptid.Never, random: rand.New(rand.NewPCG(seed, 1)),
 	}
 }
 
--- a/ptmetric/ptmetric.go
+++ b/ptmetric/ptmetric.go
@@ -70,6 +70,9 @@
 	StoreCalls       Name = "primrosetiller_store_calls_total"
 	EvacuatedZones   Name = "primrosetiller_evacuated_zones"
 	EvacuationAge    Name = "primrosetiller_evacuation_age_seconds"
+	NearWaits        Name = "primrosetiller_near_waits_total"
+	NearWaitsPaid    Name = "primrosetiller_near_waits_paid_total"
+	FarPlacements    Name = "primrosetiller_far_placements_total"
 )
 
 // Description documents one metric.
@@ -121,6 +124,9 @@
 	{StoreCalls, "Calls to the platform's store", "Calls to the platform's store, by operation and result: done, refused, failed.", "2.0"},
 	{EvacuatedZones, "Evacuated zones", "Availability zones that are evacuated, as known to this process.", "2.1"},
 	{EvacuationAge, "Age of the evacuation state", "Seconds since the platform's store last confirmed to this entry which availability zones are evacuated, or since the start of the entry.", "2.1"},
+	{NearWaits, "Waits for near workers", "Tasks that began to wait for a worker near their data although a far worker had room.", "2.2"},
+	{NearWaitsPaid, "Waits that paid", "Tasks that waited for a near worker and were placed on one within the expected time.", "2.2"},
+	{FarPlacements, "Far placements", "Tasks that were placed on a far worker because near workers had no room. Counted only for queues whose stretch is below remote-factor.", "2.2"},
 	{SessionBytes, "Bytes on sessions", "Bytes on the sessions of this process, by direction: sent, received.", "1.0"},
 }
 
--- a/ptsim/entry.go
+++ b/ptsim/entry.go
@@ -25,6 +25,8 @@
 
 func (simulation *simulation) newEntry(index int) *entry {
 	entry := &entry{simulation: simulation, index: index, core: ptassign.New(uint64(simulation.random.Int64())), sentAt: make([]ptid.Instant, simulation.setting.Workers), quarantined: make(map[ptid.AgentName]bool)}
+	entry.core.SetRemoteFactor(simulation.setting.Locality.KnownFactor)
+	entry.core.SetLocalityPolicy(simulation.setting.Locality.Policy)
 	simulation.Every(tickInterval, func() { entry.process(entry.tick) })
 	return entry
 }
@@ -129,6 +131,8 @@
 				simulation.report.RefusedLater++
 			}
 			simulation.jobEnded(effect.Job.ID, effect.Job.State(), effect.Refusal != nil)
+		case ptassign.LocalityEvent:
+			simulation.report.LocalityOutcomes[effect.Outcome]++
 		case ptassign.WorkerQuarantined:
 			if delete(entry.quarantined, effect.Agent); effect.Quarantined {
 				entry.quarantined[effect.Agent] = true
--- a/ptsim/ptsim.go
+++ b/ptsim/ptsim.go
@@ -142,6 +142,7 @@
 	// MessageCost is the processor time that an entry needs for each message.
 	MessageCost time.Duration
 	HardLoad
+	Locality Locality
 }
 
 // Count is the number of jobs by outcome. GivenUp counts the jobs that did not complete, or
@@ -185,6 +186,8 @@
 	// slow for longer than [faultDetectionTime]. WastedProbes is the part of it that started on
 	// workers without other runs.
 	WastedStarts, WastedProbes int
+	// LocalityOutcomes counts the choices between near and far workers.
+	LocalityOutcomes map[ptassign.LocalityOutcome]int
 	// IdleShare is the mean share of the capacity that was idle while jobs were waiting.
 	IdleShare float64
 	// Recovery is the utilization of workers that were slow and are sound again, relative to the
@@ -219,6 +222,8 @@
 	entry       *entry
 	// work is the processor time that the job needs on workers of speed 1, in core-seconds.
 	work float64
+	// preferred is the label of the rack that holds the job's data; empty if there is none.
+	preferred string
 }
 
 // simulation is the state of one simulation.
@@ -246,7 +251,7 @@
 	simulation := &simulation{
 		Timeline: pttimeline.New(start), setting: setting, random: rand.New(rand.NewPCG(setting.Seed, 11)), stragglers: rand.New(rand.NewPCG(setting.Seed, 12)),
 		callers: make(map[ptid.JobID]*caller),
-		report:  Report{Entries: make([]Count, len(setting.Entries)), Kinds: make([]Count, len(setting.Kinds))},
+		report:  Report{Entries: make([]Count, len(setting.Entries)), Kinds: make([]Count, len(setting.Kinds)), LocalityOutcomes: make(map[ptassign.LocalityOutcome]int)},
 	}
 	for index := range setting.Entries {
 		simulation.entries = append(simulation.entries, simulation.newEntry(index))
@@ -384,7 +389,7 @@
 	id := ptid.JobID(fmt.Sprintf("%016x", simulation.jobs))
 	count := max(1, int(math.Round(kind.MeanTasks*simulation.randomFactor(taskCountSigma))))
 	meanRunTime := time.Duration(float64(kind.MeanRunTime) * simulation.randomFactor(jobRunTimeSigma))
-	caller := &caller{kind: kindIndex, submittedAt: now, runTimes: make(map[ptid.TaskIndex]time.Duration, count), entry: entry}
+	caller := &caller{kind: kindIndex, submittedAt: now, runTimes: make(map[ptid.TaskIndex]time.Duration, count), entry: entry, preferred: simulation.preferredRack(kind.Name)}
 	longest, total := time.Duration(0), time.Duration(0)
 	for task := range count {
 		runTime := time.Duration(float64(meanRunTime) * simulation.randomFactor(taskRunTimeSigma))
@@ -401,7 +406,7 @@
 	simulation.recordSubmission(caller, longest)
 	spec := ptassign.Spec{
 		Spec: ptgraph.Spec{ID: id, MaxAttempts: 4, Steps: []ptgraph.Step{{
-			Count: count, Estimate: estimate, Demand: demand,
+			Count: count, Estimate: estimate, Demand: demand, PreferredLabel: caller.preferred,
 		}}},
 		Queue: ptqueue.Queue{
 			Name: kind.Name, Service: service, Priority: kind.Priority, MaxAttempts: 4, Stretch: kind.Stretch, TargetLatency: kind.TargetLatency,
