ptfitness: count listed progress of 0 or 100 percent with care

Cause: a worker may list the speed limit of a run (100 all the time, as the stand-ins do) in place of its progress. Ruled out: no evidence at all from such workers, which would leave hanging runs unseen by the agent. Measured: the test of one probe plays workers that list progress, nothing and the speed limit; with the speed limit it failed before.

--- a/ptfitness/ptfitness.go
+++ b/ptfitness/ptfitness.go
@@ -143,10 +143,8 @@
 	// resumed is true from the start of a run that resumes from a checkpoint until the first
 	// progress of the run is recorded. This progress shows how much of the run was done before.
 	resumed bool
-	// startedAt is when the run started. showsProgress is true once a listing has shown a part of
-	// the run as done.
-	startedAt     ptid.Instant
-	showsProgress bool
+	// recent is the latest observation that counts for the recent slowdown.
+	recent recentObservation
 }
 
 // Estimator measures the slowdown and the failure rate of one worker.
@@ -171,14 +169,21 @@
 // unlimited; they don't count for the slowdown.
 func (estimator *Estimator) Started(run ptrun.ID, expected time.Duration, resumed bool, now ptid.Instant) {
 	if expected > 0 {
-		estimator.runs[run] = &observedRun{expected: expected, observedAt: now, resumed: resumed, startedAt: now}
+		estimator.runs[run] = &observedRun{expected: expected, observedAt: now, resumed: resumed, recent: recentObservation{at: now}}
 	}
 }
 
 // Progressed records how much of a run is done, in percent.
 func (estimator *Estimator) Progressed(run ptrun.ID, percent int, now ptid.Instant) {
 	const whole = 100
+	if percent >= whole {
+		estimator.recordWithoutProgress(run, now)
+		return
+	}
 	estimator.recordProgress(run, float64(percent)/whole, now)
+	if percent > 0 {
+		estimator.recordRecent(run, float64(percent)/whole, now)
+	}
 }
 
 func (estimator *Estimator) recordProgress(id ptrun.ID, done float64, now ptid.Instant) {
@@ -195,22 +200,16 @@
 		return
 	}
 	wall, work := now.Sub(run.observedAt).Seconds(), (done-run.done)*run.expected.Seconds()
-	recentWall, recentWork := wall, work
-	if done == 1 && !run.showsProgress {
-		// Workers need not report progress. The work then was done since the start.
-		recentWall = now.Sub(run.startedAt).Seconds()
-	}
-	run.done, run.observedAt, run.showsProgress = done, now, run.showsProgress || done > 0
-	estimator.recent.add(recentWall, recentWork)
+	run.done, run.observedAt = done, now
 	decay := math.Exp(-wall / slowdownDecay.Seconds())
 	estimator.wall, estimator.work = estimator.wall*decay+wall, estimator.work*decay+work
 	estimator.measuredAt = now
-	estimator.detectRecovery(recentWall)
 }
 
 // Done records the end of a run that succeeded.
 func (estimator *Estimator) Done(run ptrun.ID, now ptid.Instant) {
 	estimator.recordProgress(run, 1, now)
+	estimator.recordRecent(run, 1, now)
 	estimator.failureRate *= successDecay
 	estimator.lastFailedJob, estimator.measuredAt = "", now
 	estimator.Dropped(run)
--- a/ptfitness/ptfitness_test.go
+++ b/ptfitness/ptfitness_test.go
@@ -196,11 +196,12 @@
 }
 
 // A worker in quarantine has one short run at a time. One run as fast as expected must end the memory
-// of a slow period, whether or not the worker reports progress. Otherwise the worker would be probed
-// for several seconds.
+// of a slow period, and slow runs must not, whether the worker reports progress, nothing, or the speed
+// limit of the run in its place. Otherwise the worker would be probed for several seconds, or be used
+// while it is slow.
 func TestOneProbeShowsThatAWorkerHasRecovered(test *testing.T) {
 	for _, slow := range []float64{3, 7.5} {
-		for _, progress := range []bool{true, false} {
+		for _, reported := range []string{"progress", "nothing", "speed limit"} {
 			expect := NewWithT(test)
 			estimator := ptfitness.NewEstimator()
 			// run plays a run with a listing every 50 ms.
@@ -208,11 +209,11 @@
 				estimator.Started(runOf(job, 0), expected, false, at(from))
 				until = from + int(float64(expected.Milliseconds())*slowdown)
 				for millis := from + 50; millis < until; millis += 50 {
-					done := 0
-					if progress {
-						done = percent(millis-from, slowdown)
-					}
+					done := map[string]int{"progress": percent(millis-from, slowdown), "speed limit": 100}[reported]
 					estimator.Progressed(runOf(job, 0), done, at(millis))
+					if job > 0 && slowdown > 1 {
+						expect.Expect(estimator.Assessment().NeedsProbes()).To(BeTrue(), "a slow run must not look like a recovery")
+					}
 				}
 				estimator.Done(runOf(job, 0), at(until))
 				return until
@@ -224,7 +225,7 @@
 				expect.Expect(job == 0 || estimator.Assessment().NeedsProbes()).To(BeTrue(), "a slow run must not look like a recovery")
 			}
 			run(9, now+500, 1)
-			expect.Expect(estimator.Assessment().NeedsProbes()).To(BeFalse(), "slow %g, progress %t", slow, progress)
+			expect.Expect(estimator.Assessment().NeedsProbes()).To(BeFalse(), "slow %g, %s", slow, reported)
 		}
 	}
 }
