ptspeed, ptassign: place tasks by the speeds of the workers

Cause: workers that are slow by nature (0.55 of the others) take confirms that then miss their objective or the caller's deadline, and their own slowness looks like a fault: their slowdown of 1.8 is near the threshold of the quarantine. Change: ptspeed learns speeds at the agent, apart from the run times of queues, by Huber estimates; agents report them (Room.speed); entries take the geometric mean of a service as speed 1, learn run times normalized to it, and use speeds for the choice of a worker, the expected end of runs and the hang timeout. RunOrder.queue is sent only with the option, so that agents learn nothing without it.

--- a/ptassign/agents.go
+++ b/ptassign/agents.go
@@ -8,6 +8,7 @@
 	"github.com/primrosetiller/primrosetiller/ptfitness"
 	"github.com/primrosetiller/primrosetiller/ptid"
 	"github.com/primrosetiller/primrosetiller/ptrun"
+	"github.com/primrosetiller/primrosetiller/ptspeed"
 )
 
 // AgentState is what an agent reports about its worker.
@@ -26,6 +27,8 @@
 	// MayProbe allows this entry to send one probe task to a quarantined worker.
 	Assessment ptfitness.Assessment
 	MayProbe   bool
+	// Speed is the speed of the worker, as measured by the agent.
+	Speed ptspeed.Report
 	// Isolating is true while a run is active in isolation, or waits for that.
 	Isolating bool
 }
@@ -55,6 +58,9 @@
 	// quarantined is true if the worker gets only probe tasks, because its assessment is bad
 	// compared with the assessments of the other workers of the service.
 	quarantined bool
+	// speed is the speed of the worker relative to the other workers of the service; 1 unless the
+	// entry uses speeds.
+	speed float64
 	// expectedWork is the sum of the expected run times of the runs, each multiplied by its
 	// reserved CPU.
 	expectedWork float64
@@ -76,7 +82,7 @@
 func (core *Core) AgentConnected(name ptid.AgentName, incarnation ptid.Incarnation, service ptid.ServiceName, sameZone bool, now ptid.Instant) (effects []Effect) {
 	agent := core.agents[name]
 	if agent == nil {
-		agent = &agentRecord{name: name, runs: make(map[ptrun.ID]*placedRun), observed: newObservations()}
+		agent = &agentRecord{name: name, runs: make(map[ptrun.ID]*placedRun), observed: newObservations(), speed: 1}
 		core.agents[name] = agent
 		core.sortedAgents = slices.SortedFunc(maps.Values(core.agents), func(left, right *agentRecord) int { return cmp.Compare(left.name, right.name) })
 	}
@@ -151,6 +157,7 @@
 	agent.setWorker(state.Worker)
 	severityChanged := agent.state.Assessment.Severity() != state.Assessment.Severity()
 	agent.state, agent.hasReport = state, true
+	core.updateSpeed(agent)
 	if severityChanged {
 		core.updateQuarantine()
 	}
--- a/ptassign/choose.go
+++ b/ptassign/choose.go
@@ -23,6 +23,7 @@
 
 func (core *Core) chooseFrom(candidates []*agentRecord, job *Job, task *ptgraph.Task, now ptid.Instant) (chosen *agentRecord) {
 	best := math.Inf(1)
+	need := core.speedNeed(job, task, now)
 	for _, candidate := range candidates {
 		if candidate.service != job.Queue.Service || !candidate.free().Covers(task.Step.Reservation()) || !core.isUsableFor(candidate, job, now) {
 			continue
@@ -30,7 +31,7 @@
 		if _, allowed := ticketFor(candidate, job, task, now); !allowed || !meetsConstraints(candidate, job, task) {
 			continue
 		}
-		if cost := core.cost(candidate, task); cost < best {
+		if cost := core.cost(candidate, task) + need.cost(candidate); cost < best {
 			best, chosen = cost, candidate
 		}
 	}
--- a/ptassign/ends.go
+++ b/ptassign/ends.go
@@ -71,17 +71,8 @@
 func (core *Core) learn(agent *agentRecord, run *placedRun, end ptrun.End, now ptid.Instant) {
 	switch end.Result {
 	case ptrun.Done:
-		seconds := end.RunTime.Seconds()
-		agent.observed.runDone(seconds/max(run.expectedRunTime.Seconds(), 0.001), run.placedAt, now)
-		queue := run.job.Queue.Name
-		if average, seen := core.averageRunTime[queue]; seen {
-			core.averageRunTime[queue] = average + averageWeight*(min(seconds, 4*average)-average)
-		} else {
-			core.averageRunTime[queue] = seconds
-		}
-		if declared := run.task.Step.Estimate.Seconds(); declared > 0 {
-			core.estimateBias += averageWeight * (min(seconds/declared, 4) - core.estimateBias)
-		}
+		agent.observed.runDone(end.RunTime.Seconds()/max(run.expectedRunTime.Seconds(), 0.001), run.placedAt, now)
+		core.learnRunTime(run, end.RunTime.Seconds()*run.speed)
 	case ptrun.Failed:
 		agent.observed.runFailed(end.Run.Task.Job, now)
 	case ptrun.Stopped, ptrun.Lost, ptrun.NeverStarted:
@@ -146,3 +137,14 @@
 	}
 	core.closeJob(job, refusal, now)
 }
+
+// RunsLost reports that the entry has declared runs lost without a report from their agent.
+// DisconnectedAt is when the session with the agent ended.
+type RunsLost struct {
+	Agent          ptid.AgentName
+	Reason         ptrun.Reason
+	Runs           int
+	DisconnectedAt ptid.Instant
+}
+
+func (RunsLost) isEffect() {}
--- a/ptassign/ptassign.go
+++ b/ptassign/ptassign.go
@@ -199,9 +199,10 @@
 	MaxWait time.Duration
 	// QueueKey orders the runs that wait at the agent; the lowest starts first.
 	QueueKey ptid.Instant
-	// ExpectedRunTime is how long the run should take on a healthy worker; zero if the actual run
-	// time can't be used to assess the worker.
+	// ExpectedRunTime is how long the run should take on a healthy worker of speed 1; zero if the
+	// actual run time can't be used to assess the worker. Queue is empty unless speeds are used.
 	ExpectedRunTime time.Duration
+	Queue           ptid.ProfileName
 	// Checkpoint is the state from which the run resumes.
 	Checkpoint ptrun.Checkpoint
 	Ticket     string
@@ -246,15 +247,6 @@
 	Refusal *Refusal
 }
 
-// RunsLost reports that the entry has declared runs lost without a report from their agent.
-// DisconnectedAt is when the session with the agent ended.
-type RunsLost struct {
-	Agent          ptid.AgentName
-	Reason         ptrun.Reason
-	Runs           int
-	DisconnectedAt ptid.Instant
-}
-
 func (SendOrder) isEffect() {}
 
 func (SendStop) isEffect() {}
@@ -267,15 +259,15 @@
 
 func (JobEnded) isEffect() {}
 
-func (RunsLost) isEffect() {}
-
 // placedRun is a run that was sent to an agent and has not ended.
 type placedRun struct {
-	job             *Job
-	task            *ptgraph.Task
-	reservation     ptrun.Demand
-	placedAt        ptid.Instant
+	job         *Job
+	task        *ptgraph.Task
+	reservation ptrun.Demand
+	placedAt    ptid.Instant
+	// expectedRunTime is the expected run time on the worker, which has the given speed.
 	expectedRunTime time.Duration
+	speed           float64
 	// hangsAt is when the run counts as hanging.
 	hangsAt  ptid.Instant
 	stopped  bool
@@ -322,6 +314,7 @@
 	// ownershipExpiresAt is when another entry may own the durable jobs.
 	ownershipExpiresAt ptid.Instant
 	lastTickAt         ptid.Instant
+	speeds             speeds
 }
 
 // New returns a core without jobs or agents. The seed makes its random choices reproducible.
@@ -423,6 +416,7 @@
 // and placing.
 func (core *Core) Tick(now ptid.Instant) (effects []Effect) {
 	core.updateQuarantine()
+	core.updateSpeeds()
 	core.extendHangDeadlines(now)
 	connectedSince := core.ConnectedSince()
 	for _, agent := range core.sortedAgents {
--- a/ptassign/queue.go
+++ b/ptassign/queue.go
@@ -194,17 +194,17 @@
 	ticket, _ := ticketFor(chosen, job, task, now)
 	core.emit(SendOrder{
 		Agent: chosen.name, Ticket: ticket, Run: run, Job: job, Demand: task.Step.Reservation(), StartBy: startBy, MaxWait: wait, QueueKey: job.queueKey(now), Checkpoint: placement.checkpoint, Isolation: placement.isolation,
-		ExpectedRunTime: core.assessableRunTime(chosen, job, task.Step),
+		ExpectedRunTime: core.assessableRunTime(chosen, job, task.Step), Queue: core.orderQueue(job),
 	})
 }
 
 // reserve adds a run to the agent's list and reserves the run's capacity; for an isolated run, that is
 // the whole worker.
 func (core *Core) reserve(chosen *agentRecord, job *Job, task *ptgraph.Task, run ptrun.ID, isolated bool, now ptid.Instant) {
-	expected := core.expectedRunTime(job.Queue.Name, task.Step)
+	expected := chosen.expectedRunTime(core.expectedRunTime(job.Queue.Name, task.Step))
 	placed := &placedRun{
 		job: job, task: task, reservation: task.Step.Reservation(), placedAt: now, expectedRunTime: expected,
-		hangsAt: now.Add(hangTimeout(task, expected)), incarnation: chosen.connectedIncarnation, isolated: isolated, worker: chosen.state.Worker,
+		hangsAt: now.Add(hangTimeout(task, expected)), incarnation: chosen.connectedIncarnation, isolated: isolated, worker: chosen.state.Worker, speed: chosen.speed,
 	}
 	if isolated {
 		placed.reservation = chosen.state.Capacity
--- a/ptbroker/ptbroker.go
+++ b/ptbroker/ptbroker.go
@@ -64,6 +64,8 @@
 	// EndedJobRetention is how long the state of an ended durable job can be queried.
 	EndedJobRetention time.Duration
 	Seed              uint64
+	// PlaceBySpeed makes the broker use the speeds of workers (ptassign.Core.PlaceBySpeed).
+	PlaceBySpeed bool
 }
 
 // Dependencies holds the services that a broker uses.
@@ -184,6 +186,7 @@
 			queueTime: deps.Metrics.Histogram(ptmetric.QueueSeconds), jobTime: deps.Metrics.Histogram(ptmetric.JobSeconds),
 		},
 	}
+	broker.core.PlaceBySpeed(setting.PlaceBySpeed)
 	broker.ownership.memberID = newMemberID(deps.PeerAddress, broker.incarnation)
 	gauge := func(name ptmetric.Name, read func() int) {
 		deps.Metrics.Gauge(name, func() float64 {
--- a/ptbroker/session.go
+++ b/ptbroker/session.go
@@ -20,6 +20,7 @@
 	"github.com/primrosetiller/primrosetiller/ptprofile"
 	"github.com/primrosetiller/primrosetiller/ptrun"
 	"github.com/primrosetiller/primrosetiller/ptsession"
+	"github.com/primrosetiller/primrosetiller/ptspeed"
 	"github.com/primrosetiller/primrosetiller/pttransport"
 	"github.com/primrosetiller/primrosetiller/ptwire"
 )
@@ -59,7 +60,7 @@
 		MemoryMebibytes: int64(effect.Demand.Memory), Accelerators: effect.Demand.Accelerators,
 		StartByNanos: int64(agent.clock.ToPeerClock(effect.StartBy)), WaitNanos: int64(effect.MaxWait), OrderNanos: int64(agent.clock.ToPeerClock(effect.QueueKey)),
 		Checkpoint: string(effect.Checkpoint), Ticket: effect.Ticket, Endless: step.LongRunning, Filling: step.Opportunistic, TailTargetNanos: int64(step.TailLatencyTarget), ExpectedNanos: int64(effect.ExpectedRunTime),
-		IsolationNanos: int64(effect.Isolation),
+		IsolationNanos: int64(effect.Isolation), Queue: string(effect.Queue),
 	}
 	if effect.Job.Durable {
 		partition, _ := agent.broker.findDurable(effect.Job.ID)
@@ -160,6 +161,7 @@
 	}
 	return ptassign.AgentState{
 		Assessment: ptfitness.NewAssessment(report.Pace, report.Failing, time.Duration(report.JudgedAgeNanos), now), MayProbe: report.Turn, Isolating: report.Isolating,
+		Speed:    ptspeed.NewReport(report.Speed, report.SpeedWeight),
 		Worker:   ptrun.WorkerID(report.Worker),
 		Capacity: demand(report.CpuMillicores, report.MemoryMebibytes, report.Accelerators),
 		Held:     demand(report.HeldCpuMillicores, report.HeldMemoryMebibytes, report.HeldAccelerators),
--- a/ptdrill/entry.go
+++ b/ptdrill/entry.go
@@ -111,7 +111,7 @@
 				agent.simulation.owners[agent.index][effect.Run] = entry.owner()
 				agent.applyEffects(agent.core.Order(ptruncontrol.Order{
 					Run: effect.Run, Owner: entry.owner(), Demand: effect.Demand, SentAt: sentAt, StartBy: effect.StartBy, WaitUntil: now.Add(effect.MaxWait),
-					QueueKey: effect.QueueKey, ExpectedRunTime: effect.ExpectedRunTime, Isolation: effect.Isolation, Partition: number, Epoch: epoch,
+					QueueKey: effect.QueueKey, ExpectedRunTime: effect.ExpectedRunTime, Queue: effect.Queue, Isolation: effect.Isolation, Partition: number, Epoch: epoch,
 				}, now))
 			})
 		case ptassign.SendStop:
--- a/ptruncontrol/ptruncontrol.go
+++ b/ptruncontrol/ptruncontrol.go
@@ -172,8 +172,10 @@
 	// target of a run that serves users; zero means none.
 	Opportunistic     bool
 	TailLatencyTarget time.Duration
-	// ExpectedRunTime is how long the run should take on a healthy worker; zero means unknown.
+	// ExpectedRunTime is how long the run should take on a healthy worker of speed 1; zero means
+	// unknown. Queue is the queue of the job; empty if the entry does not use the speeds of workers.
 	ExpectedRunTime time.Duration
+	Queue           ptid.ProfileName
 	// Isolation is how long the run must be the only active run on the worker; zero if others may be
 	// active beside it.
 	Isolation time.Duration
@@ -427,13 +429,8 @@
 	// epochs holds the epoch of the latest adoption of each partition.
 	epochs   map[ptjobstore.Partition]ptjobstore.Epoch
 	throttle throttle
-	// estimator assesses the health of the worker from the runs of all entries. probeTurns
-	// assigns the turn to probe a suspect worker. reported is the assessment that was last sent to
-	// all entries because it had changed.
-	estimator  *ptfitness.Estimator
-	probeTurns *ptfitness.ProbeTurns
-	reported   ptfitness.Assessment
-	draining   bool
+	health
+	draining bool
 	// held is the sum of the demands of the runs that hold capacity.
 	held ptrun.Demand
 	// leaseMustExpire is true while the lease must expire, since a run that is to be stopped is active
@@ -451,7 +448,7 @@
 		token: token, tokenStep: firstTokenStep, unaccounted: make(map[ptrun.ID]*unaccountedRun),
 		runs: make(map[ptrun.ID]*run), ends: make(map[ptrun.ID]*endRecord), owners: make(map[ptid.EntryName]*ownerState),
 		unacked: make(map[ptrun.ID]*unackedEnd), crashNotices: make(map[ptrun.ID]*crashNotice), epochs: make(map[ptjobstore.Partition]ptjobstore.Epoch),
-		estimator: ptfitness.NewEstimator(), probeTurns: ptfitness.NewProbeTurns(),
+		health: newHealth(),
 	}
 }
 
@@ -546,7 +543,7 @@
 	if previous.ID != "" {
 		core.emit(WorkerReplaced{Previous: previous, Lost: lost})
 	}
-	core.estimator, core.probeTurns = ptfitness.NewEstimator(), ptfitness.NewProbeTurns()
+	core.forgetWorker()
 	clear(core.unacked)
 }
 
@@ -789,7 +786,7 @@
 	run.state, run.startedAt, run.isolatedUntil = starting, now, now.Add(run.Isolation)
 	run.workerStartBy = core.earliestClock(now) + ptrun.WorkerTime(StartOrderTTL.Milliseconds())
 	core.leaseExpiresAt = max(core.leaseExpiresAt, run.workerStartBy)
-	core.estimator.Started(run.Run, run.ExpectedRunTime, run.Checkpoint != "", now)
+	core.estimator.Started(run.Run, core.expectedHere(run), run.Checkpoint != "", now)
 	core.held = core.held.Plus(run.Demand)
 	ptassert.That(core.worker.Capacity.Covers(core.held), "runs hold no more than the worker's capacity", "held", core.held)
 	core.emit(StartRun{
--- a/ptruncontrol/responses.go
+++ b/ptruncontrol/responses.go
@@ -10,6 +10,7 @@
 	"github.com/primrosetiller/primrosetiller/ptid"
 	"github.com/primrosetiller/primrosetiller/ptjobstore"
 	"github.com/primrosetiller/primrosetiller/ptrun"
+	"github.com/primrosetiller/primrosetiller/ptspeed"
 )
 
 // HandleStartResponse processes the worker's response to a start order.
@@ -359,6 +360,8 @@
 	// run on the worker although the entry has quarantined it.
 	Assessment ptfitness.Assessment
 	MayProbe   bool
+	// Speed is the speed of the worker relative to the expected run times of the orders.
+	Speed ptspeed.Report
 	// Isolating is true while a run is active in isolation or waits for that.
 	Isolating bool
 }
@@ -370,7 +373,7 @@
 	report = CapacityReport{
 		Worker: core.worker.ID, Capacity: core.worker.Capacity, Labels: core.worker.Labels,
 		RequestedByOthers: core.requestedByOthers(entry),
-		Assessment:        core.estimator.Assessment(), MayProbe: core.probeTurns.Holder() == entry, Isolating: core.isIsolating(),
+		Assessment:        core.estimator.Assessment(), MayProbe: core.probeTurns.Holder() == entry, Isolating: core.isIsolating(), Speed: core.speed.Report(),
 		Unusable: !core.isUsable() || core.draining || core.worker.Draining,
 	}
 	for _, run := range core.runs {
--- a/ptrunner/ptrunner.go
+++ b/ptrunner/ptrunner.go
@@ -137,6 +137,11 @@
 	gauge(ptmetric.HoldingRuns, func() int { _, holding := runner.core.RunCounts(); return holding })
 	gauge(ptmetric.UnaccountedRuns, func() int { return runner.core.UnaccountedRuns() })
 	gauge(ptmetric.Sessions, func() int { return len(runner.peers) })
+	deps.Metrics.Gauge(ptmetric.WorkerSpeed, func() float64 {
+		runner.mu.Lock()
+		defer runner.mu.Unlock()
+		return runner.core.Speed().Relative(1)
+	})
 	return runner
 }
 
@@ -205,6 +210,8 @@
 			go func() { _ = runner.listWorker(0) }()
 		case ptruncontrol.SendEnd:
 			runner.sendEnd(effect)
+		case ptruncontrol.SpeedChanged:
+			runner.deps.Log.Info("worker speed changed", "speed", effect.Speed.Speed, "runs", effect.Speed.Weight)
 		case ptruncontrol.AssessmentChanged:
 			runner.deps.Log.Info("worker health changed", "grade", effect.Assessment.Severity(), "pace", effect.Assessment.Slowdown, "failing", effect.Assessment.FailureRate,
 				"age", runner.deps.Clock.Now().Sub(effect.Assessment.MeasuredAt).String())
--- a/ptrunner/session.go
+++ b/ptrunner/session.go
@@ -90,6 +90,7 @@
 		message.Pace, message.Failing = report.Assessment.Slowdown, report.Assessment.FailureRate
 		message.JudgedAgeNanos = int64(now.Sub(report.Assessment.MeasuredAt))
 	}
+	message.Speed, message.SpeedWeight = report.Speed.Speed, report.Speed.Weight
 	return message
 }
 
@@ -130,7 +131,7 @@
 			},
 			SentAt: ptid.Instant(frame.AgentClockNanos), StartBy: ptid.Instant(order.StartByNanos), WaitUntil: now.Add(time.Duration(order.WaitNanos)), QueueKey: ptid.Instant(order.OrderNanos), Checkpoint: ptrun.Checkpoint(order.Checkpoint),
 			Partition: ptjobstore.Partition(order.Partition), Epoch: ptjobstore.Epoch(order.Epoch), Ticket: order.Ticket,
-			Opportunistic: order.Filling, TailLatencyTarget: time.Duration(order.TailTargetNanos), ExpectedRunTime: time.Duration(order.ExpectedNanos),
+			Opportunistic: order.Filling, TailLatencyTarget: time.Duration(order.TailTargetNanos), ExpectedRunTime: time.Duration(order.ExpectedNanos), Queue: ptid.ProfileName(order.Queue),
 			Isolation: time.Duration(order.IsolationNanos),
 		}, now))
 	}
--- a/ptsim/agent.go
+++ b/ptsim/agent.go
@@ -199,7 +199,7 @@
 			onArrival()
 			entry.applyEffects(entry.core.AgentReported(agent.name(), ptassign.AgentState{
 				Worker: report.Worker, Capacity: report.Capacity, Held: report.Held, Own: report.Own, Unusable: report.Unusable, RequestedByOthers: report.RequestedByOthers,
-				Assessment: report.Assessment, MayProbe: report.MayProbe,
+				Assessment: report.Assessment, MayProbe: report.MayProbe, Speed: report.Speed,
 			}, agent.simulation.Now()))
 			received := agent.simulation.Now()
 			agent.simulation.After(ackDelay, func() {
--- a/ptsim/entry.go
+++ b/ptsim/entry.go
@@ -23,6 +23,7 @@
 
 func (simulation *simulation) newEntry(index int) *entry {
 	entry := &entry{simulation: simulation, index: index, core: ptassign.New(uint64(simulation.random.Int64())), sentAt: make([]ptid.Instant, simulation.setting.Workers)}
+	entry.core.PlaceBySpeed(simulation.setting.PlaceBySpeed)
 	simulation.Every(tickInterval, func() { entry.process(entry.tick) })
 	return entry
 }
@@ -112,7 +113,7 @@
 			entry.send(agent, func() {
 				agent.applyEffects(agent.core.Order(ptruncontrol.Order{
 					Run: effect.Run, Owner: entry.owner(), Demand: effect.Demand, SentAt: sentAt, StartBy: effect.StartBy, WaitUntil: simulation.Now().Add(effect.MaxWait), QueueKey: effect.QueueKey,
-					ExpectedRunTime: effect.ExpectedRunTime,
+					ExpectedRunTime: effect.ExpectedRunTime, Queue: effect.Queue,
 				}, simulation.Now()))
 			})
 		case ptassign.SendStop:
--- a/ptsim/ptsim.go
+++ b/ptsim/ptsim.go
@@ -143,6 +143,8 @@
 	Speeds []float64
 	// StragglerShare of the runs take StragglerFactor times as long.
 	StragglerShare, StragglerFactor float64
+	// PlaceBySpeed makes the entries use the speeds of the workers.
+	PlaceBySpeed bool
 }
 
 // Count is the number of jobs by outcome. GivenUp counts the jobs that did not complete, or
