--- a/ptbroker/ptbroker.go
+++ b/ptbroker/ptbroker.go
@@ -71,6 +71,8 @@
 	// RemoteFactor is how many times as long a task takes away from the rack of its data; zero if
 	// it is unknown.
 	RemoteFactor float64
+	// PlaceBySpeed makes the broker use the speeds of workers (ptassign.Core.PlaceBySpeed).
+	PlaceBySpeed bool
 }
 
 // Dependencies holds the services that a broker uses.
@@ -198,6 +200,7 @@
 	}
 	broker.core.ExpectAgents(deps.Clock.Now().Add(ptassign.StartupGrace))
 	broker.core.SetRemoteFactor(setting.RemoteFactor)
+	broker.core.PlaceBySpeed(setting.PlaceBySpeed)
 	broker.ownership.memberID = newMemberID(deps.PeerAddress, broker.incarnation)
 	gauge := func(name ptmetric.Name, read func() int) {
 		deps.Metrics.Gauge(name, func() float64 {
--- a/ptsim/ptsim.go
+++ b/ptsim/ptsim.go
@@ -142,7 +142,9 @@
 	// MessageCost is the processor time that an entry needs for each message.
 	MessageCost time.Duration
 	HardLoad
-	Locality Locality
+	// PlaceBySpeed makes the entries use the speeds of the workers.
+	PlaceBySpeed bool
+	Locality     Locality
 }
 
 // Count is the number of jobs by outcome. GivenUp counts the jobs that did not complete, or
