--- a/ptassign/agents.go
+++ b/ptassign/agents.go
@@ -8,6 +8,7 @@
 	"github.com/primrosetiller/primrosetiller/ptfitness"
 	"github.com/primrosetiller/primrosetiller/ptid"
 	"github.com/primrosetiller/primrosetiller/ptrun"
+	"github.com/primrosetiller/primrosetiller/ptspeed"
 )
 
 // AgentState is what an agent reports about its worker.
@@ -26,6 +27,8 @@
 	// MayProbe allows this entry to send one probe task to a quarantined worker.
 	Assessment ptfitness.Assessment
 	MayProbe   bool
+	// Speed is the speed of the worker, as measured by the agent.
+	Speed ptspeed.Report
 	// Isolating is true while a run is active in isolation, or waits for that.
 	Isolating bool
 }
@@ -41,7 +44,9 @@
 	service              ptid.ServiceName
 	sameZone             bool
 	connected            bool
-	zonePlacement
+	// inService is false while the availability zone is evacuated, and until the worker has returned
+	// afterwards: the worker is withheld.
+	inService bool
 	// connectedAt is when the agent opened its first session after it had none.
 	connectedAt, disconnectedAt ptid.Instant
 	state                       AgentState
@@ -56,9 +61,13 @@
 	// quarantined is true if the worker gets only probe tasks, because its assessment is bad
 	// compared with the assessments of the other workers of the service.
 	quarantined bool
+	// speed is the speed of the worker relative to the other workers of the service; 1 unless the
+	// entry uses speeds.
+	speed float64
 	// expectedWork is the sum of the expected run times of the runs, each multiplied by its
 	// reserved CPU.
 	expectedWork float64
+	zone         ptid.Zone
 }
 
 // free returns the worker's capacity less all known reservations.
@@ -99,7 +108,7 @@
 // agentOf returns the record of an agent, which it creates if there is none.
 func (core *Core) agentOf(name ptid.AgentName) (agent *agentRecord) {
 	if agent = core.agents[name]; agent == nil {
-		agent = &agentRecord{name: name, runs: make(map[ptrun.ID]*placedRun), observed: newObservations()}
+		agent = &agentRecord{name: name, inService: true, runs: make(map[ptrun.ID]*placedRun), observed: newObservations(), speed: 1}
 		core.agents[name] = agent
 		core.sortedAgents = slices.SortedFunc(maps.Values(core.agents), func(left, right *agentRecord) int { return cmp.Compare(left.name, right.name) })
 	}
@@ -153,10 +162,11 @@
 	if agent.state.Worker != state.Worker {
 		agent.observed, agent.quarantined = newObservations(), false
 	}
-	agent.observed.mergeReport(state.Assessment, now)
+	agent.mergeReport(&state, now)
 	agent.setWorker(state.Worker)
 	severityChanged := agent.state.Assessment.Severity() != state.Assessment.Severity()
 	agent.state, agent.hasReport = state, true
+	core.updateSpeed(agent)
 	if severityChanged {
 		core.updateQuarantine()
 	}
--- a/ptassign/ends.go
+++ b/ptassign/ends.go
@@ -71,21 +71,13 @@
 func (core *Core) learn(agent *agentRecord, run *placedRun, end ptrun.End, now ptid.Instant) {
 	switch end.Result {
 	case ptrun.Done:
-		seconds := end.RunTime.Seconds()
-		agent.observed.runDone(seconds/max(run.expectedRunTime.Seconds(), 0.001), now)
-		queue := run.job.Queue.Name
-		if average, seen := core.averageRunTime[queue]; seen {
-			core.averageRunTime[queue] = average + averageWeight*(min(seconds, 4*average)-average)
-		} else {
-			core.averageRunTime[queue] = seconds
-		}
-		if declared := run.task.Step.Estimate.Seconds(); declared > 0 {
-			core.estimateBias += averageWeight * (min(seconds/declared, 4) - core.estimateBias)
-		}
+		agent.observed.runDone(end.RunTime.Seconds()/max(run.expectedRunTime.Seconds(), 0.001), run.placedAt, now)
+		core.learnRunTime(run, core.nearSeconds(agent, run, end)*run.speed)
 	case ptrun.Failed:
 		agent.observed.runFailed(end.Run.Task.Job, now)
 	case ptrun.Stopped, ptrun.Lost, ptrun.NeverStarted:
 		agent.observed.runDiscarded()
+		run.job.farRunDiscarded()
 	}
 }
 
@@ -142,7 +134,18 @@
 	}
 	var refusal *Refusal
 	if unstarted {
-		refusal = &Refusal{Reason: reason, RetryAfter: minRetryAfter}
+		refusal = &Refusal{Reason: reason, RetryAfter: core.retryAfter(job, 0, now)}
 	}
 	core.closeJob(job, refusal, now)
 }
+
+// RunsLost reports that the entry has declared runs lost without a report from their agent.
+// DisconnectedAt is when the session with the agent ended.
+type RunsLost struct {
+	Agent          ptid.AgentName
+	Reason         ptrun.Reason
+	Runs           int
+	DisconnectedAt ptid.Instant
+}
+
+func (RunsLost) isEffect() {}
--- a/ptassign/forecast.go
+++ b/ptassign/forecast.go
@@ -27,21 +27,26 @@
 	switch {
 	case core.isRefusedForEvacuation(job, now):
 		return &Refusal{Reason: Evacuated, RetryAfter: minRetryAfter}
+	case workers == 0 && core.expectsAgents(job.Queue.Service, now):
+		return nil
 	case workers == 0:
-		return &Refusal{Reason: NoWorker, RetryAfter: minRetryAfter}
+		return &Refusal{Reason: NoWorker, RetryAfter: core.retryAfter(job, 0, now)}
 	case fitting == 0:
-		return &Refusal{Reason: NoFittingWorker, RetryAfter: minRetryAfter}
+		return &Refusal{Reason: NoFittingWorker, RetryAfter: core.retryAfter(job, 0, now)}
 	}
+	core.expectFar(job, now)
 	wait, ahead, capacity := core.forecast(job, now)
 	if now.Add(wait) > job.latestStart() && wait > 0 || now.Add(wait+job.expectedDuration) > job.ExpiresAt {
-		return &Refusal{Reason: ForecastTooLate, RetryAfter: max(minRetryAfter, wait), ForecastWait: wait, DemandAhead: ahead, Capacity: capacity}
+		return &Refusal{Reason: ForecastTooLate, RetryAfter: core.retryAfter(job, wait, now), ForecastWait: wait, DemandAhead: ahead, Capacity: capacity}
 	}
 	return nil
 }
 
 // isAvailable reports whether the agent has a session and has reported a usable worker, which is not
 // withheld for an evacuation.
-func (agent *agentRecord) isAvailable() bool { return agent.hasUsableWorker() && !agent.withheld }
+func (agent *agentRecord) isAvailable() bool {
+	return agent.connected && agent.hasReport && !agent.state.Unusable && agent.inService
+}
 
 // HasWorker reports whether any agent has a session and has reported a usable worker.
 func (core *Core) HasWorker() bool {
@@ -54,7 +59,7 @@
 // If all links fail at once, an entry has no agents for some hundreds of milliseconds. Most
 // jobs that arrive in this period can still be completed in time, so they are not refused.
 func (agent *agentRecord) mayReconnect(now ptid.Instant) bool {
-	return !agent.isAvailable() && !agent.withheld && !agent.state.Unusable && agent.state.Worker != "" && now.Sub(agent.disconnectedAt) <= ptlink.ReconnectTimeout
+	return !agent.isAvailable() && agent.inService && !agent.state.Unusable && agent.state.Worker != "" && now.Sub(agent.disconnectedAt) <= ptlink.ReconnectTimeout
 }
 
 // jobsWithoutWorker returns the jobs of which no run can have started and whose service has no
@@ -65,12 +70,12 @@
 	}
 	served := make(map[ptid.ServiceName]bool)
 	for _, agent := range core.sortedAgents {
-		if agent.connected && !agent.withheld || agent.mayReconnect(now) {
+		if agent.connected && agent.inService || agent.mayReconnect(now) {
 			served[agent.service] = true
 		}
 	}
 	for _, job := range core.waiting {
-		if !job.Durable && !served[job.Queue.Service] && job.CertainlyUnstarted() && !job.State().Ended() {
+		if !job.Durable && !served[job.Queue.Service] && !core.expectsAgents(job.Queue.Service, now) && job.CertainlyUnstarted() && !job.State().Ended() {
 			keys = append(keys, job.Key())
 		}
 	}
@@ -93,15 +98,15 @@
 	queueKey := job.queueKey(now)
 	ownRate := core.requestRate(job, now)
 	for _, other := range core.waiting {
-		if other.Queue.Service != job.Queue.Service || core.awaitsReturn(other) {
+		if other.Queue.Service != job.Queue.Service || core.awaitsReturn(other) || !core.isServed(other, now) {
 			continue
 		}
 		ownRate += core.requestRate(other, now)
 		if other.queueKey(now) <= queueKey {
-			ahead += core.readyDemand(other)
+			ahead += core.readyDemand(other) - other.nearWaitDemand()
 		}
 	}
-	capacity = core.availableCapacity(job.Queue.Service, ownRate, now)
+	capacity = core.availableCapacity(job.Queue.Service, ownRate, job.minDemand.CPU, now)
 	capacity.ReservedPerSecond = ptrun.MillicoresPerSecond(core.reservedRate(job, now))
 	return capacity.waitFor(ahead + core.readyDemand(job)), ahead, capacity
 }
@@ -117,21 +122,22 @@
 	}
 	capacities := make(map[ptid.ServiceName]AvailableCapacity)
 	for service, request := range core.CapacityRequests(now) {
-		capacities[service] = core.availableCapacity(service, request.Rate, now)
+		capacities[service] = core.availableCapacity(service, request.Rate, request.MinDemand.CPU, now)
 	}
 	ahead := make(map[ptid.ServiceName]ptrun.Millicores)
 	for _, job := range core.waiting {
 		service := job.Queue.Service
-		if job.State().Ended() || core.isOnHold(job, now) {
+		if job.State().Ended() || core.isOnHold(job, now) || !core.isServed(job, now) {
 			continue
 		}
-		ahead[service] += core.readyDemand(job)
+		demand := core.readyDemand(job) - job.nearWaitDemand()
+		ahead[service] += demand
 		if job.Durable || now <= job.latestStart() || !job.CertainlyUnstarted() {
 			continue
 		}
 		if wait := capacities[service].waitFor(ahead[service]); now.Add(wait+job.expectedDuration) > job.ExpiresAt {
 			keys = append(keys, job.Key())
-			ahead[service] -= core.readyDemand(job)
+			ahead[service] -= demand
 		}
 	}
 	return keys
@@ -139,7 +145,8 @@
 
 // AvailableCapacity is the capacity that is available to the jobs of an entry.
 type AvailableCapacity struct {
-	// Free is the CPU capacity that is free now. FreedPerSecond is the rate at which capacity
+	// Free is the CPU capacity that is free now, counted in whole tasks on each worker.
+	// FreedPerSecond is the rate at which capacity
 	// becomes free for this entry.
 	Free           ptrun.Millicores
 	FreedPerSecond ptrun.MillicoresPerSecond
@@ -148,15 +155,15 @@
 }
 
 // availableCapacity returns the capacity that is available to this entry's jobs if they need
-// capacity at the given rate.
-func (core *Core) availableCapacity(service ptid.ServiceName, ownRate ptrun.MillicoresPerSecond, now ptid.Instant) (capacity AvailableCapacity) {
+// capacity at the given rate and their smallest task has the given CPU demand.
+func (core *Core) availableCapacity(service ptid.ServiceName, ownRate ptrun.MillicoresPerSecond, taskCPU ptrun.Millicores, now ptid.Instant) (capacity AvailableCapacity) {
 	runningCPU, reservedCPU, expectedWork, requestedByOthers, reporting := 0.0, ptrun.Millicores(0), 0.0, ptrun.MillicoresPerSecond(0), 0
 	for _, agent := range core.sortedAgents {
-		if agent.service != service || !agent.connected || agent.state.Unusable || agent.withheld {
+		if agent.service != service || !agent.connected || agent.state.Unusable || !agent.inService {
 			continue
 		}
 		if agent.isUsable(now) {
-			capacity.Free += max(0, agent.free().CPU)
+			capacity.Free += wholeTasks(agent.free().CPU, taskCPU)
 		}
 		// Capacity that the runs of other entries release is available to all entries, so
 		// heldByOthers counts too. A slow worker releases capacity later.
@@ -180,6 +187,15 @@
 	return capacity
 }
 
+// wholeTasks returns the part of a worker's free CPU capacity that whole tasks can use.
+//
+// Workers that are full have remainders smaller than a task. Their sum over many workers is
+// enough for many jobs, none of whose tasks could be placed: 5 % of the capacity of 61 workers.
+func wholeTasks(free, task ptrun.Millicores) ptrun.Millicores {
+	task = max(1, task)
+	return max(0, free) / task * task
+}
+
 // minUnreservedShare is the least share of FreedPerSecond that remains for a job after the
 // reservation for more urgent jobs.
 const minUnreservedShare = 0.05
@@ -209,6 +225,7 @@
 		}
 		if cpu == 0 {
 			job.minDemand = task.Step.Reservation()
+			job.firstDemand, job.constrained = job.minDemand, core.constraints.of(constraintOf(job, task.Step))
 		}
 		cpu += max(1, task.Step.Demand.CPU)
 		job.minDemand = job.minDemand.Min(task.Step.Reservation())
--- a/ptassign/ptassign.go
+++ b/ptassign/ptassign.go
@@ -86,16 +86,11 @@
 	// RoundTripMargin is the time for sending a job's start orders and returning its result,
 	// in addition to its run time.
 	RoundTripMargin = 15 * time.Millisecond
-	// placeWaiting stops scanning the queue after it has found maxBlockedJobs jobs whose ready
-	// tasks it could not all place.
-	maxBlockedJobs = 64
 	// averageWeight is the weight of the newest run in moving averages.
 	averageWeight = 0.05
 	// defaultRunTime is the expected run time where no estimate was declared and no run has
 	// been measured.
 	defaultRunTime = 200 * time.Millisecond
-	// minRetryAfter is the shortest retry delay that is returned with a refusal.
-	minRetryAfter = time.Second
 )
 
 // Spec describes a submitted job.
@@ -142,9 +137,11 @@
 	inQueue bool
 	// readyCPU is the CPU demand of the ready tasks; a negative value means that the demand must
 	// be recomputed. minDemand is the component-wise minimum of the demands of the ready tasks.
-	readyCPU     ptrun.Millicores
-	minDemand    ptrun.Demand
-	adviceByStep map[ptrun.StepIndex]*stepAdvice
+	// constrained is the record of the constraint of the first ready task, firstDemand its demand.
+	readyCPU               ptrun.Millicores
+	minDemand, firstDemand ptrun.Demand
+	constrained            *constrainedJobs
+	adviceByStep           map[ptrun.StepIndex]*stepAdvice
 	// suspects contains the tasks of which a run was lost. waitingSuspects is the number of ready
 	// tasks that must be isolated; it is valid with readyCPU, which does not include them.
 	suspects        map[ptrun.TaskID]*suspect
@@ -154,6 +151,7 @@
 	heldSince map[ptrun.TaskID]ptid.Instant
 	// evacuationNeed is valid while the job waits and workers are withheld.
 	evacuationNeed evacuationNeed
+	locality       *jobLocality
 }
 
 // Key returns the key of the job.
@@ -178,9 +176,10 @@
 	MaxWait time.Duration
 	// QueueKey orders the runs that wait at the agent; the lowest starts first.
 	QueueKey ptid.Instant
-	// ExpectedRunTime is how long the run should take on a healthy worker; zero if the actual run
-	// time can't be used to assess the worker.
+	// ExpectedRunTime is how long the run should take on a healthy worker of speed 1; zero if the
+	// actual run time can't be used to assess the worker. Queue is empty unless speeds are used.
 	ExpectedRunTime time.Duration
+	Queue           ptid.ProfileName
 	// Checkpoint is the state from which the run resumes.
 	Checkpoint ptrun.Checkpoint
 	Ticket     string
@@ -225,15 +224,6 @@
 	Refusal *Refusal
 }
 
-// RunsLost reports that the entry has declared runs lost without a report from their agent.
-// DisconnectedAt is when the session with the agent ended.
-type RunsLost struct {
-	Agent          ptid.AgentName
-	Reason         ptrun.Reason
-	Runs           int
-	DisconnectedAt ptid.Instant
-}
-
 func (SendOrder) isEffect() {}
 
 func (SendStop) isEffect() {}
@@ -246,15 +236,15 @@
 
 func (JobEnded) isEffect() {}
 
-func (RunsLost) isEffect() {}
-
 // placedRun is a run that was sent to an agent and has not ended.
 type placedRun struct {
-	job             *Job
-	task            *ptgraph.Task
-	reservation     ptrun.Demand
-	placedAt        ptid.Instant
+	job         *Job
+	task        *ptgraph.Task
+	reservation ptrun.Demand
+	placedAt    ptid.Instant
+	// expectedRunTime is the expected run time on the worker, which has the given speed.
 	expectedRunTime time.Duration
+	speed           float64
 	// hangsAt is when the run counts as hanging.
 	hangsAt  ptid.Instant
 	stopped  bool
@@ -278,8 +268,9 @@
 	heldJobs map[Key]*Job
 	// waiting is sorted by the queue keys as of sortedAt. A job that has become late after
 	// sortedAt stays too far ahead in the queue until the next sort.
-	waiting  []*Job
-	sortedAt ptid.Instant
+	waiting     []*Job
+	sortedAt    ptid.Instant
+	constraints constraints
 	// averageRunTime is the moving average of the run time by queue, in seconds.
 	averageRunTime map[ptid.ProfileName]float64
 	demands        map[ptid.ProfileName]*queueDemand
@@ -287,14 +278,12 @@
 	estimateBias float64
 	random       *rand.Rand
 	effects      []Effect
-	// usable contains the agents of all services that may get tasks now, and maxFree the
-	// component-wise maximum of their free capacity. Both are valid only during a call of
-	// placeWaiting.
+	// usable contains the agents of all services that may get tasks now, and maxFree the maximum
+	// of their free capacity by component. Both are valid only during a call of placeWaiting.
 	usable  []*agentRecord
 	maxFree ptrun.Demand
-	// quarantinedAgents contains the agents whose worker is quarantined, except the agents in
-	// usable. It is updated together with usable.
-	quarantinedAgents []*agentRecord
+	// probeTargets are the quarantined agents in usable, quarantinedAgents the other ones.
+	quarantinedAgents, probeTargets []*agentRecord
 	// waitingSince is the start of the current period in which jobs request capacity;
 	// [ptid.Never] if no job requests capacity. requestsSentAt is when CapacityRequestsToSend
 	// last asked for frames that carry only capacity requests.
@@ -302,7 +291,11 @@
 	// ownershipExpiresAt is when another entry may own the durable jobs.
 	ownershipExpiresAt ptid.Instant
 	lastTickAt         ptid.Instant
-	evacuation         evacuation
+	// agentsExpectedUntil is the end of the time in which agents may open their first sessions.
+	agentsExpectedUntil ptid.Instant
+	evacuation          evacuation
+	locality            locality
+	speeds              speeds
 }
 
 // New returns a core without jobs or agents. The seed makes its random choices reproducible.
@@ -311,8 +304,7 @@
 		agents: make(map[ptid.AgentName]*agentRecord), jobs: make(map[Key]*Job), bestEffort: make(map[Key]*Job),
 		stopping: make(map[Key]*Job), heldJobs: make(map[Key]*Job),
 		averageRunTime: make(map[ptid.ProfileName]float64), demands: make(map[ptid.ProfileName]*queueDemand), estimateBias: 1, waitingSince: ptid.Never,
-		ownershipExpiresAt: ptid.Never,
-		random:             rand.New(rand.NewPCG(seed, 1)),
+		ownershipExpiresAt: ptid.Never, random: rand.New(rand.NewPCG(seed, 1)),
 	}
 }
 
@@ -360,6 +352,7 @@
 		Job: graph, Queue: spec.Queue, SubmittedAt: now, Deadline: spec.Deadline, expectedDuration: duration, readyCPU: -1,
 		Objective: now.Add(objective), ExpiresAt: min(now.Add(ExpiryFactor*objective), spec.Deadline),
 	}
+	core.demandOf(job, now).offered += float64(core.readyDemand(job))
 	if refusal = core.refusalFor(job, now); refusal != nil {
 		core.countOutcome(job, false, now)
 		return nil, refusal, nil, nil
@@ -404,6 +397,7 @@
 // and placing.
 func (core *Core) Tick(now ptid.Instant) (effects []Effect) {
 	core.updateQuarantine()
+	core.updateSpeeds()
 	core.extendHangDeadlines(now)
 	connectedSince := core.ConnectedSince()
 	for _, agent := range core.sortedAgents {
--- a/ptassign/queue.go
+++ b/ptassign/queue.go
@@ -47,6 +47,7 @@
 // enqueue inserts a job into the waiting queue at its sorted position.
 func (core *Core) enqueue(job *Job, now ptid.Instant) {
 	job.readyCPU = -1
+	core.readyDemand(job)
 	if job.inQueue {
 		return
 	}
@@ -72,8 +73,9 @@
 }
 
 // placeWaiting places waiting tasks on workers with free capacity. It scans the queue from the
-// head and stops after maxBlockedJobs jobs that could not be placed completely, because the
-// jobs behind them would find no free capacity either.
+// head. After maxBlockedJobs jobs that could not be placed completely, it passes over the jobs
+// with the same constraint, because they would find no free capacity either. Jobs with other
+// constraints are not blocked by them.
 func (core *Core) placeWaiting(now ptid.Instant) {
 	if len(core.waiting) == 0 || core.awaitsEvacuation() {
 		return
@@ -81,18 +83,22 @@
 	if now.Sub(core.sortedAt) >= sortInterval+time.Duration(len(core.waiting))*sortIntervalPerJob {
 		core.sortedAt = now
 		slices.SortStableFunc(core.waiting, func(left, right *Job) int { return compareJobs(left, right, now) })
+		core.constraints.collect(core.waiting)
 	}
 	core.updateUsable(now)
-	blocked, examined, retained := 0, 0, 0
-	for ; examined < len(core.waiting) && blocked < maxBlockedJobs; examined++ {
+	core.startNearScan(now)
+	core.constraints.startScan(len(core.waiting), now)
+	examined, retained := 0, 0
+	for ; examined < len(core.waiting) && !core.constraints.scanEnds(now); examined++ {
 		job := core.waiting[examined]
 		switch {
 		case job.State().Ended():
 			job.inQueue = false
 			continue
-		case core.isOnHold(job, now):
+		case core.isOnHold(job, now) || core.constraints.skips(job):
 		case !core.placeJob(job, now) && !core.isBlockedByEvacuation(job):
-			blocked++
+			core.readyDemand(job)
+			core.constraints.count(job)
 		}
 		if core.readyDemand(job) == 0 && job.waitingSuspects == 0 && len(job.PlacedRuns()) > 0 {
 			job.inQueue = false
@@ -106,11 +112,14 @@
 
 // updateUsable determines the agents that may get tasks now.
 func (core *Core) updateUsable(now ptid.Instant) {
-	core.usable, core.quarantinedAgents = core.usable[:0], core.quarantinedAgents[:0]
+	core.usable, core.quarantinedAgents, core.probeTargets = core.usable[:0], core.quarantinedAgents[:0], core.probeTargets[:0]
 	for _, agent := range core.sortedAgents {
 		switch {
 		case agent.isUsable(now):
 			core.usable = append(core.usable, agent)
+			if agent.quarantined {
+				core.probeTargets = append(core.probeTargets, agent)
+			}
 		case agent.quarantined:
 			core.quarantinedAgents = append(core.quarantinedAgents, agent)
 		}
@@ -132,7 +141,8 @@
 	if core.readyDemand(job); job.waitingSuspects > 0 {
 		core.placeSuspects(job, now)
 	}
-	if core.readyDemand(job) > 0 && job.Queue.Advice == nil && !core.maxFree.Covers(job.minDemand) && !core.mayUseQuarantined(job, now) {
+	if core.readyDemand(job) > 0 && job.Queue.Advice == nil && !core.mayUseQuarantined(job, now) && (!core.maxFree.Covers(job.minDemand) || core.constraints.isKnownBlocked(job)) {
+		core.noteBlocked(job)
 		return false
 	}
 	ready := job.Ready()
@@ -151,6 +161,9 @@
 			continue
 		}
 		chosen := core.choose(job, task, now)
+		if core.waitsForNear(chosen, job, task, len(ready)+1, now) {
+			continue
+		}
 		if chosen == nil {
 			core.requestAdvice(job, task, now)
 			return false
@@ -191,17 +204,17 @@
 	ticket, _ := ticketFor(chosen, job, task, now)
 	core.emit(SendOrder{
 		Agent: chosen.name, Ticket: ticket, Run: run, Job: job, Demand: task.Step.Reservation(), StartBy: startBy, MaxWait: wait, QueueKey: job.queueKey(now), Checkpoint: placement.checkpoint, Isolation: placement.isolation,
-		ExpectedRunTime: core.assessableRunTime(chosen, job, task.Step),
+		ExpectedRunTime: core.assessableRunTime(chosen, job, task.Step), Queue: core.orderQueue(job),
 	})
 }
 
 // reserve adds a run to the agent's list and reserves the run's capacity; for an isolated run, that is
 // the whole worker.
 func (core *Core) reserve(chosen *agentRecord, job *Job, task *ptgraph.Task, run ptrun.ID, isolated bool, now ptid.Instant) {
-	expected := core.expectedRunTime(job.Queue.Name, task.Step)
+	expected := chosen.expectedRunTime(core.expectedRunTimeAt(chosen, job, task.Step))
 	placed := &placedRun{
 		job: job, task: task, reservation: task.Step.Reservation(), placedAt: now, expectedRunTime: expected,
-		hangsAt: now.Add(hangTimeout(task, expected)), incarnation: chosen.connectedIncarnation, isolated: isolated, worker: chosen.state.Worker,
+		hangsAt: now.Add(hangTimeout(task, expected)), incarnation: chosen.connectedIncarnation, isolated: isolated, worker: chosen.state.Worker, speed: chosen.speed,
 	}
 	if isolated {
 		placed.reservation = chosen.state.Capacity
--- a/ptdrill/entry.go
+++ b/ptdrill/entry.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/primrosetiller/primrosetiller/ptassign"
+	"github.com/primrosetiller/primrosetiller/ptevacuation"
 	"github.com/primrosetiller/primrosetiller/ptgraph"
 	"github.com/primrosetiller/primrosetiller/ptid"
 	"github.com/primrosetiller/primrosetiller/ptjobstore"
@@ -25,6 +26,8 @@
 	sessions  [agents]*session
 	request   ptrun.CapacityRequest
 	ownership *ownership
+	// evacuation is the state of the evacuated zones as the entry knows it.
+	evacuation ptevacuation.State
 }
 
 // openJob is a job whose end callers wait for. waiters counts the callers whose disconnection the
@@ -47,6 +50,10 @@
 	if simulation.setting.Durable {
 		started.ownership.join()
 	}
+	if simulation.setting.Faults.Evacuations {
+		started.core.RequireEvacuation()
+		started.readStore()
+	}
 	started.after(simulation.between(0, tickInterval), func() { started.every(tickInterval, started.tick) })
 	simulation.trace("%s starts", started.name())
 }
@@ -111,7 +118,7 @@
 				agent.simulation.owners[agent.index][effect.Run] = entry.owner()
 				agent.applyEffects(agent.core.Order(ptruncontrol.Order{
 					Run: effect.Run, Owner: entry.owner(), Demand: effect.Demand, SentAt: sentAt, StartBy: effect.StartBy, WaitUntil: now.Add(effect.MaxWait),
-					QueueKey: effect.QueueKey, ExpectedRunTime: effect.ExpectedRunTime, Isolation: effect.Isolation, Partition: number, Epoch: epoch,
+					QueueKey: effect.QueueKey, ExpectedRunTime: effect.ExpectedRunTime, Queue: effect.Queue, Isolation: effect.Isolation, Partition: number, Epoch: epoch,
 				}, now))
 			})
 		case ptassign.SendStop:
@@ -136,7 +143,7 @@
 			entry.simulation.trace("%s holds %v: %+v", entry.name(), effect.Task, effect.Losses)
 		case ptassign.LossResolved:
 			entry.simulation.trace("%s resolves the loss of %v: survived %t", entry.name(), effect.Run, effect.Fate == ptgraph.WorkerSurvived)
-		case ptassign.RequestAdvice, ptassign.WorkerQuarantined:
+		case ptassign.RequestAdvice, ptassign.WorkerQuarantined, ptassign.LocalityEvent:
 		}
 	}
 }
--- a/ptfitness/ptfitness.go
+++ b/ptfitness/ptfitness.go
@@ -25,6 +25,8 @@
 //  5. A quarantined worker gets one probe run at a time, from one entry at a time: its
 //     agent assigns the [ProbeTurns]. While the probes don't improve the assessment, the
 //     pause between two turns doubles.
+//  6. A sharp rise of the progress of a probe replaces the evidence of a slow period (see
+//     recovery.go), so that a recovered worker is used again after one probe.
 //
 // # Usage
 //
@@ -141,6 +143,8 @@
 	// resumed is true from the start of a run that resumes from a checkpoint until the first
 	// progress of the run is recorded. This progress shows how much of the run was done before.
 	resumed bool
+	// recent is the latest observation that counts for the recent slowdown.
+	recent recentObservation
 }
 
 // Estimator measures the slowdown and the failure rate of one worker.
@@ -148,7 +152,9 @@
 	runs map[ptrun.ID]*observedRun
 	// wall is the sum of the observed wall times of runs. work is the expected run time of the
 	// work that was done in this wall time. Both are in seconds and decay exponentially.
-	wall, work    float64
+	wall, work float64
+	// recent is the evidence that ends the memory of a slow period.
+	recent        recentEvidence
 	failureRate   float64
 	lastFailedJob ptid.JobID
 	measuredAt    ptid.Instant
@@ -163,14 +169,21 @@
 // unlimited; they don't count for the slowdown.
 func (estimator *Estimator) Started(run ptrun.ID, expected time.Duration, resumed bool, now ptid.Instant) {
 	if expected > 0 {
-		estimator.runs[run] = &observedRun{expected: expected, observedAt: now, resumed: resumed}
+		estimator.runs[run] = &observedRun{expected: expected, observedAt: now, resumed: resumed, recent: recentObservation{at: now}}
 	}
 }
 
 // Progressed records how much of a run is done, in percent.
 func (estimator *Estimator) Progressed(run ptrun.ID, percent int, now ptid.Instant) {
 	const whole = 100
+	if percent >= whole {
+		estimator.recordWithoutProgress(run, now)
+		return
+	}
 	estimator.recordProgress(run, float64(percent)/whole, now)
+	if percent > 0 {
+		estimator.recordRecent(run, float64(percent)/whole, now)
+	}
 }
 
 func (estimator *Estimator) recordProgress(id ptrun.ID, done float64, now ptid.Instant) {
@@ -196,6 +209,7 @@
 // Done records the end of a run that succeeded.
 func (estimator *Estimator) Done(run ptrun.ID, now ptid.Instant) {
 	estimator.recordProgress(run, 1, now)
+	estimator.recordRecent(run, 1, now)
 	estimator.failureRate *= successDecay
 	estimator.lastFailedJob, estimator.measuredAt = "", now
 	estimator.Dropped(run)
--- a/ptmetric/ptmetric.go
+++ b/ptmetric/ptmetric.go
@@ -66,10 +66,14 @@
 	TasksGivenUp     Name = "primrosetiller_tasks_given_up_total"
 	RejectedEnds     Name = "primrosetiller_rejected_ends_total"
 	WorkerCrashes    Name = "primrosetiller_worker_crashes_total"
+	WorkerSpeed      Name = "primrosetiller_worker_speed"
 	JobSeconds       Name = "primrosetiller_job_seconds"
 	StoreCalls       Name = "primrosetiller_store_calls_total"
 	EvacuatedZones   Name = "primrosetiller_evacuated_zones"
 	EvacuationAge    Name = "primrosetiller_evacuation_age_seconds"
+	NearWaits        Name = "primrosetiller_near_waits_total"
+	NearWaitsPaid    Name = "primrosetiller_near_waits_paid_total"
+	FarPlacements    Name = "primrosetiller_far_placements_total"
 )
 
 // Description documents one metric.
@@ -114,6 +118,7 @@
 	{WaitingRuns, "Waiting runs", "Runs that wait at this agent for free capacity on its worker.", "2.0"},
 	{HoldingRuns, "Runs that hold capacity", "Runs at this agent that hold capacity on its worker, including runs that are being stopped.", "2.0"},
 	{WorkerCrashes, "Worker crashes", "Incarnations of this agent's worker that ended without announcing it while runs were active on them.", "2.0"},
+	{WorkerSpeed, "Speed of the worker", "Speed of this agent's worker by its run times, relative to the run times that entries expect on a worker of average speed; 1 until runs were measured.", "2.2"},
 	{TasksGivenUp, "Tasks given up", "Tasks that this entry has given up, because they crash their workers. Their jobs have failed.", "2.0"},
 	{RejectedEnds, "Ends rejected", "Ends of runs as done that this entry has rejected, because their tasks were placed again. Their workers' leases expire.", "2.1"},
 	{UnaccountedRuns, "Unaccounted runs", "Active runs in the newest listing of this agent's worker that are not in the agent's records: started by an earlier agent process, or declared ended too early.", "2.0"},
@@ -121,6 +126,9 @@
 	{StoreCalls, "Calls to the platform's store", "Calls to the platform's store, by operation and result: done, refused, failed.", "2.0"},
 	{EvacuatedZones, "Evacuated zones", "Availability zones that are evacuated, as known to this process.", "2.1"},
 	{EvacuationAge, "Age of the evacuation state", "Seconds since the platform's store last confirmed to this entry which availability zones are evacuated, or since the start of the entry.", "2.1"},
+	{NearWaits, "Waits for near workers", "Tasks that began to wait for a worker near their data although a far worker had room.", "2.2"},
+	{NearWaitsPaid, "Waits that paid", "Tasks that waited for a near worker and were placed on one within the expected time.", "2.2"},
+	{FarPlacements, "Far placements", "Tasks that were placed on a far worker because near workers had no room. Counted only for queues whose stretch is below remote-factor.", "2.2"},
 	{SessionBytes, "Bytes on sessions", "Bytes on the sessions of this process, by direction: sent, received.", "1.0"},
 }
 
--- a/ptsim/agent.go
+++ b/ptsim/agent.go
@@ -52,6 +52,8 @@
 	// time at which the worker became slow or began to fail runs; ptid.Never if it is healthy.
 	slowdown    float64
 	faultySince ptid.Instant
+	// recoveredAt is when the worker was last slow; zero if it has not been slow.
+	recoveredAt ptid.Instant
 }
 
 // activeRun is a run on a worker.
@@ -89,7 +91,10 @@
 	for _, run := range agent.running {
 		agent.advance(run)
 	}
-	agent.slowdown = factor
+	agent.slowdown, agent.recoveredAt = factor, 0
+	if factor == 1 {
+		agent.recoveredAt = agent.simulation.Now()
+	}
 	agent.setFaulty(factor > 1)
 	for _, id := range slices.SortedFunc(maps.Keys(agent.running), ptrun.Compare) {
 		agent.schedule(id, agent.running[id])
@@ -107,7 +112,7 @@
 func (simulation *simulation) newAgent(index int) *agent {
 	factor := capacityFactors[index%len(capacityFactors)]
 	agent := &agent{
-		simulation: simulation, index: index, slowdown: 1, faultySince: ptid.Never, speed: workerSpeeds[simulation.random.IntN(len(workerSpeeds))],
+		simulation: simulation, index: index, slowdown: 1, faultySince: ptid.Never, speed: simulation.drawSpeed(),
 		capacity: ptrun.Demand{
 			CPU: ptrun.Millicores(factor * float64(simulation.setting.Capacity.CPU)), Memory: ptrun.Mebibytes(factor * float64(simulation.setting.Capacity.Memory)),
 		},
@@ -142,7 +147,7 @@
 	agent.incarnation++
 	agent.core, agent.startedAt, agent.running, agent.lastEnd = ptruncontrol.New(1), now, make(map[ptrun.ID]*activeRun), 0
 	agent.sentReports = make([]sentReport, len(simulation.entries))
-	agent.core.HandleAnnouncement(ptrun.Worker{WorkerIdentity: agent.identity(), Service: service, Capacity: agent.capacity, Sequence: 1}, agent.clock(), now)
+	agent.core.HandleAnnouncement(ptrun.Worker{WorkerIdentity: agent.identity(), Service: service, Capacity: agent.capacity, Labels: agent.labels(), Sequence: 1}, agent.clock(), now)
 	agent.listRuns(nil)
 	for _, entry := range simulation.entries {
 		agent.applyEffects(agent.core.SessionOpened(entry.owner(), now))
@@ -189,8 +194,8 @@
 		entry.process(func() {
 			onArrival()
 			entry.applyEffects(entry.core.AgentReported(agent.name(), ptassign.AgentState{
-				Worker: report.Worker, Capacity: report.Capacity, Held: report.Held, Own: report.Own, Unusable: report.Unusable, RequestedByOthers: report.RequestedByOthers,
-				Assessment: report.Assessment, MayProbe: report.MayProbe,
+				Worker: report.Worker, Capacity: report.Capacity, Held: report.Held, Own: report.Own, Labels: report.Labels, Unusable: report.Unusable, RequestedByOthers: report.RequestedByOthers,
+				Assessment: report.Assessment, MayProbe: report.MayProbe, Speed: report.Speed,
 			}, agent.simulation.Now()))
 			received := agent.simulation.Now()
 			agent.simulation.After(ackDelay, func() {
@@ -299,7 +304,7 @@
 	caller := simulation.callers[id.Task.Job]
 	runTime, result := time.Millisecond, ptrun.Done
 	if caller != nil {
-		runTime = time.Duration(float64(caller.runTimes[id.Task.Index]) / agent.speed)
+		runTime = time.Duration(float64(caller.runTimes[id.Task.Index]) / agent.speed * simulation.drawStraggling() * agent.farFactor(caller))
 	}
 	if agent.failing {
 		runTime, result = time.Millisecond, ptrun.Failed
@@ -308,6 +313,9 @@
 	agent.running[id] = run
 	if agent.faultySince != ptid.Never && simulation.Now().Sub(agent.faultySince) > faultDetectionTime {
 		simulation.report.WastedStarts++
+		if len(agent.running) == 1 {
+			simulation.report.WastedProbes++
+		}
 	}
 	agent.applyEffects(agent.core.HandleStartResponse(id, agent.clock(), nil, simulation.Now()))
 	agent.schedule(id, run)
--- a/ptsim/entry.go
+++ b/ptsim/entry.go
@@ -19,10 +19,15 @@
 	busyUntil ptid.Instant
 	// sentAt is the time of the last message to each agent.
 	sentAt []ptid.Instant
+	// quarantined contains the agents whose workers the entry has quarantined.
+	quarantined map[ptid.AgentName]bool
 }
 
 func (simulation *simulation) newEntry(index int) *entry {
-	entry := &entry{simulation: simulation, index: index, core: ptassign.New(uint64(simulation.random.Int64())), sentAt: make([]ptid.Instant, simulation.setting.Workers)}
+	entry := &entry{simulation: simulation, index: index, core: ptassign.New(uint64(simulation.random.Int64())), sentAt: make([]ptid.Instant, simulation.setting.Workers), quarantined: make(map[ptid.AgentName]bool)}
+	entry.core.PlaceBySpeed(simulation.setting.PlaceBySpeed)
+	entry.core.SetRemoteFactor(simulation.setting.Locality.KnownFactor)
+	entry.core.SetLocalityPolicy(simulation.setting.Locality.Policy)
 	simulation.Every(tickInterval, func() { entry.process(entry.tick) })
 	return entry
 }
@@ -95,6 +100,7 @@
 		panic(err)
 	}
 	if refusal != nil {
+		entry.simulation.refused(spec)
 		entry.simulation.jobEnded(spec.ID, 0, true)
 	}
 	entry.applyEffects(effects)
@@ -112,7 +118,7 @@
 			entry.send(agent, func() {
 				agent.applyEffects(agent.core.Order(ptruncontrol.Order{
 					Run: effect.Run, Owner: entry.owner(), Demand: effect.Demand, SentAt: sentAt, StartBy: effect.StartBy, WaitUntil: simulation.Now().Add(effect.MaxWait), QueueKey: effect.QueueKey,
-					ExpectedRunTime: effect.ExpectedRunTime,
+					ExpectedRunTime: effect.ExpectedRunTime, Queue: effect.Queue,
 				}, simulation.Now()))
 			})
 		case ptassign.SendStop:
@@ -122,8 +128,17 @@
 			agent := simulation.agentOf(effect.Agent)
 			entry.send(agent, func() { agent.applyEffects(agent.core.QueryRun(entry.owner(), effect.Run, simulation.Now())) })
 		case ptassign.JobEnded:
+			if effect.Refusal != nil {
+				simulation.report.RefusedLater++
+			}
 			simulation.jobEnded(effect.Job.ID, effect.Job.State(), effect.Refusal != nil)
-		case ptassign.SaveProgress, ptassign.RejectEnd, ptassign.TaskHeld, ptassign.LossResolved, ptassign.RequestAdvice, ptassign.WorkerQuarantined:
+		case ptassign.LocalityEvent:
+			simulation.report.LocalityOutcomes[effect.Outcome]++
+		case ptassign.WorkerQuarantined:
+			if delete(entry.quarantined, effect.Agent); effect.Quarantined {
+				entry.quarantined[effect.Agent] = true
+			}
+		case ptassign.SaveProgress, ptassign.RejectEnd, ptassign.TaskHeld, ptassign.LossResolved, ptassign.RequestAdvice:
 		}
 	}
 }
