ptintake, ptlisten: bound what a process reads from all its clients together

Cause: the tests of platform/intake: bodies were read in full on every connection before anything decided about them, a complete submission was decoded to 60 times its size, the parsed fields of headers and the connections were not counted, and an accept without a free descriptor ended its listener for good.

Change: ptintake decides (a gate of connections per listener, one budget of bytes per process, derived from memory-mb and max-fds); a slow client loses its place, a client that is served never does. ptlisten wraps listeners and connections: failed accepts are repeated, bodies are read only after a reservation, long headers are charged before they are parsed, and a session's connection has 4 s and 16 KiB until its greeting. Readiness and metrics take no bodies. Callers may send 16,384 bytes of header fields; before, the buffer of 4 KiB refused more (431). A job of more steps than allowed is rejected before it is decoded; only bodies with 2,000 commas and more are looked through for that. A best-effort job holds a part of the budget until it has ended. Texts of clients in log lines are cut to 128 bytes.

Ruled out: HeaderReceived of the HTTP library (it doesn't know the connection, so a reservation could not be given back), MaxConnsPerIP (callers share addresses), ReduceMemoryUsage (two more system calls a request).

--- a/ptadmin/ptadmin.go
+++ b/ptadmin/ptadmin.go
@@ -32,6 +32,10 @@
 const (
 	readTimeout = 10 * time.Second
 	idleTimeout = time.Minute
+	// writeTimeout bounds the time to write a response to a client that does not read.
+	writeTimeout = 10 * time.Second
+	// maxBody is below any body: the interface takes none, and the handler is called without one.
+	maxBody = 1
 )
 
 // Server is the admin interface of one process.
@@ -47,7 +51,8 @@
 func New(metrics *ptmetric.Set, ready func() bool, fallback fasthttp.RequestHandler) *Server {
 	admin := &Server{metrics: metrics, ready: ready, fallback: fallback}
 	admin.server = &fasthttp.Server{
-		Handler: admin.serve, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+		Handler: admin.serve, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, WriteTimeout: writeTimeout,
+		MaxRequestBodySize: maxBody, StreamRequestBody: true, DisablePreParseMultipartForm: true,
 		NoDefaultServerHeader: true, CloseOnShutdown: true,
 	}
 	return admin
@@ -56,10 +61,17 @@
 // Serve accepts requests on listener until Shutdown is called.
 func (admin *Server) Serve(listener net.Listener) error { return admin.server.Serve(listener) }
 
+// HTTPServer returns the server, for callers that serve it with other ones.
+func (admin *Server) HTTPServer() *fasthttp.Server { return admin.server }
+
 // Shutdown stops the server after the requests in flight have been served.
 func (admin *Server) Shutdown() error { return admin.server.Shutdown() }
 
 func (admin *Server) serve(request *fasthttp.RequestCtx) {
+	// The rest of a body is not read.
+	if length := request.Request.Header.ContentLength(); length > 0 || length == -1 {
+		request.SetConnectionClose()
+	}
 	switch {
 	case admin.Handle(request):
 	case admin.fallback != nil:
--- a/ptbroker/session.go
+++ b/ptbroker/session.go
@@ -222,6 +222,7 @@
 		_ = stream.Send(&ptwire.Frame{Welcome: &ptwire.Welcome{Entry: string(broker.setting.Name), Refused: problem}})
 		return nil, errors.Wrap(ptsession.ErrProtocol, problem)
 	}
+	pttransport.Greeted(conn)
 	err = stream.Send(&ptwire.Frame{Welcome: &ptwire.Welcome{
 		Entry: string(broker.setting.Name), Incarnation: uint64(broker.incarnation), Session: greeting.Session,
 		HeartbeatIntervalNanos: int64(interval), AvailabilityZone: string(broker.setting.Zone),
--- a/ptmetric/ptmetric.go
+++ b/ptmetric/ptmetric.go
@@ -68,6 +68,10 @@
 	WorkerCrashes    Name = "primrosetiller_worker_crashes_total"
 	JobSeconds       Name = "primrosetiller_job_seconds"
 	StoreCalls       Name = "primrosetiller_store_calls_total"
+
+	IntakeRefusals    Name = "primrosetiller_intake_refusals_total"
+	IntakeConnections Name = "primrosetiller_intake_connections"
+	IntakeBytes       Name = "primrosetiller_intake_bytes"
 )
 
 // Description documents one metric.
@@ -117,6 +121,9 @@
 	{UnaccountedRuns, "Unaccounted runs", "Active runs in the newest listing of this agent's worker that are not in the agent's records: started by an earlier agent process, or declared ended too early.", "2.0"},
 	{JobSeconds, "Duration of a job", "Seconds from the arrival of a graph job to its end.", "2.0"},
 	{StoreCalls, "Calls to the platform's store", "Calls to the platform's store, by operation and result: done, refused, failed.", "2.0"},
+	{IntakeRefusals, "Refused clients", "Connections and requests refused or closed before anything of them was carried out, by listener and reason: connections (the listener has too many), descriptors (the process has none left), slow (the connection lost its place to another one), memory (the budget is used up), tooLarge (body over the limit), greeting (too many bytes before it).", "2.1"},
+	{IntakeConnections, "Bounded connections", "Open connections, by listener. Sessions count until their greeting.", "2.1"},
+	{IntakeBytes, "Bytes of open requests", "Bytes of the budget that requests hold which have been read, and that are not decided or whose jobs have not ended.", "2.1"},
 	{SessionBytes, "Bytes on sessions", "Bytes on the sessions of this process, by direction: sent, received.", "1.0"},
 }
 
--- a/pttransport/serve.go
+++ b/pttransport/serve.go
@@ -21,6 +21,13 @@
 	return conn
 }
 
+// Greeted tells the listener of a connection that its greeting has been accepted.
+func Greeted(conn net.Conn) {
+	if bounded, ok := conn.(interface{ Greeted() }); ok {
+		bounded.Greeted()
+	}
+}
+
 // Serve accepts connections and serves each one in its own goroutine. It returns when ctx is
 // done and the listener is closed.
 func Serve(ctx context.Context, listener net.Listener, server *drpcserver.Server, set *ptmetric.Set, logger logr.Logger) (err error) {
