--- a/ptlisten/ptlisten.go
+++ b/ptlisten/ptlisten.go
@@ -250,7 +250,9 @@
 		return conn.Conn.Write(buffer)
 	}
 	conn.lines = 0
-	conn.client.Enter(ptintake.Responding, conn.now())
+	if conn.client.Phase() != ptintake.Responding {
+		conn.client.Enter(ptintake.Responding, conn.now())
+	}
 	size, err = conn.Conn.Write(buffer)
 	conn.client.Enter(ptintake.Idle, conn.now())
 	return size, err
