ptassign: a job that has to wait needs a margin of a quarter of its run time

Cause: jobs were admitted up to the last moment that the forecast allows. Change: for a forecast wait above zero, a quarter of the expected duration is added. Jobs that need not wait are admitted as before.

--- a/ptassign/forecast.go
+++ b/ptassign/forecast.go
@@ -31,12 +31,31 @@
 		return &Refusal{Reason: NoFittingWorker, RetryAfter: core.retryAfter(job, 0, now)}
 	}
 	wait, ahead, capacity := core.forecast(job, now)
-	if now.Add(wait) > job.latestStart() && wait > 0 || now.Add(wait+job.expectedDuration) > job.ExpiresAt {
+	if job.isForecastTooLate(wait, now) {
 		return &Refusal{Reason: ForecastTooLate, RetryAfter: core.retryAfter(job, wait, now), ForecastWait: wait, DemandAhead: ahead, Capacity: capacity}
 	}
 	return nil
 }
 
+// durationMarginDivisor divides the expected duration of a job into the margin that its forecast
+// must leave.
+//
+// A job lasts as long as its longest task on the slowest of its workers, on average 1.25 times
+// the expected run time of a task on workers whose speeds differ by 20 %, and the estimate is off
+// by a similar factor. A job that is admitted to the last moment is more likely late than in time,
+// and takes the capacity of another one. Jobs that needn't wait need no margin: the capacity that
+// they take is not scarce.
+const durationMarginDivisor = 4
+
+// isForecastTooLate reports whether a job that waits for capacity for the given time would probably
+// miss its objective or end after it expires.
+func (job *Job) isForecastTooLate(wait time.Duration, now ptid.Instant) bool {
+	if wait > 0 {
+		wait += job.expectedDuration / durationMarginDivisor
+	}
+	return wait > 0 && now.Add(wait) > job.latestStart() || now.Add(wait+job.expectedDuration) > job.ExpiresAt
+}
+
 // isAvailable reports whether the agent has a session and has reported a usable worker.
 func (agent *agentRecord) isAvailable() bool {
 	return agent.connected && agent.hasReport && !agent.state.Unusable
