ptruncontrol: stop a straggler early, so that its task is done elsewhere

Cause: a job ends with its last task. Where 3 % of the runs take seven times as long, 22 % of the jobs of eight tasks have such a run; a confirm of 760 ms misses the caller's deadline, and a fifth of the work is done for such runs. Change: an agent stops a run of a best-effort job whose progress shows 3.5 times its expected run time on this worker, if the rest of it takes longer than a new start, at most one in 100 ms, and only on a sound worker. The entry places the task again and leaves it alone then. Only for orders that name a queue (placing by speed). Ruled out: a second run beside the first one (no task runs twice at a time); a stop by the entry, which sees no progress and would have to wait for a multiple of the expected run time, too late for checks and holds.

--- a/ptassign/ends.go
+++ b/ptassign/ends.go
@@ -76,6 +76,10 @@
 	case ptrun.Failed:
 		agent.observed.runFailed(end.Run.Task.Job, now)
 	case ptrun.Stopped, ptrun.Lost, ptrun.NeverStarted:
+		if end.Result == ptrun.Stopped && !run.stopped && core.speeds.enabled {
+			// The agent has stopped a straggler.
+			run.task.TimedOutRuns++
+		}
 		agent.observed.runDiscarded()
 	}
 }
--- a/ptassign/queue.go
+++ b/ptassign/queue.go
@@ -194,7 +194,7 @@
 	ticket, _ := ticketFor(chosen, job, task, now)
 	core.emit(SendOrder{
 		Agent: chosen.name, Ticket: ticket, Run: run, Job: job, Demand: task.Step.Reservation(), StartBy: startBy, MaxWait: wait, QueueKey: job.queueKey(now), Checkpoint: placement.checkpoint, Isolation: placement.isolation,
-		ExpectedRunTime: core.assessableRunTime(chosen, job, task.Step), Queue: core.orderQueue(job),
+		ExpectedRunTime: core.assessableRunTime(chosen, job, task.Step), Queue: core.orderQueue(job, task),
 	})
 }
 
--- a/ptassign/speed.go
+++ b/ptassign/speed.go
@@ -84,9 +84,10 @@
 	return time.Duration(float64(unit) / agent.speed)
 }
 
-// orderQueue returns the queue that an order names; empty if the agent must not learn from it.
-func (core *Core) orderQueue(job *Job) (queue ptid.ProfileName) {
-	if core.speeds.enabled {
+// orderQueue returns the queue that an order names. It is empty if the agent must not learn from the run, or
+// must not stop it as a straggler: a task that takes long again is long by nature.
+func (core *Core) orderQueue(job *Job, task *ptgraph.Task) (queue ptid.ProfileName) {
+	if core.speeds.enabled && task.TimedOutRuns == 0 {
 		return job.Queue.Name
 	}
 	return ""
--- a/ptdrill/agent.go
+++ b/ptdrill/agent.go
@@ -214,7 +214,7 @@
 				entry.receiveEnd(agent, effect.End)
 			})
 		case ptruncontrol.UnaccountedRunsChanged, ptruncontrol.WorkerReplaced, ptruncontrol.LeaseExpired, ptruncontrol.OrderJoined,
-			ptruncontrol.WorkerCrashed, ptruncontrol.WorkerResumed:
+			ptruncontrol.WorkerCrashed, ptruncontrol.WorkerResumed, ptruncontrol.StragglerStopped, ptruncontrol.SpeedChanged:
 			simulation.trace("%s: %T%+v", agent.name(), effect, effect)
 		case ptruncontrol.BroadcastEnd:
 			agent.postBroadcast(effect.End)
--- a/ptdrill/entry.go
+++ b/ptdrill/entry.go
@@ -39,6 +39,7 @@
 		index: index, core: ptassign.New(uint64(simulation.random.Int64())), callers: make(map[ptid.JobID]*openJob),
 		process: process{simulation: simulation, alive: true, incarnation: 1},
 	}
+	started.core.PlaceBySpeed(simulation.setting.Faults.Stragglers)
 	if previous := simulation.entries[index]; previous != nil {
 		started.incarnation = previous.incarnation + 1
 	}
--- a/ptdrill/ptdrill.go
+++ b/ptdrill/ptdrill.go
@@ -92,6 +92,9 @@
 	// RepeatedAnnouncements: a worker is reported as replaced although it is not, and announces
 	// itself again.
 	RepeatedAnnouncements bool
+	// Stragglers: 5 % of the runs take seven times as long. Entries use the speeds of workers, and workers
+	// list the progress of runs.
+	Stragglers bool
 	// CrashingTasks: a task of 3 % of the jobs crashes each worker that starts it, mostly some
 	// milliseconds after its start. The worker is back after 1 to 4 s.
 	CrashingTasks bool
--- a/ptdrill/ptdrill_test.go
+++ b/ptdrill/ptdrill_test.go
@@ -68,6 +68,10 @@
 	play(test, ptdrill.Setting{Faults: ptdrill.Faults{Single: true, Mass: true, RepeatedAnnouncements: true}})
 }
 
+func TestSeedsWithStragglers(test *testing.T) {
+	play(test, ptdrill.Setting{Faults: ptdrill.Faults{Single: true, Mass: true, Stragglers: true}})
+}
+
 func TestSeedsWithCallerBreaks(test *testing.T) {
 	play(test, ptdrill.Setting{Faults: ptdrill.Faults{Single: true, Mass: true, CallerBreaks: true}})
 }
--- a/ptdrill/worker.go
+++ b/ptdrill/worker.go
@@ -32,9 +32,9 @@
 const announceInterval = 300 * time.Millisecond
 
 type workerRun struct {
-	endsAt ptid.Instant
-	result ptrun.Result
-	demand ptrun.Demand
+	startedAt, endsAt ptid.Instant
+	result            ptrun.Result
+	demand            ptrun.Demand
 }
 
 // worker is one incarnation of a simulated worker. It follows the rules of the worker protocol
@@ -244,7 +244,10 @@
 		return ptrun.ErrHigherRunEnded
 	}
 	simulation, task := worker.simulation, worker.simulation.tasks[start.Run.Task]
-	started := &workerRun{endsAt: simulation.Now().Add(task.runTime), result: ptrun.Done, demand: task.demand}
+	started := &workerRun{startedAt: simulation.Now(), endsAt: simulation.Now().Add(task.runTime), result: ptrun.Done, demand: task.demand}
+	if simulation.setting.Faults.Stragglers && simulation.happens(stragglerPercent) {
+		started.endsAt = simulation.Now().Add(stragglerFactor * task.runTime)
+	}
 	if worker.slow {
 		started.endsAt = simulation.Now().Add(slowFactor * task.runTime)
 	}
@@ -377,7 +380,7 @@
 		EndsTruncated: len(worker.ends) >= maxListedEnds,
 	}
 	for _, id := range slices.SortedFunc(maps.Keys(worker.runs), ptrun.Compare) {
-		listing.Active = append(listing.Active, ptrun.ListedRun{Run: id, Percent: 100})
+		listing.Active = append(listing.Active, ptrun.ListedRun{Run: id, Percent: worker.percentOf(id)})
 	}
 	return listing
 }
@@ -425,3 +428,19 @@
 	}
 	worker.runs, worker.alive = nil, false
 }
+
+const (
+	stragglerPercent = 5
+	stragglerFactor  = 7
+)
+
+// percentOf returns the percentage that the worker lists for a run: its speed limit, or its progress if
+// there are stragglers.
+func (worker *worker) percentOf(id ptrun.ID) int {
+	const whole = 100
+	run := worker.runs[id]
+	if !worker.simulation.setting.Faults.Stragglers || run.endsAt <= run.startedAt {
+		return whole
+	}
+	return min(whole-1, int(whole*worker.simulation.Now().Sub(run.startedAt)/run.endsAt.Sub(run.startedAt)))
+}
--- a/ptmetric/ptmetric.go
+++ b/ptmetric/ptmetric.go
@@ -66,6 +66,7 @@
 	TasksGivenUp     Name = "primrosetiller_tasks_given_up_total"
 	RejectedEnds     Name = "primrosetiller_rejected_ends_total"
 	WorkerCrashes    Name = "primrosetiller_worker_crashes_total"
+	Stragglers       Name = "primrosetiller_stragglers_stopped_total"
 	WorkerSpeed      Name = "primrosetiller_worker_speed"
 	JobSeconds       Name = "primrosetiller_job_seconds"
 	StoreCalls       Name = "primrosetiller_store_calls_total"
@@ -113,6 +114,7 @@
 	{WaitingRuns, "Waiting runs", "Runs that wait at this agent for free capacity on its worker.", "2.0"},
 	{HoldingRuns, "Runs that hold capacity", "Runs at this agent that hold capacity on its worker, including runs that are being stopped.", "2.0"},
 	{WorkerCrashes, "Worker crashes", "Incarnations of this agent's worker that ended without announcing it while runs were active on them.", "2.0"},
+	{Stragglers, "Stragglers stopped", "Runs that this agent has stopped because their progress showed that they would take far longer than expected on its worker. Their entries start the tasks again.", "2.2"},
 	{WorkerSpeed, "Speed of the worker", "Speed of this agent's worker by its run times, relative to the run times that entries expect on a worker of average speed; 1 until runs were measured.", "2.2"},
 	{TasksGivenUp, "Tasks given up", "Tasks that this entry has given up, because they crash their workers. Their jobs have failed.", "2.0"},
 	{RejectedEnds, "Ends rejected", "Ends of runs as done that this entry has rejected, because their tasks were placed again. Their workers' leases expire.", "2.1"},
--- a/ptruncontrol/health.go
+++ b/ptruncontrol/health.go
@@ -21,7 +21,9 @@
 	// beyond that; runs that were active then don't count for the speed.
 	speed *ptspeed.Estimator
 	// loggedSpeed is the speed that was reported last by SpeedChanged.
+	// straggledAt is when a straggler was stopped last.
 	suspectAt   ptid.Instant
+	straggledAt ptid.Instant
 	loggedSpeed ptspeed.Report
 }
 
--- a/ptruncontrol/responses.go
+++ b/ptruncontrol/responses.go
@@ -137,6 +137,7 @@
 	run.crash = ""
 	run.percent, run.tailLatency = listed.Percent, listed.TailLatency
 	core.estimator.Progressed(id, listed.Percent, now)
+	core.stopStraggler(run, listed.Percent, now)
 	if listed.Checkpoint != "" {
 		run.Checkpoint = listed.Checkpoint
 	}
--- a/ptrunner/ptrunner.go
+++ b/ptrunner/ptrunner.go
@@ -210,6 +210,10 @@
 			go func() { _ = runner.listWorker(0) }()
 		case ptruncontrol.SendEnd:
 			runner.sendEnd(effect)
+		case ptruncontrol.StragglerStopped:
+			runner.deps.Metrics.Counter(ptmetric.Stragglers).Inc()
+			runner.deps.Log.Info("straggler stopped", "job", effect.Run.Task.Job, "step", effect.Run.Task.Step, "task", effect.Run.Task.Index, "run", effect.Run.Number,
+				"ran", effect.RunTime.String(), "percent", effect.Percent, "expected", effect.Expected.String())
 		case ptruncontrol.SpeedChanged:
 			runner.deps.Log.Info("worker speed changed", "speed", effect.Speed.Speed, "runs", effect.Speed.Weight)
 		case ptruncontrol.AssessmentChanged:
--- a/ptsim/agent.go
+++ b/ptsim/agent.go
@@ -283,6 +283,8 @@
 			for _, entry := range simulation.entries {
 				agent.send(entry, func() {})
 			}
+		case ptruncontrol.StragglerStopped:
+			simulation.report.StoppedStragglers++
 		case ptruncontrol.ListRuns:
 			agent.listRuns(nil)
 		case ptruncontrol.BroadcastEnd, ptruncontrol.SendAdopted, ptruncontrol.ThrottleRun:
--- a/ptsim/ptsim.go
+++ b/ptsim/ptsim.go
@@ -188,6 +188,8 @@
 	// slow for longer than [faultDetectionTime]. WastedProbes is the part of it that started on
 	// workers without other runs.
 	WastedStarts, WastedProbes int
+	// StoppedStragglers is the number of runs that agents have stopped as stragglers.
+	StoppedStragglers int
 	// IdleShare is the mean share of the capacity that was idle while jobs were waiting.
 	IdleShare float64
 	// Recovery is the utilization of workers that were slow and are sound again, relative to the
