--- a/ptassign/locality.go
+++ b/ptassign/locality.go
@@ -260,7 +260,7 @@
 	if chosen != nil {
 		near := core.nearWorkers(job, task, now)
 		described := core.localityTask(job, task, remaining)
-		described.FarSlowdown = chosen.slowdown()
+		described.FarSlowdown = chosen.slowdown() / chosen.speed
 		decision := ptlocality.Decide(core.locality.policy, described, near, now)
 		if !decision.Wait {
 			core.placedFar(job, task, now.Add(time.Duration(described.Factor*float64(described.RunTime))), now)
@@ -311,7 +311,7 @@
 		}
 		worker := ptlocality.Worker{Free: agent.free().CPU, HeldByOthers: agent.heldByOthers.CPU, Runs: make([]ptlocality.Run, 0, len(agent.runs))}
 		slowdown := agent.slowdown()
-		near.Slowdown += slowdown
+		near.Slowdown += slowdown / agent.speed
 		for _, run := range agent.runs {
 			worker.Runs = append(worker.Runs, ptlocality.Run{
 				EndsAt: run.placedAt.Add(time.Duration(slowdown * float64(run.expectedRunTime))), RunTime: run.expectedRunTime, CPU: run.reservation.CPU,
--- a/ptsim/ptsim.go
+++ b/ptsim/ptsim.go
@@ -190,6 +190,8 @@
 	WastedStarts, WastedProbes int
 	// LocalityOutcomes counts the choices between near and far workers.
 	LocalityOutcomes map[ptassign.LocalityOutcome]int
+	// StoppedStragglers is the number of runs that agents have stopped as stragglers.
+	StoppedStragglers int
 	// IdleShare is the mean share of the capacity that was idle while jobs were waiting.
 	IdleShare float64
 	// Recovery is the utilization of workers that were slow and are sound again, relative to the
