--- a/ptassign/forecast.go
+++ b/ptassign/forecast.go
@@ -40,11 +40,11 @@
 // durationMarginDivisor divides the expected duration of a job into the margin that its forecast
 // must leave.
 //
-// A job lasts as long as its longest task on the slowest of its workers, on average 1.25 times
-// the expected run time of a task on workers whose speeds differ by 20 %, and the estimate is off
-// by a similar factor. A job that is admitted to the last moment is more likely late than in time,
-// and takes the capacity of another one. Jobs that needn't wait need no margin: the capacity that
-// they take is not scarce.
+// A job lasts as long as its longest task on the slowest of its workers: for 2, 4 and 8 tasks 1.13,
+// 1.26 and 1.37 times the mean run time of a task on workers of speeds 0.8 to 1.25, and the
+// estimate of that mean may be off as well. A job that is admitted to the last moment is probably
+// late, and takes the capacity of another one. Jobs that needn't wait need no margin: the
+// capacity that they take is not scarce.
 const durationMarginDivisor = 4
 
 // isForecastTooLate reports whether a job that waits for capacity for the given time would probably
--- a/ptsim/hardload_test.go
+++ b/ptsim/hardload_test.go
@@ -3,11 +3,14 @@
 import (
 	"fmt"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	. "github.com/onsi/gomega"
+
 	"github.com/primrosetiller/primrosetiller/ptid"
 	"github.com/primrosetiller/primrosetiller/ptrun"
 	"github.com/primrosetiller/primrosetiller/ptsim"
@@ -113,8 +116,31 @@
 	})
 }
 
-func printHardLoad(name string, setting func(seed uint64) ptsim.Setting) {
-	const seeds = 2
+// All queues ask for 1.7 and 2 times their normal load, somewhat more than the capacity. The goal of
+// docs/design/13-hard-load.md is a goodput of 0.93 of the fluid bound. The least goodput that the test
+// accepts is what was reached, less 0.03; docs/design/15-admission-under-overload.md says what binds.
+func TestGoodputUnderHardLoad(test *testing.T) {
+	for name, load := range map[string]struct {
+		deployment func(uint64, ptid.ProfileName, float64, time.Duration) ptsim.Setting
+		factor     float64
+		least      float64
+	}{
+		"H 1.7 times": {deploymentH, 1.7, 0.81}, "H 2 times": {deploymentH, 2, 0.81},
+		"L 1.7 times": {deploymentL, 1.7, 0.70}, "L 2 times": {deploymentL, 2, 0.69},
+	} {
+		goodput := printHardLoad(name, func(seed uint64) ptsim.Setting {
+			return load.deployment(seed, "", load.factor, 4*time.Second)
+		})
+		NewWithT(test).Expect(goodput).To(BeNumerically(">=", load.least), name)
+	}
+}
+
+// printHardLoad prints the outcomes of a load, and returns the goodput over the fluid bound.
+func printHardLoad(name string, setting func(seed uint64) ptsim.Setting) float64 {
+	seeds := 2
+	if configured, err := strconv.Atoi(os.Getenv("SIM_SEEDS")); err == nil {
+		seeds = configured
+	}
 	var group sync.WaitGroup
 	reports := make([]ptsim.Report, seeds)
 	for index := range reports {
@@ -126,14 +152,14 @@
 	kinds := make([]ptsim.Count, len(reports[0].Kinds))
 	for index, report := range reports {
 		setting := setting(uint64(21 + index))
-		weighted += report.WeightedUtility(setting) / seeds
+		weighted += report.WeightedUtility(setting) / float64(seeds)
 		goodput += report.InTime
 		bound += report.FluidBound(&setting)
 		seconds := (setting.Span - setting.CountFrom - setting.DontCountLast).Seconds()
-		demand += report.Submitted / (report.Capacity * seconds) / seeds * (1 + setting.StragglerShare*(setting.StragglerFactor-1))
-		used += report.Utilization(&setting) / seeds
-		late += report.Late / (report.Capacity * seconds) / seeds
-		inTime += report.InTime / (report.Capacity * seconds) / seeds
+		demand += report.Submitted / (report.Capacity * seconds) / float64(seeds) * (1 + setting.StragglerShare*(setting.StragglerFactor-1))
+		used += report.Utilization(&setting) / float64(seeds)
+		late += report.Late / (report.Capacity * seconds) / float64(seeds)
+		inTime += report.InTime / (report.Capacity * seconds) / float64(seeds)
 		idle, usable, refused, withRoom = idle+report.IdleAtRefusal, usable+report.UsableAtRefusal, refused+report.RefusedNow, withRoom+report.RefusedWithRoom
 		returned, orders = returned+report.ReturnedOrders, orders+report.Orders
 		for kind, count := range report.Kinds {
@@ -152,4 +178,5 @@
 	fmt.Fprintf(&line, "| refused now %d with room %d, idle %.3f whole %.3f; returned %.3f; idle while waiting %.3f", refused, withRoom,
 		idle/float64(max(1, refused)), usable/float64(max(1, refused)), float64(returned)/float64(orders), reports[0].IdleShare)
 	fmt.Println(line.String())
+	return goodput / bound
 }
