ptassign: probe workers near the threshold of the quarantine as well

Cause: a worker whose slowdown is between 1.75 and 2.5 is not quarantined, but its cost is so high that it gets no runs while others have room. Change: the entry that has the turn uses it, whether or not it has quarantined the worker. Ruled out: that the speed estimate alone keeps them idle (traced: slowdown 2.0 to 2.3, speeds 0.75 to 0.93).

--- a/ptassign/queue.go
+++ b/ptassign/queue.go
@@ -111,7 +111,7 @@
 		switch {
 		case agent.isUsable(now):
 			core.usable = append(core.usable, agent)
-			if agent.quarantined {
+			if agent.mustProbe() {
 				core.probeTargets = append(core.probeTargets, agent)
 			}
 		case agent.quarantined:
--- a/ptassign/recovery.go
+++ b/ptassign/recovery.go
@@ -47,7 +47,13 @@
 	observed.backoffUntil, observed.nextBackoff = 0, initialBackoff
 }
 
-// probeTarget returns the quarantined worker that the task probes; nil if there is none.
+// mustProbe reports whether the entry has the turn to probe the worker. A worker near the threshold of the
+// quarantine is probed as well: because of its cost, it would get no runs that show its recovery.
+func (agent *agentRecord) mustProbe() bool {
+	return agent.state.MayProbe && agent.state.Assessment.NeedsProbes() && len(agent.runs) == 0
+}
+
+// probeTarget returns the worker that the task probes; nil if there is none.
 //
 // The entry with the probe turn must use it even where other workers have free capacity.
 // Otherwise a recovered worker would stay in quarantine until the others are full.
