ptspeed, ptassign: correct the speed of workers that were slow when they were new

Cause: a worker that is three times slower in its first second is taken for slow by nature; where others have room it gets no runs that correct this. Change: four consecutive runs that are clearly faster reduce the weight of earlier ones; a worker that has been idle for 500 ms is preferred for tasks that meet their objective even at 0.85 of its speed. Only with placing by speed.

--- a/ptassign/agents.go
+++ b/ptassign/agents.go
@@ -59,8 +59,9 @@
 	// compared with the assessments of the other workers of the service.
 	quarantined bool
 	// speed is the speed of the worker relative to the other workers of the service; 1 unless the
-	// entry uses speeds.
-	speed float64
+	// entry uses speeds. idleSince is when the worker last had runs; it is updated only with speeds.
+	speed     float64
+	idleSince ptid.Instant
 	// expectedWork is the sum of the expected run times of the runs, each multiplied by its
 	// reserved CPU.
 	expectedWork float64
--- a/ptassign/ptassign.go
+++ b/ptassign/ptassign.go
@@ -305,7 +305,7 @@
 	// placeWaiting.
 	usable  []*agentRecord
 	maxFree ptrun.Demand
-	// probeTargets are the quarantined agents in usable, quarantinedAgents the other ones.
+	// probeTargets are the agents in usable to probe, quarantinedAgents the quarantined other ones.
 	quarantinedAgents, probeTargets []*agentRecord
 	// waitingSince is the start of the current period in which jobs request capacity;
 	// [ptid.Never] if no job requests capacity. requestsSentAt is when CapacityRequestsToSend
@@ -416,7 +416,7 @@
 // and placing.
 func (core *Core) Tick(now ptid.Instant) (effects []Effect) {
 	core.updateQuarantine()
-	core.updateSpeeds()
+	core.updateSpeeds(now)
 	core.extendHangDeadlines(now)
 	connectedSince := core.ConnectedSince()
 	for _, agent := range core.sortedAgents {
--- a/ptassign/speed.go
+++ b/ptassign/speed.go
@@ -18,6 +18,13 @@
 	scarcityPenalty = 0.5
 	idleUtilization = 0.6
 	busyUtilization = 0.9
+	// A worker that has been idle for minIdleTime is preferred by idleBonus for tasks that meet their objective
+	// even at idleSpeedShare of its speed. Otherwise a worker that is wrongly taken for slow would get no runs that correct its
+	// speed while the others have room.
+	minIdleTime = 500 * time.Millisecond
+	idleBonus   = 2.0
+	// With 1, the utility of holds of customer L at 1.2 times is 0.992, with 0.85 it is 0.995.
+	idleSpeedShare = 0.85
 	// latePenalty is added to the cost of a worker on which the task would miss its objective. It is
 	// above the other differences of cost between healthy workers. Among the workers where the task is late, the
 	// fastest is chosen.
@@ -45,7 +52,7 @@
 }
 
 // updateSpeeds determines the speed that counts as speed 1 and the speeds of all workers relative to it.
-func (core *Core) updateSpeeds() {
+func (core *Core) updateSpeeds(now ptid.Instant) {
 	if !core.speeds.enabled {
 		return
 	}
@@ -65,6 +72,9 @@
 	}
 	for _, agent := range core.sortedAgents {
 		core.updateSpeed(agent)
+		if len(agent.runs) > 0 || agent.heldByOthers != (ptrun.Demand{}) || agent.idleSince == 0 {
+			agent.idleSince = now
+		}
 	}
 }
 
@@ -118,6 +128,7 @@
 	// expected run time. Below riskySpeed, it misses the objective if it takes the expected run time.
 	safeSpeed, riskySpeed float64
 	scarcity              float64
+	now                   ptid.Instant
 }
 
 const (
@@ -140,7 +151,7 @@
 		following = max(0, core.criticalPath(job.Job, job.Queue.Name)-expected)
 	}
 	until := func(end ptid.Instant) float64 { return (end.Sub(now) - RoundTripMargin - following).Seconds() }
-	need.enabled, need.scarcity = true, core.speeds.scarcity[job.Queue.Service]
+	need.enabled, need.now, need.scarcity = true, now, core.speeds.scarcity[job.Queue.Service]
 	need.safeSpeed = neededSpeed(longRunTime, expected.Seconds(), until(job.Objective), until(job.ExpiresAt), job.Queue.Stretch)
 	need.riskySpeed = neededSpeed(1, expected.Seconds(), until(job.Objective), until(job.ExpiresAt), job.Queue.Stretch)
 	return need
@@ -164,6 +175,8 @@
 	switch {
 	case !need.enabled:
 		return 0
+	case candidate.speed*idleSpeedShare >= need.safeSpeed && need.now.Sub(candidate.idleSince) >= minIdleTime && len(candidate.runs) == 0:
+		return -idleBonus
 	case candidate.speed >= need.safeSpeed:
 		return (1-need.scarcity)/candidate.speed + need.scarcity*scarcityPenalty*candidate.speed
 	case candidate.speed <= need.riskySpeed:
--- a/ptspeed/ptspeed.go
+++ b/ptspeed/ptspeed.go
@@ -13,9 +13,11 @@
 //     more than maxDeviation, divided by the number of runs. Runs that take seven times as long as
 //     usual thus count little more than runs that take twice as long. The speed is the mean of the
 //     queues, so that a queue with many runs and a wrong expected run time does not decide alone.
-//  3. Old runs are forgotten after about maxRuns newer ones, and all runs with the incarnation of
+//  3. Several consecutive runs that are clearly faster reduce the weight of earlier ones: the worker was
+//     slow for a while.
+//  4. Old runs are forgotten after about maxRuns newer ones, and all runs with the incarnation of
 //     the worker.
-//  4. The entries agree on speed 1 without a message: it is the geometric mean of the speeds of
+//  5. The entries agree on speed 1 without a message: it is the geometric mean of the speeds of
 //     all workers of the service ([Unit]). An entry divides the reported speeds by it.
 //
 // # Why the estimates don't drift
@@ -55,6 +57,13 @@
 	// worker. The standard error of an estimate is then 0.32/sqrt(100), since an estimate with a
 	// constant gain of 1/maxRuns averages over twice as many runs.
 	maxRuns = 50
+	// If changeRuns consecutive runs of a queue are faster than estimated by more than changeDeviation, the worker
+	// was slow for a while when it was measured. The estimate then counts as one of changedRuns runs and follows
+	// quickly, because a worker that is taken for slow gets few runs. In the other direction, the worker may be
+	// slow for a while.
+	changeRuns      = 4
+	changeDeviation = 0.4
+	changedRuns     = 3
 	// maxQueues bounds the number of queues that are told apart. Runs of further queues share one
 	// estimate.
 	maxQueues = 16
@@ -124,8 +133,22 @@
 	return min(maxSpeed, max(minSpeed, math.Exp(report.Log())/unit))
 }
 
-// location is the estimate of one queue.
-type location struct{ log, runs float64 }
+// location is the estimate of one queue. faster counts the consecutive runs that were clearly faster.
+type location struct {
+	log, runs float64
+	faster    int
+}
+
+// countDeviation reduces the weight of the estimate if the worker has become faster.
+func (estimate *location) countDeviation(deviation float64) {
+	estimate.faster++
+	if deviation <= changeDeviation {
+		estimate.faster = 0
+	}
+	if estimate.faster >= changeRuns {
+		estimate.runs, estimate.faster = min(estimate.runs, changedRuns), 0
+	}
+}
 
 // Estimator measures the speed of one worker.
 type Estimator struct {
@@ -153,6 +176,7 @@
 		}
 	}
 	deviation := math.Log(expected.Seconds()/runTime.Seconds()) - estimate.log
+	estimate.countDeviation(deviation)
 	estimate.runs = min(estimate.runs+1, maxRuns)
 	estimate.log += min(maxDeviation, max(-maxDeviation, deviation)) / (estimate.runs + priorRuns)
 }
--- a/ptspeed/ptspeed_test.go
+++ b/ptspeed/ptspeed_test.go
@@ -102,6 +102,21 @@
 	}
 }
 
+// A worker that was slow when it was new must not count as slow for long: it gets few runs then.
+func TestChangedSpeedIsLearnedWithinAFewRuns(test *testing.T) {
+	for seed := range uint64(20) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		estimator := ptspeed.NewEstimator()
+		for range 200 {
+			estimator.Observe("hold", 200*time.Millisecond, drawRunTime(random, 0.2, 0.4))
+		}
+		for range 25 {
+			estimator.Observe("hold", 200*time.Millisecond, drawRunTime(random, 0.2, 1.2))
+		}
+		NewWithT(test).Expect(estimator.Report().Speed).To(BeNumerically(">", 0.75), "seed %d", seed)
+	}
+}
+
 func TestUninformativeRunsAreIgnored(test *testing.T) {
 	expect := NewWithT(test)
 	estimator := ptspeed.NewEstimator()
