--- a/ptassign/ptassign.go
+++ b/ptassign/ptassign.go
@@ -282,7 +282,7 @@
 	// of their free capacity by component. Both are valid only during a call of placeWaiting.
 	usable  []*agentRecord
 	maxFree ptrun.Demand
-	// probeTargets are the quarantined agents in usable, quarantinedAgents the other ones.
+	// probeTargets are the agents in usable to probe, quarantinedAgents the quarantined other ones.
 	quarantinedAgents, probeTargets []*agentRecord
 	// waitingSince is the start of the current period in which jobs request capacity;
 	// [ptid.Never] if no job requests capacity. requestsSentAt is when CapacityRequestsToSend
@@ -397,7 +397,7 @@
 // and placing.
 func (core *Core) Tick(now ptid.Instant) (effects []Effect) {
 	core.updateQuarantine()
-	core.updateSpeeds()
+	core.updateSpeeds(now)
 	core.extendHangDeadlines(now)
 	connectedSince := core.ConnectedSince()
 	for _, agent := range core.sortedAgents {
