ptruntime: learned run times outlive an entry at its agents

Cause: an entry that has restarted or is added knows no run times. It admits, orders and places the first jobs of each queue by declared estimates or the default of 200 ms. Change: entries send what they have learned from their own runs to their agents, in frames that are sent anyway, at most once in 2 s, and only what has changed by more than a tenth. Agents keep the newest value of at most 100 queues for an hour and send them with the greeting of a session. An entry adopts values of more weight than what it knows. An adopted value counts as four own runs; after ten own runs nothing is adopted. Malformed values are ignored. Without adopted values the averages are computed as before. Ruled out: sending adopted values on before an own run, because agents and entries would keep them alive without runs; the values in a later frame than the greeting, because the entry may have placed tasks by then; the moving average's rate of 0.05 for adopted values, because half of an error is left after 14 runs.

--- a/ptassign/ptassign.go
+++ b/ptassign/ptassign.go
@@ -271,13 +271,10 @@
 	waiting     []*Job
 	sortedAt    ptid.Instant
 	constraints constraints
-	// averageRunTime is the moving average of the run time by queue, in seconds.
-	averageRunTime map[ptid.ProfileName]float64
-	demands        map[ptid.ProfileName]*queueDemand
-	// estimateBias is the moving average of the ratio of run time to declared estimate.
-	estimateBias float64
-	random       *rand.Rand
-	effects      []Effect
+	learned     learnedRunTimes
+	demands     map[ptid.ProfileName]*queueDemand
+	random      *rand.Rand
+	effects     []Effect
 	// usable contains the agents of all services that may get tasks now, and maxFree the maximum
 	// of their free capacity by component. Both are valid only during a call of placeWaiting.
 	usable  []*agentRecord
@@ -303,7 +300,7 @@
 	return &Core{
 		agents: make(map[ptid.AgentName]*agentRecord), jobs: make(map[Key]*Job), bestEffort: make(map[Key]*Job),
 		stopping: make(map[Key]*Job), heldJobs: make(map[Key]*Job),
-		averageRunTime: make(map[ptid.ProfileName]float64), demands: make(map[ptid.ProfileName]*queueDemand), estimateBias: 1, waitingSince: ptid.Never,
+		learned: learnedRunTimes{queues: make(map[ptid.ProfileName]learnedAverage), estimateBias: learnedAverage{value: 1}}, demands: make(map[ptid.ProfileName]*queueDemand), waitingSince: ptid.Never,
 		ownershipExpiresAt: ptid.Never, random: rand.New(rand.NewPCG(seed, 1)),
 	}
 }
@@ -317,7 +314,7 @@
 
 // expectedRunTime returns the run time of the step's tasks on a healthy worker.
 func (core *Core) expectedRunTime(queue ptid.ProfileName, step *ptgraph.Step) time.Duration {
-	average := core.averageRunTime[queue]
+	average := core.averageRunTime(queue)
 	switch {
 	case step.Estimate <= 0 && average == 0:
 		return defaultRunTime
@@ -326,7 +323,7 @@
 	case average == 0:
 		return step.Estimate
 	default:
-		return time.Duration(math.Sqrt(step.Estimate.Seconds()*core.estimateBias*average) * float64(time.Second))
+		return time.Duration(math.Sqrt(step.Estimate.Seconds()*core.learned.estimateBias.value*average) * float64(time.Second))
 	}
 }
 
--- a/ptassign/speed.go
+++ b/ptassign/speed.go
@@ -100,13 +100,15 @@
 		maxRatio, maxBias = maxRunTimeRatio, maxEstimateRatio
 	}
 	queue := run.job.Queue.Name
-	if average, seen := core.averageRunTime[queue]; seen {
-		core.averageRunTime[queue] = average + averageWeight*(min(seconds, maxRatio*average)-average)
+	average, seen := core.learned.queues[queue]
+	if seen {
+		average.add(seconds, maxRatio*average.value)
 	} else {
-		core.averageRunTime[queue] = seconds
+		average = learnedAverage{value: seconds, runs: 1}
 	}
+	core.learned.queues[queue] = average
 	if declared := run.task.Step.Estimate.Seconds(); declared > 0 {
-		core.estimateBias += averageWeight * (min(seconds/declared, maxBias) - core.estimateBias)
+		core.learned.estimateBias.add(seconds/declared, maxBias)
 	}
 }
 
--- a/ptbroker/ptbroker.go
+++ b/ptbroker/ptbroker.go
@@ -153,6 +153,7 @@
 	// when the store last confirmed it.
 	evacuation            atomic.Pointer[ptevacuation.State]
 	evacuationConfirmedAt atomic.Int64
+	runTimes              runTimes
 
 	mu             sync.Mutex
 	core           *ptassign.Core
--- a/ptbroker/session.go
+++ b/ptbroker/session.go
@@ -20,6 +20,7 @@
 	"github.com/primrosetiller/primrosetiller/ptmetric"
 	"github.com/primrosetiller/primrosetiller/ptprofile"
 	"github.com/primrosetiller/primrosetiller/ptrun"
+	"github.com/primrosetiller/primrosetiller/ptruntime"
 	"github.com/primrosetiller/primrosetiller/ptsession"
 	"github.com/primrosetiller/primrosetiller/ptspeed"
 	"github.com/primrosetiller/primrosetiller/pttransport"
@@ -48,6 +49,8 @@
 	openedAt ptid.Instant
 	// evacuation is what the agent knows of the evacuated zones.
 	evacuation ptevacuation.Exchange
+	// runTimes is used only by PrepareFrame, which the session calls from one goroutine.
+	runTimes ptruntime.Sender
 	// lastSentAt is when the latest frame was sent.
 	lastSentAt atomic.Int64
 }
@@ -109,6 +112,7 @@
 		frame.AgentClockNanos = int64(agent.clock.ToPeerClock(now))
 	}
 	frame.Evacuation = agent.evacuation.ToSend(agent.broker.evacuationState())
+	frame.RunTimes = agent.runTimesToSend(now)
 	if requests := agent.broker.capacityRequests.Load(); requests != nil {
 		frame.Want = (*requests)[ptid.ServiceName(agent.greeting.Service)].Message()
 	}
@@ -224,6 +228,7 @@
 		agent.clock.AddSample(frame.AgentClockNanos, broker.deps.Clock.Now())
 		agent.session = ptsession.New(ptlink.EntrySide, broker.deps.Clock, stream, func() { _ = conn.Close() }, interval, agent)
 		broker.receiveEvacuation(agent, frame.Evacuation)
+		broker.adoptRunTimes(agent, frame.RunTimes)
 		problem = broker.register(agent, frame.Room)
 	}
 	if problem != "" {
@@ -374,6 +379,7 @@
 		broker.execute(broker.core.Tick(broker.deps.Clock.Now()))
 		broker.tickPartitions(broker.deps.Clock.Now())
 		broker.publishCapacityRequests(broker.deps.Clock.Now())
+		broker.copyRunTimes(broker.deps.Clock.Now())
 		broker.mu.Unlock()
 	}
 }
--- a/ptrunner/ptrunner.go
+++ b/ptrunner/ptrunner.go
@@ -43,6 +43,7 @@
 	"github.com/primrosetiller/primrosetiller/ptmetric"
 	"github.com/primrosetiller/primrosetiller/ptrun"
 	"github.com/primrosetiller/primrosetiller/ptruncontrol"
+	"github.com/primrosetiller/primrosetiller/ptruntime"
 	"github.com/primrosetiller/primrosetiller/ptsession"
 	"github.com/primrosetiller/primrosetiller/ptwire"
 )
@@ -115,6 +116,7 @@
 	dialing      map[string]bool
 	sessionCount uint64
 	evacuation   ptevacuation.State
+	runTimes     ptruntime.Table
 	listingOK    bool
 	// backupListUntil is the time until which the backup loop requests listings.
 	backupListUntil ptid.Instant
--- a/ptrunner/session.go
+++ b/ptrunner/session.go
@@ -16,6 +16,7 @@
 	"github.com/primrosetiller/primrosetiller/ptmetric"
 	"github.com/primrosetiller/primrosetiller/ptrun"
 	"github.com/primrosetiller/primrosetiller/ptruncontrol"
+	"github.com/primrosetiller/primrosetiller/ptruntime"
 	"github.com/primrosetiller/primrosetiller/ptsession"
 	"github.com/primrosetiller/primrosetiller/pttransport"
 	"github.com/primrosetiller/primrosetiller/ptwire"
@@ -113,6 +114,7 @@
 	if runner.handleEvacuation(&peer.evacuation, frame.Evacuation, peer.owner.Entry, now) {
 		peer.session.Post(func(*ptwire.Frame) {})
 	}
+	runner.runTimes.Merge(ptruntime.FromMessages(frame.RunTimes), now)
 	runner.execute(runner.core.RequestCapacity(peer.owner.Entry, ptrun.CapacityRequestFromMessage(frame.Want), now))
 	for _, ref := range frame.RunAcks {
 		runner.core.AcknowledgeEnd(ptrun.IDFromRef(ref))
@@ -227,11 +229,13 @@
 	return true, runner.serveSession(stream, func() { _ = netConn.Close() }, welcome, newPeer)
 }
 
-// handshake exchanges the first frames of a session, which carry the states of the evacuated zones.
+// handshake exchanges the first frames of a session, which carry the states of the evacuated zones. The
+// agent's one also carries the learned run times.
 func (runner *Runner) handshake(stream ptwire.DRPCDispatcher_SessionClient, newPeer *peer) (welcome *ptwire.Welcome, err error) {
 	runner.mu.Lock()
 	runner.sessionCount++
-	frame := &ptwire.Frame{AgentClockNanos: int64(runner.deps.Clock.Now()), Evacuation: newPeer.evacuation.ToSend(runner.evacuation), Greeting: &ptwire.Greeting{
+	now := runner.deps.Clock.Now()
+	frame := &ptwire.Frame{AgentClockNanos: int64(now), RunTimes: ptruntime.Messages(runner.runTimes.Values(now)), Evacuation: newPeer.evacuation.ToSend(runner.evacuation), Greeting: &ptwire.Greeting{
 		Agent: string(runner.setting.Name), Incarnation: uint64(runner.incarnation), Session: runner.sessionCount,
 		Service: string(runner.setting.Service), AvailabilityZone: string(runner.setting.Zone),
 		Region: string(runner.setting.Region), Protocol: protocolVersion,
