--- a/ptsim/hardload_test.go
+++ b/ptsim/hardload_test.go
@@ -9,8 +9,6 @@
 	"testing"
 	"time"
 
-	. "github.com/onsi/gomega"
-
 	"github.com/primrosetiller/primrosetiller/ptid"
 	"github.com/primrosetiller/primrosetiller/ptrun"
 	"github.com/primrosetiller/primrosetiller/ptsim"
@@ -57,7 +55,7 @@
 		Surges: []ptsim.Surge{{Kind: kind, For: span, Factor: factor}}, Span: span,
 		InZone: 100 * time.Microsecond, MessageCost: 60 * time.Microsecond, CountFrom: time.Second,
 	}
-	setting.DontCountLast = time.Second
+	setting.DontCountLast, setting.PlaceBySpeed = time.Second, true
 	for index := range entries {
 		share := 1.0
 		if index%4 == 3 {
@@ -116,22 +114,25 @@
 	})
 }
 
-// All queues ask for 1.7 and 2 times their normal load, somewhat more than the capacity. The goal of
-// docs/design/13-hard-load.md is a goodput of 0.93 of the fluid bound. The least goodput that the test
-// accepts is what was reached, less 0.03; docs/design/15-admission-under-overload.md says what binds.
+// All queues ask for 1.7 and 2 times their normal load, somewhat more than the capacity. Guards against
+// capacity that is idle or spent on late jobs: the goal of docs/design/13-hard-load.md is a goodput of 0.93
+// of the fluid bound. docs/design/15-admission-under-overload.md says what binds.
 func TestGoodputUnderHardLoad(test *testing.T) {
+	const least = 0.93
 	for name, load := range map[string]struct {
 		deployment func(uint64, ptid.ProfileName, float64, time.Duration) ptsim.Setting
 		factor     float64
-		least      float64
 	}{
-		"H 1.7 times": {deploymentH, 1.7, 0.81}, "H 2 times": {deploymentH, 2, 0.81},
-		"L 1.7 times": {deploymentL, 1.7, 0.70}, "L 2 times": {deploymentL, 2, 0.69},
+		"H 1.7 times": {deploymentH, 1.7}, "H 2 times": {deploymentH, 2},
+		"L 1.7 times": {deploymentL, 1.7}, "L 2 times": {deploymentL, 2},
 	} {
 		goodput := printHardLoad(name, func(seed uint64) ptsim.Setting {
 			return load.deployment(seed, "", load.factor, 4*time.Second)
 		})
-		NewWithT(test).Expect(goodput).To(BeNumerically(">=", load.least), name)
+		test.Logf("%s: goodput %.3f of the fluid bound", name, goodput)
+		if goodput < least {
+			test.Errorf("%s: goodput %.3f is below %.2f", name, goodput, least)
+		}
 	}
 }
 
