--- a/ptassign/forecast.go
+++ b/ptassign/forecast.go
@@ -36,31 +36,12 @@
 	}
 	core.expectFar(job, now)
 	wait, ahead, capacity := core.forecast(job, now)
-	if job.isForecastTooLate(wait, now) {
+	if now.Add(wait) > job.latestStart() && wait > 0 || now.Add(wait+job.expectedDuration) > job.ExpiresAt {
 		return &Refusal{Reason: ForecastTooLate, RetryAfter: core.retryAfter(job, wait, now), ForecastWait: wait, DemandAhead: ahead, Capacity: capacity}
 	}
 	return nil
 }
 
-// durationMarginDivisor divides the expected duration of a job into the margin that its forecast
-// must leave.
-//
-// A job lasts as long as its longest task on the slowest of its workers: for 2, 4 and 8 tasks 1.13,
-// 1.26 and 1.37 times the mean run time of a task on workers of speeds 0.8 to 1.25, and the
-// estimate of that mean may be off as well. A job that is admitted to the last moment is probably
-// late, and takes the capacity of another one. Jobs that needn't wait need no margin: the
-// capacity that they take is not scarce.
-const durationMarginDivisor = 4
-
-// isForecastTooLate reports whether a job that waits for capacity for the given time would probably
-// miss its objective or end after it expires.
-func (job *Job) isForecastTooLate(wait time.Duration, now ptid.Instant) bool {
-	if wait > 0 {
-		wait += job.expectedDuration / durationMarginDivisor
-	}
-	return wait > 0 && now.Add(wait) > job.latestStart() || now.Add(wait+job.expectedDuration) > job.ExpiresAt
-}
-
 // isAvailable reports whether the agent has a session and has reported a usable worker, which is not
 // withheld for an evacuation.
 func (agent *agentRecord) isAvailable() bool {
