ptassign: a starting entry waits for agents only until the first one may get orders

Change: the wait for the first agents ends for good with the first worker that may get orders. The test prints the refusal. Ruled out: a change of the test, which is right.

--- a/ptassign/agents.go
+++ b/ptassign/agents.go
@@ -167,6 +167,7 @@
 	agent.setWorker(state.Worker)
 	severityChanged := agent.state.Assessment.Severity() != state.Assessment.Severity()
 	agent.state, agent.hasReport = state, true
+	core.noteServing(agent)
 	core.updateSpeed(agent)
 	if severityChanged {
 		core.updateQuarantine()
--- a/ptassign/ptassign.go
+++ b/ptassign/ptassign.go
@@ -288,11 +288,10 @@
 	// ownershipExpiresAt is when another entry may own the durable jobs.
 	ownershipExpiresAt ptid.Instant
 	lastTickAt         ptid.Instant
-	// agentsExpectedUntil is the end of the time in which agents may open their first sessions.
-	agentsExpectedUntil ptid.Instant
-	evacuation          evacuation
-	locality            locality
-	speeds              speeds
+	startup            startup
+	evacuation         evacuation
+	locality           locality
+	speeds             speeds
 }
 
 // New returns a core without jobs or agents. The seed makes its random choices reproducible.
--- a/ptassign/startup_test.go
+++ b/ptassign/startup_test.go
@@ -65,3 +65,17 @@
 	fixture.expect.Expect(sent[0].Agent).To(Equal(agentName(1)))
 	fixture.expect.Expect(ended(fixture.Tick(at(200)))).To(BeEmpty())
 }
+
+// Once a worker could get orders, the evacuation of all zones must refuse jobs at once, also in the first
+// second after the start.
+func TestJobsOfAStartingEntryAreRefusedAtOnceAfterTheLastZoneIsEvacuated(test *testing.T) {
+	fixture := newFixture(test, 0)
+	fixture.ExpectAgents(at(0).Add(ptassign.StartupGrace))
+	fixture.AgentLocated(agentName(0), "zone", at(10))
+	fixture.AgentConnected(agentName(0), 1, service, true, at(10))
+	fixture.report(0, ptassign.AgentState{})
+	fixture.SetEvacuation(ptevacuation.New(1, "zone"), at(20))
+	_, refusal, _ := fixture.submit(1, 500*time.Millisecond, at(30))
+	fixture.expect.Expect(refusal).NotTo(BeNil())
+	fixture.expect.Expect(refusal.Reason).To(Equal(ptassign.Evacuated))
+}
