ptruncontrol: stragglers are stopped only where the settings ask for it

Cause: the stop of stragglers helps only where a task that has straggled takes its ordinary time when it is started again. Change: setting stop-stragglers in [bounds], off by default. ptsim and ptdrill play with it on.

--- a/ptdrill/agent.go
+++ b/ptdrill/agent.go
@@ -77,6 +77,7 @@
 		index: index, core: ptruncontrol.New(ptrun.FenceToken(int64(token) / int64(time.Millisecond))),
 		process: process{simulation: simulation, alive: true, incarnation: 1},
 	}
+	started.core.StopStragglers(true)
 	if previous := simulation.agents[index]; previous != nil {
 		started.incarnation = previous.incarnation + 1
 	}
--- a/ptruncontrol/health.go
+++ b/ptruncontrol/health.go
@@ -24,7 +24,9 @@
 	// straggledAt is when a straggler was stopped last.
 	suspectAt   ptid.Instant
 	straggledAt ptid.Instant
-	loggedSpeed ptspeed.Report
+	// stopsStragglers is off unless the deployment's settings ask for it.
+	stopsStragglers bool
+	loggedSpeed     ptspeed.Report
 }
 
 // SpeedChanged reports that the speed of the worker differs clearly from the one reported before.
--- a/ptruncontrol/straggler.go
+++ b/ptruncontrol/straggler.go
@@ -23,6 +23,10 @@
 	wholeRun          = 100
 )
 
+// StopStragglers makes the core stop stragglers. It is off by default: it helps only where a task that has
+// straggled takes its ordinary time when it is started again. Otherwise the work is done twice.
+func (core *Core) StopStragglers(enabled bool) { core.stopsStragglers = enabled }
+
 // stopStraggler stops a run of a best-effort job that takes far longer than expected on a worker that is
 // otherwise sound. Its entry starts the task again, mostly elsewhere.
 //
@@ -30,6 +34,9 @@
 // are late, and a fifth of the capacity is spent on these runs. Runs whose order names no queue are left
 // alone: their entry does not use speeds, or has started the task again already.
 func (core *Core) stopStraggler(run *run, percent int, now ptid.Instant) {
+	if !core.stopsStragglers {
+		return
+	}
 	// Without progress, or with the speed limit in its place, nothing is known.
 	if percent <= 0 || percent >= wholeRun || run.Queue == "" || run.ExpectedRunTime <= 0 || run.isDurable() || run.isolated || run.Checkpoint != "" {
 		return
--- a/ptruncontrol/straggler_test.go
+++ b/ptruncontrol/straggler_test.go
@@ -37,6 +37,7 @@
 	} {
 		test.Run(name, func(test *testing.T) {
 			fixture := newFixture(test)
+			fixture.StopStragglers(true)
 			order := check.order
 			order.Run, order.StartBy, order.WaitUntil, order.QueueKey = run(0, 1), at(1000), at(40), at(1)
 			fixture.Order(order, at(1))
@@ -58,6 +59,7 @@
 // If all runs of a worker straggle, the worker is slow: the runs must not be stopped one and all.
 func TestRunsOnASlowWorkerAreNotStoppedAsStragglers(test *testing.T) {
 	fixture := newFixture(test)
+	fixture.StopStragglers(true)
 	var listing ptrun.Listing
 	for index := range 4 {
 		id := run(index, 1)
--- a/ptrunner/ptrunner.go
+++ b/ptrunner/ptrunner.go
@@ -90,6 +90,8 @@
 	// ShutdownTimeout is the time after the start of a shutdown at which the runner returns
 	// even if runs remain.
 	ShutdownTimeout time.Duration
+	// StopStragglers makes the runner stop stragglers (ptruncontrol.Core.StopStragglers).
+	StopStragglers bool
 }
 
 // Dependencies holds the services that a runner uses.
@@ -130,6 +132,7 @@
 		core:        ptruncontrol.New(ptrun.FenceToken(time.Now().UnixMilli())),
 		peers:       make(map[ptid.EntryName]*peer), dialing: make(map[string]bool),
 	}
+	runner.core.StopStragglers(setting.StopStragglers)
 	gauge := func(name ptmetric.Name, read func() int) {
 		deps.Metrics.Gauge(name, func() float64 {
 			runner.mu.Lock()
--- a/ptsim/agent.go
+++ b/ptsim/agent.go
@@ -146,6 +146,7 @@
 	simulation, now := agent.simulation, agent.simulation.Now()
 	agent.incarnation++
 	agent.core, agent.startedAt, agent.running, agent.lastEnd = ptruncontrol.New(1), now, make(map[ptrun.ID]*activeRun), 0
+	agent.core.StopStragglers(true)
 	agent.sentReports = make([]sentReport, len(simulation.entries))
 	agent.core.HandleAnnouncement(ptrun.Worker{WorkerIdentity: agent.identity(), Service: service, Capacity: agent.capacity, Labels: agent.labels(), Sequence: 1}, agent.clock(), now)
 	agent.listRuns(nil)
