--- a/test.sh
+++ b/test.sh
@@ -29,6 +29,12 @@
 go test -count=1 -timeout 20m ${red:+-skip "^($red)\$"} $(go list ./... | grep -vx "$intake")
 go test -count=1 -timeout 20m ${red:+-skip "^($red)\$"} "$intake"
 
+echo "== fuzz"
+# A count, not a time, so that the same work is done on a busy machine.
+for target in FuzzParseJob FuzzCheckSteps FuzzParseAnnouncement; do
+  go test ./platform -run '^$' -fuzz "^$target\$" -fuzztime 5000x -parallel 2
+done
+
 if [ -s KNOWN-RED.txt ]; then
   echo "== known red, not run here"
   cat KNOWN-RED.txt
