--- a/ptruncontrol/health.go
+++ b/ptruncontrol/health.go
@@ -24,9 +24,7 @@
 	// straggledAt is when a straggler was stopped last.
 	suspectAt   ptid.Instant
 	straggledAt ptid.Instant
-	// stopsStragglers is off unless the deployment's settings ask for it.
-	stopsStragglers bool
-	loggedSpeed     ptspeed.Report
+	loggedSpeed ptspeed.Report
 }
 
 // SpeedChanged reports that the speed of the worker differs clearly from the one reported before.
--- a/ptruncontrol/ptruncontrol.go
+++ b/ptruncontrol/ptruncontrol.go
@@ -430,8 +430,10 @@
 	epochs   map[ptjobstore.Partition]ptjobstore.Epoch
 	throttle throttle
 	health
-	draining   bool
-	evacuation evacuation
+	// stopsStragglers is set by StopStragglers. It outlasts the worker, unlike health.
+	stopsStragglers bool
+	draining        bool
+	evacuation      evacuation
 	// held is the sum of the demands of the runs that hold capacity.
 	held ptrun.Demand
 	// leaseMustExpire is true while the lease must expire, since a run that is to be stopped is active
