ptbroker: the line "partition recovered" tells what the new owner knew of the agents

Change: the line also has the age of the entry at the acquisition, and how many agents have a session and have none.

--- a/ptbroker/durable.go
+++ b/ptbroker/durable.go
@@ -683,7 +683,8 @@
 func (broker *Broker) finishRecovery(partition *ownedPartition, now ptid.Instant) {
 	partition.recovering, partition.mayHaveUnknownRuns = false, broker.mayHaveUnknownRuns(partition, now)
 	broker.deps.Log.Info("partition recovered", "partition", partition.number, "epoch", partition.epoch, "jobs", len(partition.jobs), "after", now.Sub(partition.acquiredAt).String(),
-		"mayHaveUnknownRuns", partition.mayHaveUnknownRuns)
+		"mayHaveUnknownRuns", partition.mayHaveUnknownRuns, "entryAge", partition.acquiredAt.Sub(broker.ownership.startedAt).String(),
+		"connectedAgents", len(broker.agentSessions), "disconnectedAgents", len(broker.core.DisconnectedAgents()))
 	for _, id := range slices.Sorted(maps.Keys(partition.jobs)) {
 		for _, open := range partition.jobs[id].open {
 			broker.resume(partition, open, now)
