pthandover: the next owner of a partition knows every agent that may have its runs

Cause: the next owner of a partition waited for the agents that it had sessions with or had lost one with in the last minute, and for 4.5 s only while it was younger than that itself. These are facts about its own past. An agent that can't read the addresses of the entries dials its seeds only, so the added entry had never seen it, and took the partition for recovered at once.

Change: the log holds a record of agents for each partition, beside its progress and fenced with it. An owner adds an agent before it sends it the first order of the partition, and removes it once no run can be active there. The next owner reads the record and waits for those agents, 4.5 s for one that it can't reach. ptbroker and ptdrill call the same core; the drill had a copy of the decision. Counter primrosetiller_incomplete_recoveries_total; the line "partition recovered" names the missing agents.

Why it works: the record precedes the order, so it holds whether the earlier owner was stopped, killed, paused or cut off, and for several owners in a row. The bound of 4.5 s is that of the leases (docs/design/10); results that are unknown then are void as before.

Evidence: edge-4 took partitions for recovered 15 and 25 ms after their acquisition, at an age of 6.1 and 7.3 s, with five of six agents; side-6 opened its first session with it at the end of the case. Ruled out: an agent wrongly counted as confirmed (it was not asked), the end of the bound (the partitions that waited for it had no second runs), tasks placed again as lost (no such line).

Changed tests: those of recovery used the fields that moved; each assertion stands, on the record in place of the list of sessions. JobStore.RecordCount, and TestOrphanProgressIsDeleted, count the records of jobs as their texts say, so not the record of agents.

--- a/ptassign/durable.go
+++ b/ptassign/durable.go
@@ -163,14 +163,22 @@
 	return since
 }
 
-// DisconnectedAgents returns the known agents without a session, and when each lost its
-// session.
-func (core *Core) DisconnectedAgents() (disconnected map[ptid.AgentName]ptid.Instant) {
-	disconnected = make(map[ptid.AgentName]ptid.Instant)
-	for _, agent := range core.sortedAgents {
-		if !agent.connected {
-			disconnected[agent.name] = agent.disconnectedAt
-		}
+// Session reports whether an agent has a session with this entry, and otherwise when it lost the latest
+// one; zero if it had none.
+func (core *Core) Session(name ptid.AgentName) (connected bool, lostAt ptid.Instant) {
+	agent := core.agents[name]
+	switch {
+	case agent == nil:
+		return false, 0
+	case agent.connected:
+		return true, 0
+	default:
+		return false, agent.disconnectedAt
 	}
-	return disconnected
+}
+
+// HasRuns reports whether the agent's list of placed runs is not empty.
+func (core *Core) HasRuns(name ptid.AgentName) bool {
+	agent := core.agents[name]
+	return agent != nil && len(agent.runs) > 0
 }
--- a/ptbroker/durable.go
+++ b/ptbroker/durable.go
@@ -12,6 +12,7 @@
 
 	"github.com/primrosetiller/primrosetiller/ptassign"
 	"github.com/primrosetiller/primrosetiller/ptgraph"
+	"github.com/primrosetiller/primrosetiller/pthandover"
 	"github.com/primrosetiller/primrosetiller/ptid"
 	"github.com/primrosetiller/primrosetiller/ptjobstore"
 	"github.com/primrosetiller/primrosetiller/ptmetric"
@@ -37,12 +38,11 @@
 	// maxOrphanLookups limits how many jobs with orphan progress, which is progress without a
 	// spec, are looked up in one cleanup. Each lookup takes two calls to the log.
 	maxOrphanLookups = 8
-	// removedAgentTimeout is how long an agent may have no session, while others have one, before
-	// recoveries of partitions no longer wait for it. Its machine has probably been removed.
-	removedAgentTimeout = time.Minute
 	// maxOpenTasks limits how many tasks the open occurrences of one job have together. Occurrences
 	// may be due all at once.
 	maxOpenTasks = 20_000
+	// maxLoggedAgents bounds the length of a log line.
+	maxLoggedAgents = 8
 	// cleanupsPerRetention is how many times expired jobs are searched for and deleted within
 	// one period of Setting.EndedJobRetention.
 	cleanupsPerRetention = 30
@@ -103,16 +103,10 @@
 	dirty    map[ptid.JobID]bool
 	saving   bool
 	sequence uint64
-	loaded   bool
 	// verifying is true while the log is asked whether the partition has had a later owner.
 	verifying bool
-	// recovering is true until every active run of the earlier owner is known. Placement is paused
-	// until then. mayHaveUnknownRuns is true if the results of runs that had ended then are not known.
-	recovering         bool
-	mayHaveUnknownRuns bool
-	// unconfirmedAgents holds the agents that have not confirmed the adoption of their runs yet.
-	unconfirmedAgents map[ptid.AgentName]bool
-	acquiredAt        ptid.Instant
+	// handover determines when tasks may be placed, and at which agents.
+	handover *pthandover.Handover
 	// scheduled holds the jobs with future occurrences. nextCleanupAt is the time of the next
 	// search for expired jobs.
 	scheduled     map[ptid.JobID]*durableJob
@@ -261,7 +255,7 @@
 		partitionCtx, stop := context.WithCancel(ctx)
 		partition := &ownedPartition{
 			number: number, epoch: membership.Epoch, stop: stop, jobs: make(map[ptid.JobID]*durableJob),
-			dirty: make(map[ptid.JobID]bool), scheduled: make(map[ptid.JobID]*durableJob), recovering: true, acquiredAt: broker.deps.Clock.Now(),
+			dirty: make(map[ptid.JobID]bool), scheduled: make(map[ptid.JobID]*durableJob), handover: pthandover.New(broker.deps.Clock.Now()),
 			orphanProgress: make(map[ptid.JobID]ptjobstore.Progress), unresolved: make(map[ptid.JobID][]unresolvedRun),
 			resolving: make(map[ptid.JobID]bool), missing: make(map[ptid.JobID]bool), cancelled: make(map[ptid.JobID]*cancellation),
 		}
@@ -342,7 +336,12 @@
 	if broker.ownership.partitions[partition.number] != partition {
 		return next, nil
 	}
+	var agents *ptjobstore.Agents
 	for _, record := range progress {
+		if record.Key == ptjobstore.AgentsKey {
+			agents = broker.decodeAgents(partition, record.Value)
+			continue
+		}
 		decoded, err := ptjobstore.DecodeProgress(record.Value)
 		if err != nil {
 			broker.deps.Log.Error(err, "ignoring undecodable progress", "key", record.Key)
@@ -356,16 +355,25 @@
 		}
 	}
 	broker.applySpecs(partition, specs)
-	partition.loaded = true
-	partition.unconfirmedAgents = make(map[ptid.AgentName]bool, len(broker.agentSessions))
-	for name, agent := range broker.agentSessions {
-		partition.unconfirmedAgents[name] = true
+	partition.handover.Load(agents, slices.Collect(maps.Keys(broker.agentSessions)))
+	for _, agent := range broker.agentSessions {
 		agent.postAdoption(partition, store.Partitions())
 	}
-	broker.deps.Log.Info("partition loaded", "partition", partition.number, "epoch", partition.epoch, "jobs", len(partition.jobs), "agents", len(partition.unconfirmedAgents))
+	broker.deps.Log.Info("partition loaded", "partition", partition.number, "epoch", partition.epoch, "jobs", len(partition.jobs), "agents", len(broker.agentSessions),
+		"hasRecord", agents != nil, "recordedAgents", len(partition.handover.Missing()))
 	return next, nil
 }
 
+// decodeAgents decodes the record of the agents of a partition. An undecodable record counts as none.
+func (broker *Broker) decodeAgents(partition *ownedPartition, value []byte) (agents *ptjobstore.Agents) {
+	decoded, err := ptjobstore.DecodeAgents(value)
+	if err != nil {
+		broker.deps.Log.Error(err, "ignoring undecodable record of agents", "partition", partition.number)
+		return nil
+	}
+	return &decoded
+}
+
 // applySpecs processes new specs and cancellations. The caller holds the lock.
 func (broker *Broker) applySpecs(partition *ownedPartition, records []ptjobstore.Record) {
 	for _, record := range records {
@@ -430,13 +438,13 @@
 			Spec: ptgraph.Spec{
 				ID: spec.ID, Payload: spec.Payload, Steps: slices.Clone(spec.Steps), MaxAttempts: spec.MaxAttempts,
 				Occurrence: job.next, RunNumberBase: ptjobstore.RunNumberBase(partition.epoch),
-				UnknownRuns: !partition.recovering && partition.mayHaveUnknownRuns,
+				UnknownRuns: partition.handover.MayHaveUnknownRuns(),
 			},
 			Queue: ptqueue.Queue{
 				Name: spec.Queue, Service: spec.Service, Priority: spec.Priority, MaxAttempts: spec.MaxAttempts,
 				Stretch: spec.Stretch, TargetLatency: spec.TargetLatency, Advice: spec.Advice,
 			},
-		}, saved, partition.recovering || len(partition.unresolved[spec.ID]) > 0, broker.deps.Clock.Now())
+		}, saved, !partition.handover.IsFinished() || len(partition.unresolved[spec.ID]) > 0, broker.deps.Clock.Now())
 		if err != nil {
 			broker.deps.Log.Error(err, "failed to start durable job", "job", spec.ID)
 			broker.endJob(partition, job, ptgraph.Failed)
@@ -459,7 +467,7 @@
 	}
 	broker.deps.Metrics.Counter(ptmetric.Jobs, "outcome", state.String()).Inc()
 	broker.deps.Log.Info("durable job ended", "job", job.spec.ID, "queue", job.spec.Queue, "state", state.String())
-	if partition.loaded && !partition.saving {
+	if partition.handover.IsLoaded() && !partition.saving {
 		// Callers wait for the saved end of the job, and the next tick is up to 25 ms away.
 		broker.save(partition)
 	}
@@ -522,7 +530,7 @@
 func (broker *Broker) handleDurableEnd(agent *agentSession, end ptrun.End, now ptid.Instant) {
 	partition, job := broker.findDurable(end.Run.Task.Job)
 	switch {
-	case partition == nil || !partition.loaded:
+	case partition == nil || !partition.handover.IsLoaded():
 		// Another entry owns the partition, or this entry has not loaded it yet. The agent will
 		// send the end again to all entries, and the owner processes it once it has loaded the
 		// partition.
@@ -586,7 +594,7 @@
 		}
 		broker.execute(broker.core.Adopt(agent.name(), run, now))
 	}
-	delete(partition.unconfirmedAgents, agent.name())
+	partition.handover.AgentConfirmed(agent.name())
 }
 
 // verifyOwnership releases a partition of which an agent knows a later owner, if the log knows that
@@ -609,10 +617,10 @@
 func (broker *Broker) tickPartitions(now ptid.Instant) {
 	for _, number := range slices.Sorted(maps.Keys(broker.ownership.partitions)) {
 		partition := broker.ownership.partitions[number]
-		if !partition.loaded {
+		if !partition.handover.IsLoaded() {
 			continue
 		}
-		if partition.recovering && broker.isRecovered(partition, now) {
+		if partition.handover.TryFinish(broker.core, now) {
 			broker.finishRecovery(partition, now)
 		}
 		for _, id := range slices.Sorted(maps.Keys(partition.scheduled)) {
@@ -629,8 +637,8 @@
 			broker.deleteExpiredCancellations(partition, now)
 			broker.resolveOrphanProgress(partition)
 		}
-		if len(partition.dirty) > 0 && !partition.saving {
-			broker.save(partition)
+		if !partition.saving {
+			broker.saveIfChanged(partition, now)
 		}
 	}
 }
@@ -646,45 +654,16 @@
 	}
 }
 
-// isRecovered reports whether every run of the earlier owner has been adopted or is known to
-// have ended. The runs of an agent without a session are known to have ended once
-// ptassign.DurableRunLossTimeout has passed since this entry acquired the partition: until then, the
-// earlier owner may have had a session with the agent, however long ago this entry lost its own. An
-// entry that had started only shortly before may not know all agents. The time counts while this entry
-// has a session with any agent, as in ptassign.
-func (broker *Broker) isRecovered(partition *ownedPartition, now ptid.Instant) bool {
-	for name := range partition.unconfirmedAgents {
-		if broker.agentSessions[name] != nil {
-			return false
-		}
-	}
-	connectedSince := broker.core.ConnectedSince()
-	if connectedSince == ptid.Never {
-		return false
-	}
-	return now.Sub(max(partition.acquiredAt, connectedSince)) > ptassign.DurableRunLossTimeout || !broker.mayHaveUnknownRuns(partition, now)
-}
-
-// mayHaveUnknownRuns reports whether agents without a session may have ends of runs of earlier owners.
-func (broker *Broker) mayHaveUnknownRuns(partition *ownedPartition, now ptid.Instant) bool {
-	if partition.acquiredAt.Sub(broker.ownership.startedAt) < ptassign.DurableRunLossTimeout {
-		return true
-	}
-	connectedSince := broker.core.ConnectedSince()
-	for _, lostAt := range broker.core.DisconnectedAgents() {
-		if now.Sub(max(lostAt, connectedSince)) < removedAgentTimeout {
-			return true
-		}
-	}
-	return false
-}
-
 // finishRecovery resumes placement in a recovered partition. The caller holds the lock.
 func (broker *Broker) finishRecovery(partition *ownedPartition, now ptid.Instant) {
-	partition.recovering, partition.mayHaveUnknownRuns = false, broker.mayHaveUnknownRuns(partition, now)
-	broker.deps.Log.Info("partition recovered", "partition", partition.number, "epoch", partition.epoch, "jobs", len(partition.jobs), "after", now.Sub(partition.acquiredAt).String(),
-		"mayHaveUnknownRuns", partition.mayHaveUnknownRuns, "entryAge", partition.acquiredAt.Sub(broker.ownership.startedAt).String(),
-		"connectedAgents", len(broker.agentSessions), "disconnectedAgents", len(broker.core.DisconnectedAgents()))
+	handover := partition.handover
+	missing := handover.Missing()
+	broker.deps.Log.Info("partition recovered", "partition", partition.number, "epoch", partition.epoch, "jobs", len(partition.jobs), "after", now.Sub(handover.AcquiredAt()).String(),
+		"mayHaveUnknownRuns", handover.MayHaveUnknownRuns(), "entryAge", handover.AcquiredAt().Sub(broker.ownership.startedAt).String(),
+		"connectedAgents", len(broker.agentSessions), "hasRecord", handover.HasRecord(), "missingAgents", len(missing), "missing", missing[:min(len(missing), maxLoggedAgents)])
+	if handover.MayHaveUnknownRuns() {
+		broker.deps.Metrics.Counter(ptmetric.IncompleteRecoveries).Inc()
+	}
 	for _, id := range slices.Sorted(maps.Keys(partition.jobs)) {
 		for _, open := range partition.jobs[id].open {
 			broker.resume(partition, open, now)
@@ -694,7 +673,7 @@
 
 // resume allows a recovered job to be placed. The caller holds the lock.
 func (broker *Broker) resume(partition *ownedPartition, open *ptassign.Job, now ptid.Instant) {
-	if partition.mayHaveUnknownRuns {
+	if partition.handover.MayHaveUnknownRuns() {
 		broker.execute(broker.core.AbandonUnknownRuns(open))
 	}
 	broker.execute(broker.core.FinishRecovery(open, now))
@@ -724,8 +703,27 @@
 	}
 }
 
-// save writes the progress of the changed jobs to the log. The caller holds the lock.
-func (broker *Broker) save(partition *ownedPartition) {
+// saveIfChanged writes the changed progress and the changed record of agents to the log. The caller
+// holds the lock.
+func (broker *Broker) saveIfChanged(partition *ownedPartition, now ptid.Instant) {
+	agents, agentsChanged := partition.handover.RecordToWrite(broker.core, now)
+	if agentsChanged {
+		record, err := ptjobstore.Encode(ptjobstore.Agents{Names: agents})
+		if err != nil {
+			broker.deps.Log.Error(err, "failed to encode record of agents", "partition", partition.number)
+			return
+		}
+		broker.save(partition, ptjobstore.Record{Key: ptjobstore.AgentsKey, Value: record})
+		return
+	}
+	if len(partition.dirty) > 0 {
+		broker.save(partition)
+	}
+}
+
+// save writes the progress of the changed jobs to the log, and other records after it. The caller
+// holds the lock.
+func (broker *Broker) save(partition *ownedPartition, others ...ptjobstore.Record) {
 	var records []ptjobstore.Record
 	var acks []pendingAck
 	savedJobs := make(map[ptid.JobID]savedJob)
@@ -750,8 +748,11 @@
 	partition.saving = true
 	sequence := partition.sequence
 	partition.sequence++
-	go broker.saveRecords(partition, sequence, records, func() {
+	go broker.saveRecords(partition, sequence, append(records, others...), func() {
 		partition.saving = false
+		if len(others) > 0 {
+			broker.agentsRecorded(partition)
+		}
 		broker.progressSaved(partition, savedJobs)
 		for _, ack := range acks {
 			if agent := broker.agentSessions[ack.agent]; agent != nil {
@@ -761,6 +762,17 @@
 	})
 }
 
+// agentsRecorded sends the orders that waited for the record of agents. The caller holds the lock.
+func (broker *Broker) agentsRecorded(partition *ownedPartition) {
+	orders := partition.handover.RecordWritten()
+	broker.deps.Log.Info("agents of partition recorded", "partition", partition.number, "epoch", partition.epoch, "agents", partition.handover.RecordedAgents(), "retainedOrders", len(orders))
+	for _, order := range orders {
+		if agent := broker.agentSessions[order.Agent]; agent != nil {
+			agent.postOrder(order)
+		}
+	}
+}
+
 // snapshot returns the progress of the job, including its open occurrences.
 func (job *durableJob) snapshot() (progress ptjobstore.Progress) {
 	progress = job.progress
--- a/ptbroker/handover_test.go
+++ b/ptbroker/handover_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -128,5 +129,6 @@
 	system.expect.Eventually(system.store.RecordCount).WithTimeout(conditionTimeout).Should(Equal(1))
 	progress, err := system.store.Client("reader").Progress(context.Background(), ptjobstore.PartitionOf(open, system.store.Partitions()))
 	system.expect.Expect(err).NotTo(HaveOccurred())
+	progress = slices.DeleteFunc(progress, func(record ptjobstore.Record) bool { return record.Key == ptjobstore.AgentsKey })
 	system.expect.Expect(progress).To(HaveLen(1), "progress of a job that has not ended, whose spec may still be written")
 }
--- a/ptbroker/invalid_frames_test.go
+++ b/ptbroker/invalid_frames_test.go
@@ -14,6 +14,7 @@
 	"github.com/primrosetiller/primrosetiller/ptassert"
 	"github.com/primrosetiller/primrosetiller/ptassign"
 	"github.com/primrosetiller/primrosetiller/ptgraph"
+	"github.com/primrosetiller/primrosetiller/pthandover"
 	"github.com/primrosetiller/primrosetiller/ptid"
 	"github.com/primrosetiller/primrosetiller/ptjobstore"
 	"github.com/primrosetiller/primrosetiller/ptlink"
@@ -52,9 +53,11 @@
 			Log: logr.Discard(), Metrics: ptmetric.New(), Clock: clock, Queues: ptqueue.NewCatalogStore(),
 			JobStore: ptstandin.NewJobStore(4).Client("entry"), PeerAddress: "127.0.0.1:1",
 		})
+		handover := pthandover.New(clock.Now())
+		handover.Load(&ptjobstore.Agents{}, nil)
 		broker.ownership.partitions[1] = &ownedPartition{
-			number: 1, epoch: 1, loaded: true, stop: func() {}, jobs: make(map[ptid.JobID]*durableJob), dirty: make(map[ptid.JobID]bool),
-			unconfirmedAgents: make(map[ptid.AgentName]bool), scheduled: make(map[ptid.JobID]*durableJob), orphanProgress: make(map[ptid.JobID]ptjobstore.Progress),
+			number: 1, epoch: 1, handover: handover, stop: func() {}, jobs: make(map[ptid.JobID]*durableJob), dirty: make(map[ptid.JobID]bool),
+			scheduled: make(map[ptid.JobID]*durableJob), orphanProgress: make(map[ptid.JobID]ptjobstore.Progress),
 			unresolved: make(map[ptid.JobID][]unresolvedRun), resolving: make(map[ptid.JobID]bool), missing: make(map[ptid.JobID]bool),
 		}
 		faulty, healthy := connectAgent(broker, "broken"), connectAgent(broker, "sound")
--- a/ptbroker/lapsed_membership_test.go
+++ b/ptbroker/lapsed_membership_test.go
@@ -19,7 +19,7 @@
 		"no partition was assigned since the membership expired": {lapsed: true, next: 1, current: 1},
 	} {
 		expect := NewWithT(test)
-		broker, _ := newRecoveringBroker()
+		broker, _, _ := newRecoveringBroker(nil)
 		clear(broker.ownership.partitions)
 		assign := func(epoch ptjobstore.Epoch, requestedAt ptid.Instant) {
 			broker.applyAssignment(test.Context(), ptjobstore.Membership{Epoch: epoch, Partitions: []ptjobstore.Partition{0}}, requestedAt)
--- a/ptbroker/late_end_test.go
+++ b/ptbroker/late_end_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/primrosetiller/primrosetiller/ptgraph"
+	"github.com/primrosetiller/primrosetiller/pthandover"
 	"github.com/primrosetiller/primrosetiller/ptid"
 	"github.com/primrosetiller/primrosetiller/ptjobstore"
 	"github.com/primrosetiller/primrosetiller/ptmetric"
@@ -39,7 +40,9 @@
 			Log: logr.Discard(), Metrics: ptmetric.New(), Clock: newManualClock(), Queues: ptqueue.NewCatalogStore(),
 			JobStore: ptstandin.NewJobStore(1).Client("entry"),
 		})
-		partition := &ownedPartition{epoch: 1, loaded: true, jobs: make(map[ptid.JobID]*durableJob), missing: map[ptid.JobID]bool{id: true}}
+		handover := pthandover.New(0)
+		handover.Load(&ptjobstore.Agents{}, nil)
+		partition := &ownedPartition{epoch: 1, handover: handover, jobs: make(map[ptid.JobID]*durableJob), missing: map[ptid.JobID]bool{id: true}}
 		if scenario.job != nil {
 			partition.jobs[id] = scenario.job
 		}
--- a/ptbroker/later_owner_test.go
+++ b/ptbroker/later_owner_test.go
@@ -9,7 +9,9 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/primrosetiller/primrosetiller/ptassign"
+	"github.com/primrosetiller/primrosetiller/pthandover"
 	"github.com/primrosetiller/primrosetiller/ptid"
+	"github.com/primrosetiller/primrosetiller/ptjobstore"
 	"github.com/primrosetiller/primrosetiller/ptmetric"
 	"github.com/primrosetiller/primrosetiller/ptqueue"
 	"github.com/primrosetiller/primrosetiller/ptstandin"
@@ -23,7 +25,8 @@
 		Log: logr.Discard(), Metrics: ptmetric.New(), Clock: ptid.NewClock(), Queues: ptqueue.NewCatalogStore(), JobStore: store.Client("entry"), PeerAddress: "127.0.0.1:1",
 	})
 	agent := connectAgent(broker, "agent")
-	partition := &ownedPartition{number: 1, epoch: 1, loaded: true, recovering: true, stop: func() {}, unconfirmedAgents: map[ptid.AgentName]bool{agent.name(): true}}
+	partition := &ownedPartition{number: 1, epoch: 1, stop: func() {}, handover: pthandover.New(broker.deps.Clock.Now())}
+	partition.handover.Load(&ptjobstore.Agents{}, []ptid.AgentName{agent.name()})
 	broker.ownership.partitions[1] = partition
 	owned := func() bool {
 		broker.mu.Lock()
@@ -36,7 +39,7 @@
 	expect.Consistently(owned).WithTimeout(200*time.Millisecond).Should(BeTrue(), "the log knows no later owner")
 	expect.Expect(store.Client("other").Fence(ctx, 1, 5)).To(Succeed())
 	// Without the release, the partition never recovers: the agent confirms no adoption of its epoch.
-	expect.Expect(broker.isRecovered(partition, broker.deps.Clock.Now().Add(10*ptassign.DurableRunLossTimeout))).To(BeFalse())
+	expect.Expect(partition.handover.TryFinish(broker.core, broker.deps.Clock.Now().Add(10*ptassign.DurableRunLossTimeout))).To(BeFalse())
 	agent.Receive(nil, later)
 	expect.Eventually(owned).WithTimeout(5 * time.Second).Should(BeFalse())
 }
--- a/ptbroker/peers.go
+++ b/ptbroker/peers.go
@@ -196,7 +196,7 @@
 	broker.mu.Lock()
 	defer broker.mu.Unlock()
 	partition, job := broker.findDurable(id)
-	if job == nil || !partition.loaded {
+	if job == nil || !partition.handover.IsLoaded() {
 		return view, false
 	}
 	view = jobView{state: job.visibleState, selfTerminating: job.selfTerminating(), local: true}
--- a/ptbroker/ptbroker.go
+++ b/ptbroker/ptbroker.go
@@ -318,9 +318,7 @@
 		case ptassign.SendStop:
 			broker.deps.Log.Info("stopping run", "job", effect.Run.Task.Job, "step", effect.Run.Task.Step,
 				"task", effect.Run.Task.Index, "run", effect.Run.Number, "agent", effect.Agent, "reason", effect.Reason)
-			if agent := broker.agentSessions[effect.Agent]; agent != nil {
-				agent.postStop(effect.Run)
-			}
+			broker.sendStop(effect)
 		case ptassign.SendQuery:
 			if agent := broker.agentSessions[effect.Agent]; agent != nil {
 				agent.postQuery(effect.Run)
@@ -364,11 +362,28 @@
 func (broker *Broker) sendOrder(effect ptassign.SendOrder) {
 	broker.counters.orders.Inc()
 	broker.counters.queueTime.Update(broker.deps.Clock.Now().Sub(effect.Job.SubmittedAt).Seconds())
+	if effect.Job.Durable {
+		if partition, _ := broker.findDurable(effect.Job.ID); partition == nil || partition.handover.RetainOrder(effect) {
+			return
+		}
+	}
 	if agent := broker.agentSessions[effect.Agent]; agent != nil {
 		agent.postOrder(effect)
 	}
 }
 
+// sendStop sends a stop to the agent. A run whose order was not sent has ended.
+func (broker *Broker) sendStop(effect ptassign.SendStop) {
+	if partition, _ := broker.findDurable(effect.Run.Task.Job); partition != nil && partition.handover.DropOrder(effect.Agent, effect.Run) {
+		end := ptrun.End{Run: effect.Run, Result: ptrun.NeverStarted, Reason: effect.Reason}
+		broker.execute(broker.core.RunEnded(effect.Agent, end, broker.deps.Clock.Now()))
+		return
+	}
+	if agent := broker.agentSessions[effect.Agent]; agent != nil {
+		agent.postStop(effect.Run)
+	}
+}
+
 func (broker *Broker) handleJobEnd(effect ptassign.JobEnded) {
 	job, now := effect.Job, broker.deps.Clock.Now()
 	took := now.Sub(job.SubmittedAt)
--- a/ptbroker/session.go
+++ b/ptbroker/session.go
@@ -271,15 +271,15 @@
 	broker.sessions.Store(int64(len(broker.agentSessions)))
 	greeting, now := agent.greeting, broker.deps.Clock.Now()
 	agent.openedAt = now
+	for _, partition := range broker.ownership.partitions {
+		partition.handover.AgentConnected(agent.name())
+	}
 	broker.core.AgentLocated(agent.name(), ptid.Zone(greeting.AvailabilityZone), now)
 	broker.execute(broker.core.AgentConnected(agent.name(), ptid.Incarnation(greeting.Incarnation), ptid.ServiceName(greeting.Service),
 		ptid.Zone(greeting.AvailabilityZone) == broker.setting.Zone, now))
 	broker.handleReport(agent, report, now)
 	for _, partition := range broker.ownership.partitions {
-		if partition.loaded {
-			if partition.recovering {
-				partition.unconfirmedAgents[agent.name()] = true
-			}
+		if partition.handover.IsLoaded() {
 			agent.postAdoption(partition, broker.ownership.store.Partitions())
 		}
 	}
--- a/ptbroker/unresolved.go
+++ b/ptbroker/unresolved.go
@@ -131,7 +131,7 @@
 		effects, _ := broker.core.AdoptEnd(run.agent, *run.end, now)
 		broker.execute(effects)
 	}
-	if job := partition.jobs[id]; job != nil && len(runs) > 0 && !partition.recovering {
+	if job := partition.jobs[id]; job != nil && len(runs) > 0 && partition.handover.IsFinished() {
 		for _, open := range job.open {
 			broker.resume(partition, open, now)
 		}
--- a/ptdrill/durable.go
+++ b/ptdrill/durable.go
@@ -8,6 +8,7 @@
 
 	"github.com/primrosetiller/primrosetiller/ptassign"
 	"github.com/primrosetiller/primrosetiller/ptgraph"
+	"github.com/primrosetiller/primrosetiller/pthandover"
 	"github.com/primrosetiller/primrosetiller/ptid"
 	"github.com/primrosetiller/primrosetiller/ptjobstore"
 	"github.com/primrosetiller/primrosetiller/ptqueue"
@@ -27,6 +28,8 @@
 	simulation *simulation
 	specs      [partitions]map[ptid.JobID]ptgraph.Spec
 	progress   [partitions]map[ptid.JobID]ptgraph.Progress
+	// agents contains the record of the agents of each partition; nil if there is none.
+	agents     [partitions]*ptjobstore.Agents
 	fence      [partitions]ptjobstore.Epoch
 	generation ptjobstore.Epoch
 	// lastJoin contains the members. target is the member to which a partition is assigned, and
@@ -111,14 +114,12 @@
 
 // ownedPartition is a partition that an entry owns.
 type ownedPartition struct {
-	number                     ptjobstore.Partition
-	epoch                      ptjobstore.Epoch
-	jobs                       map[ptid.JobID]*durableJob
-	dirty                      map[ptid.JobID]bool
-	saving, loaded, recovering bool
-	mayHaveUnknownRuns         bool
-	unconfirmed                map[ptid.AgentName]bool
-	acquiredAt                 ptid.Instant
+	number   ptjobstore.Partition
+	epoch    ptjobstore.Epoch
+	jobs     map[ptid.JobID]*durableJob
+	dirty    map[ptid.JobID]bool
+	saving   bool
+	handover *pthandover.Handover
 }
 
 // ownership is the state of the partitions of an entry. It follows package ptbroker.
@@ -126,13 +127,12 @@
 	entry      *entry
 	generation ptjobstore.Epoch
 	partitions map[ptjobstore.Partition]*ownedPartition
-	startedAt  ptid.Instant
 	// expiresAt is when another entry may become the owner of the partitions.
 	expiresAt ptid.Instant
 }
 
 func newOwnership(entry *entry) *ownership {
-	return &ownership{entry: entry, partitions: make(map[ptjobstore.Partition]*ownedPartition), startedAt: entry.simulation.Now()}
+	return &ownership{entry: entry, partitions: make(map[ptjobstore.Partition]*ownedPartition)}
 }
 
 // callLog calls the log. While faults are injected, some calls get no response and are repeated.
@@ -190,8 +190,7 @@
 func (ownership *ownership) acquire(number ptjobstore.Partition, epoch ptjobstore.Epoch) {
 	entry := ownership.entry
 	acquired := &ownedPartition{
-		number: number, epoch: epoch, jobs: make(map[ptid.JobID]*durableJob), dirty: make(map[ptid.JobID]bool), recovering: true,
-		unconfirmed: make(map[ptid.AgentName]bool), acquiredAt: entry.simulation.Now(),
+		number: number, epoch: epoch, jobs: make(map[ptid.JobID]*durableJob), dirty: make(map[ptid.JobID]bool), handover: pthandover.New(entry.simulation.Now()),
 	}
 	ownership.partitions[number] = acquired
 	entry.simulation.trace("%s acquires partition %d epoch %d", entry.name(), number, epoch)
@@ -214,7 +213,9 @@
 func (ownership *ownership) follow(followed *ownedPartition) {
 	var specs map[ptid.JobID]ptgraph.Spec
 	var progress map[ptid.JobID]ptgraph.Progress
+	var record *ptjobstore.Agents
 	ownership.callLog(func(log *log) {
+		record = log.agents[followed.number]
 		specs, progress = maps.Clone(log.specs[followed.number]), maps.Clone(log.progress[followed.number])
 	}, func() {
 		if ownership.partitions[followed.number] != followed {
@@ -223,26 +224,29 @@
 		for _, id := range slices.Sorted(maps.Keys(specs)) {
 			if followed.jobs[id] == nil {
 				saved, found := progress[id]
-				ownership.addJob(followed, specs[id], saved, found)
+				ownership.addJob(followed, specs[id], saved, found, !followed.handover.IsFinished())
 			}
 		}
-		if !followed.loaded {
-			followed.loaded = true
-			for index, session := range ownership.entry.sessions {
+		if !followed.handover.IsLoaded() {
+			var connected []ptid.AgentName
+			for _, session := range ownership.entry.sessions {
 				if session != nil {
-					followed.unconfirmed[session.agent.name()] = true
-					ownership.postAdoption(index, followed)
+					connected = append(connected, session.agent.name())
 				}
 			}
+			followed.handover.Load(record, connected)
+			for index := range ownership.entry.sessions {
+				ownership.postAdoption(index, followed)
+			}
 		}
 		ownership.entry.after(followInterval, func() { ownership.follow(followed) })
 	})
 }
 
-func (ownership *ownership) addJob(partition *ownedPartition, spec ptgraph.Spec, saved ptgraph.Progress, found bool) {
+func (ownership *ownership) addJob(partition *ownedPartition, spec ptgraph.Spec, saved ptgraph.Progress, found, recovering bool) {
 	entry := ownership.entry
 	spec.RunNumberBase = ptjobstore.RunNumberBase(partition.epoch)
-	spec.UnknownRuns = !partition.recovering && partition.mayHaveUnknownRuns
+	spec.UnknownRuns = partition.handover.MayHaveUnknownRuns()
 	var progress *ptgraph.Progress
 	if found {
 		progress = &saved
@@ -251,7 +255,7 @@
 	partition.jobs[spec.ID] = added
 	job, effects, err := entry.core.SubmitDurable(ptassign.Spec{
 		Spec: spec, Queue: ptqueue.Queue{Name: "durable", Service: service, Stretch: 2, TargetLatency: time.Second},
-	}, progress, partition.recovering, entry.simulation.Now())
+	}, progress, recovering, entry.simulation.Now())
 	if err != nil {
 		entry.simulation.monitor.fail(err)
 		return
@@ -267,13 +271,17 @@
 	})
 }
 
+// connecting records that an agent opens a session.
+func (ownership *ownership) connecting(agent ptid.AgentName) {
+	for _, partition := range ownership.partitions {
+		partition.handover.AgentConnected(agent)
+	}
+}
+
 // connected sends the adoptions to an agent that has opened a session.
 func (ownership *ownership) connected(index int) {
 	for _, number := range slices.Sorted(maps.Keys(ownership.partitions)) {
-		if partition := ownership.partitions[number]; partition.loaded {
-			if partition.recovering {
-				partition.unconfirmed[ownership.entry.sessions[index].agent.name()] = true
-			}
+		if partition := ownership.partitions[number]; partition.handover.IsLoaded() {
 			ownership.postAdoption(index, partition)
 		}
 	}
@@ -303,7 +311,7 @@
 	entry := ownership.entry
 	partition, job := ownership.find(end.Run.Task.Job)
 	switch {
-	case partition == nil || !partition.loaded || ptjobstore.EpochOf(end.Run.Number) > partition.epoch || job == nil:
+	case partition == nil || !partition.handover.IsLoaded() || ptjobstore.EpochOf(end.Run.Number) > partition.epoch || job == nil:
 		// The agent sends the end again.
 	case job.job.State().Ended() && job.savedVersion < job.version:
 	case job.job.State().Ended() && ptgraph.IsVoidAfterEnd(end, job.job.VoidRun()):
@@ -341,18 +349,15 @@
 			// The job was written after this entry had read the specs.
 			if spec, found := entry.simulation.log.specs[number][run.Task.Job]; found {
 				saved, found := entry.simulation.log.progress[number][run.Task.Job]
-				recovering := partition.recovering
-				partition.recovering = true
-				ownership.addJob(partition, spec, saved, found)
-				partition.recovering = recovering
+				ownership.addJob(partition, spec, saved, found, true)
 			}
 		}
 		entry.applyEffects(entry.core.Adopt(agent.name(), run, entry.simulation.Now()))
-		if job := partition.jobs[run.Task.Job]; job != nil && !partition.recovering && job.job.Recovering {
+		if job := partition.jobs[run.Task.Job]; job != nil && partition.handover.IsFinished() && job.job.Recovering {
 			ownership.resume(partition, job.job)
 		}
 	}
-	delete(partition.unconfirmed, agent.name())
+	partition.handover.AgentConfirmed(agent.name())
 }
 
 // tick resumes placement in recovered partitions and saves progress.
@@ -360,51 +365,46 @@
 	now := ownership.entry.simulation.Now()
 	for _, number := range slices.Sorted(maps.Keys(ownership.partitions)) {
 		partition := ownership.partitions[number]
-		if partition == nil || !partition.loaded {
+		if partition == nil || !partition.handover.IsLoaded() {
 			continue
 		}
-		if partition.recovering && ownership.isRecovered(partition, now) {
-			partition.recovering, partition.mayHaveUnknownRuns = false, ownership.mayHaveUnknownRuns(partition)
+		if partition.handover.TryFinish(ownership.entry.core, now) {
+			ownership.entry.simulation.trace("%s recovers partition %d, missing %v", ownership.entry.name(), number, partition.handover.Missing())
 			for _, id := range slices.Sorted(maps.Keys(partition.jobs)) {
 				if job := partition.jobs[id].job; !job.State().Ended() {
 					ownership.resume(partition, job)
 				}
 			}
 		}
-		if len(partition.dirty) > 0 && !partition.saving {
-			ownership.save(partition)
+		if !partition.saving {
+			ownership.saveIfChanged(partition)
 		}
 	}
 }
 
-func (ownership *ownership) isRecovered(partition *ownedPartition, now ptid.Instant) bool {
-	for _, session := range ownership.entry.sessions {
-		if session != nil && partition.unconfirmed[session.agent.name()] {
-			return false
-		}
-	}
-	connectedSince := ownership.entry.core.ConnectedSince()
-	if connectedSince == ptid.Never {
-		return false
-	}
-	return now.Sub(max(partition.acquiredAt, connectedSince)) > ptassign.DurableRunLossTimeout || !ownership.mayHaveUnknownRuns(partition)
-}
-
-func (ownership *ownership) mayHaveUnknownRuns(partition *ownedPartition) bool {
-	return partition.acquiredAt.Sub(ownership.startedAt) < ptassign.DurableRunLossTimeout || len(ownership.entry.core.DisconnectedAgents()) > 0
-}
-
 // resume allows a recovered job to be placed.
 func (ownership *ownership) resume(partition *ownedPartition, job *ptassign.Job) {
 	entry := ownership.entry
-	if partition.mayHaveUnknownRuns {
+	if partition.handover.MayHaveUnknownRuns() {
 		entry.applyEffects(entry.core.AbandonUnknownRuns(job))
 	}
 	entry.applyEffects(entry.core.FinishRecovery(job, entry.simulation.Now()))
 }
 
-// save writes the progress of the changed jobs, and acknowledges the ends that it contains.
-func (ownership *ownership) save(partition *ownedPartition) {
+// saveIfChanged writes the changed progress and the changed record of agents.
+func (ownership *ownership) saveIfChanged(partition *ownedPartition) {
+	agents, changed := partition.handover.RecordToWrite(ownership.entry.core, ownership.entry.simulation.Now())
+	switch {
+	case changed:
+		ownership.save(partition, &ptjobstore.Agents{Names: agents})
+	case len(partition.dirty) > 0:
+		ownership.save(partition, nil)
+	}
+}
+
+// save writes the progress of the changed jobs and a record of agents, unless that is nil. It
+// acknowledges the ends that the progress contains.
+func (ownership *ownership) save(partition *ownedPartition, record *ptjobstore.Agents) {
 	progress, versions := make(map[ptid.JobID]ptgraph.Progress), make(map[ptid.JobID]int)
 	var acks []pendingAck
 	for _, id := range slices.Sorted(maps.Keys(partition.dirty)) {
@@ -419,6 +419,9 @@
 	ownership.callLog(func(log *log) {
 		if fenced = partition.epoch < log.fence[partition.number]; !fenced {
 			maps.Copy(log.progress[partition.number], progress)
+			if record != nil {
+				log.agents[partition.number] = record
+			}
 		}
 	}, func() {
 		switch {
@@ -427,13 +430,10 @@
 			ownership.release(partition)
 		default:
 			partition.saving = false
-			for _, id := range slices.Sorted(maps.Keys(versions)) {
-				job := partition.jobs[id]
-				job.savedVersion = versions[id]
-				if !job.job.State().Ended() {
-					ownership.entry.applyEffects(ownership.entry.core.ProgressSaved(job.job, progress[id], ownership.entry.simulation.Now()))
-				}
+			if record != nil {
+				ownership.agentsRecorded(partition)
 			}
+			ownership.progressSaved(partition, progress, versions)
 			for _, ack := range acks {
 				ownership.entry.post(agentIndex(ack.agent), acknowledge(ack.run))
 			}
@@ -441,6 +441,24 @@
 	})
 }
 
+// progressSaved records that the log holds the progress of jobs in the given versions.
+func (ownership *ownership) progressSaved(partition *ownedPartition, progress map[ptid.JobID]ptgraph.Progress, versions map[ptid.JobID]int) {
+	for _, id := range slices.Sorted(maps.Keys(versions)) {
+		job := partition.jobs[id]
+		job.savedVersion = versions[id]
+		if !job.job.State().Ended() {
+			ownership.entry.applyEffects(ownership.entry.core.ProgressSaved(job.job, progress[id], ownership.entry.simulation.Now()))
+		}
+	}
+}
+
+// agentsRecorded sends the orders that waited for the record of agents.
+func (ownership *ownership) agentsRecorded(partition *ownedPartition) {
+	for _, order := range partition.handover.RecordWritten() {
+		ownership.entry.postOrder(order)
+	}
+}
+
 // postBroadcast sends the end of a run of a durable job to all entries.
 func (agent *agent) postBroadcast(end ptrun.End) {
 	for index := range entries {
--- a/ptdrill/entry.go
+++ b/ptdrill/entry.go
@@ -103,27 +103,13 @@
 	for _, effect := range effects {
 		switch effect := effect.(type) {
 		case ptassign.SendOrder:
-			var number ptjobstore.Partition
-			var epoch ptjobstore.Epoch
-			if effect.Job.Durable {
-				partition, _ := entry.ownership.find(effect.Job.ID)
-				if partition == nil {
-					continue
-				}
-				number, epoch = partition.number, partition.epoch
-			}
-			entry.simulation.trace("%s orders %v at %s", entry.name(), effect.Run, effect.Agent)
-			sentAt := entry.simulation.Now()
-			entry.post(agentIndex(effect.Agent), func(agent *agent) {
-				now := agent.simulation.Now()
-				agent.simulation.owners[agent.index][effect.Run] = entry.owner()
-				agent.applyEffects(agent.core.Order(ptruncontrol.Order{
-					Run: effect.Run, Owner: entry.owner(), Demand: effect.Demand, SentAt: sentAt, StartBy: effect.StartBy, WaitUntil: now.Add(effect.MaxWait),
-					QueueKey: effect.QueueKey, ExpectedRunTime: effect.ExpectedRunTime, Queue: effect.Queue, Isolation: effect.Isolation, Partition: number, Epoch: epoch,
-				}, now))
-			})
+			entry.sendOrder(effect)
 		case ptassign.SendStop:
 			entry.simulation.trace("%s stops %v at %s: %s", entry.name(), effect.Run, effect.Agent, effect.Reason)
+			if partition, _ := entry.ownership.find(effect.Run.Task.Job); partition != nil && partition.handover.DropOrder(effect.Agent, effect.Run) {
+				entry.applyEffects(entry.core.RunEnded(effect.Agent, ptrun.End{Run: effect.Run, Result: ptrun.NeverStarted, Reason: effect.Reason}, entry.simulation.Now()))
+				continue
+			}
 			entry.post(agentIndex(effect.Agent), func(agent *agent) {
 				agent.applyEffects(agent.core.Stop(effect.Run, ptrun.ReasonStopRequested, agent.simulation.Now()))
 			})
@@ -149,6 +135,38 @@
 	}
 }
 
+// sendOrder sends an order, or retains it until the log holds the agent.
+func (entry *entry) sendOrder(effect ptassign.SendOrder) {
+	if effect.Job.Durable {
+		if partition, _ := entry.ownership.find(effect.Job.ID); partition == nil || partition.handover.RetainOrder(effect) {
+			return
+		}
+	}
+	entry.postOrder(effect)
+}
+
+func (entry *entry) postOrder(effect ptassign.SendOrder) {
+	var number ptjobstore.Partition
+	var epoch ptjobstore.Epoch
+	if effect.Job.Durable {
+		partition, _ := entry.ownership.find(effect.Job.ID)
+		if partition == nil {
+			return
+		}
+		number, epoch = partition.number, partition.epoch
+	}
+	entry.simulation.trace("%s orders %v at %s", entry.name(), effect.Run, effect.Agent)
+	sentAt := entry.simulation.Now()
+	entry.post(agentIndex(effect.Agent), func(agent *agent) {
+		now := agent.simulation.Now()
+		agent.simulation.owners[agent.index][effect.Run] = entry.owner()
+		agent.applyEffects(agent.core.Order(ptruncontrol.Order{
+			Run: effect.Run, Owner: entry.owner(), Demand: effect.Demand, SentAt: sentAt, StartBy: effect.StartBy, WaitUntil: now.Add(effect.MaxWait),
+			QueueKey: effect.QueueKey, ExpectedRunTime: effect.ExpectedRunTime, Queue: effect.Queue, Isolation: effect.Isolation, Partition: number, Epoch: epoch,
+		}, now))
+	})
+}
+
 func (entry *entry) jobEnded(effect ptassign.JobEnded) {
 	report := &entry.simulation.report
 	entry.simulation.trace("%s ends job %s: %v", entry.name(), effect.Job.ID, effect.Job.State())
--- a/ptdrill/faults.go
+++ b/ptdrill/faults.go
@@ -70,6 +70,7 @@
 			}
 		}
 	})
+	schedule(faults.UnseenAgents, 6*time.Second, simulation.hideAgents)
 	schedule(faults.Evacuations, 4*time.Second, simulation.toggleEvacuation)
 	schedule(faults.ChangingCapacity, time.Second, func() {
 		worker := simulation.workers[simulation.random.IntN(agents)]
@@ -86,6 +87,28 @@
 	})
 }
 
+// hideAgents restarts an entry that then has no session with some of the agents for a long time. Later,
+// partitions of the other entries are assigned to it.
+func (simulation *simulation) hideAgents() {
+	entryIndex, duration := simulation.random.IntN(entries), simulation.between(8*time.Second, 20*time.Second)
+	for index := range agents {
+		if simulation.happens(40) {
+			simulation.cut(entryIndex, index, duration)
+		}
+	}
+	simulation.killEntry(entryIndex, simulation.between(minRestartDelay, maxRestartDelay))
+	other := (entryIndex + 1 + simulation.random.IntN(entries-1)) % entries
+	simulation.After(simulation.between(5*time.Second, duration), func() {
+		switch {
+		case simulation.quiescent:
+		case simulation.happens(50):
+			simulation.rebalance()
+		default:
+			simulation.killEntry(other, simulation.between(time.Second, 3*time.Second))
+		}
+	})
+}
+
 // someAgents returns the index of one agent, or in one of six cases the indexes of all agents.
 func (simulation *simulation) someAgents() (indexes []int) {
 	if simulation.random.IntN(6) > 0 {
--- a/ptdrill/ptdrill.go
+++ b/ptdrill/ptdrill.go
@@ -104,6 +104,9 @@
 	WorkerCuts bool
 	// LongCuts: an entry is cut off from some or all agents for 3 to 9 s. It still reaches the log.
 	LongCuts bool
+	// UnseenAgents: an entry restarts and is cut off from some agents for 8 to 20 s, so it has never had
+	// a session with them when it is assigned partitions of other entries.
+	UnseenAgents bool
 	// Evacuations: the availability zones of the agents are evacuated and taken back. The store refuses
 	// an entry for up to 3 s.
 	Evacuations bool
--- a/ptdrill/ptdrill_test.go
+++ b/ptdrill/ptdrill_test.go
@@ -138,6 +138,16 @@
 	play(test, ptdrill.Setting{Durable: true, Faults: ptdrill.Faults{Single: true, Mass: true, LongCuts: true}})
 }
 
+// Guards against review/8 (TWICE): an entry becomes the owner of partitions with runs at agents that it has
+// never had a session with.
+func TestSeedsWithDurableJobsAndUnseenAgents(test *testing.T) {
+	play(test, ptdrill.Setting{Durable: true, Faults: ptdrill.Faults{UnseenAgents: true}})
+}
+
+func TestSeedsWithDurableJobsAndUnseenAgentsBesideFaults(test *testing.T) {
+	play(test, ptdrill.Setting{Durable: true, Faults: ptdrill.Faults{Single: true, Mass: true, UnseenAgents: true}})
+}
+
 // Guards against failing a job whose workers were cut off and have survived.
 func TestSeedsWithDurableJobsAndWorkerCuts(test *testing.T) {
 	play(test, ptdrill.Setting{Durable: true, Faults: ptdrill.Faults{WorkerCuts: true}})
--- a/ptdrill/session.go
+++ b/ptdrill/session.go
@@ -253,6 +253,7 @@
 		agent.mergeEvacuation(state)
 		receive(true)
 	}})
+	entry.ownership.connecting(agent.name())
 	entry.core.AgentLocated(agent.name(), zoneOf(agent.index), now)
 	entry.applyEffects(entry.core.AgentConnected(agent.name(), agent.incarnation, service, true, now))
 	entry.ownership.connected(agent.index)
--- a/ptjobstore/ptjobstore.go
+++ b/ptjobstore/ptjobstore.go
@@ -12,7 +12,9 @@
 //  3. Only the owner writes [Progress]; the log rejects writes of an owner with a lower
 //     epoch. The end of a run is acknowledged to the agent only after the progress that
 //     contains it has been written, so no end that was processed can be lost.
-//  4. The numbers of the runs of durable jobs are above [RunNumberBase] of the owner's
+//  4. The owner also writes [Agents], the agents at which it may start runs of the partition, before it
+//     does so. A later owner reads them (package pthandover).
+//  5. The numbers of the runs of durable jobs are above [RunNumberBase] of the owner's
 //     epoch. Run numbers therefore increase from one owner to the next, and differ from
 //     the run numbers of best-effort jobs.
 //
@@ -119,7 +121,23 @@
 	return ptid.JobID(text), isCancellation
 }
 
-// Encode returns the JSON encoding of a spec, a progress or a cancellation.
+// AgentsKey is the key of the record of a partition's agents among its progress records. It is not the
+// ID of a job, which contains no slash.
+const AgentsKey = "/agents"
+
+// Agents is the stored list of the agents that may have runs of a partition, or ends of such runs that
+// are not stored.
+type Agents struct {
+	Names []ptid.AgentName `json:"agents"`
+}
+
+// DecodeAgents decodes the record of a partition's agents.
+func DecodeAgents(record []byte) (agents Agents, err error) {
+	err = json.Unmarshal(record, &agents)
+	return agents, errors.Wrap(err, "decode record of agents")
+}
+
+// Encode returns the JSON encoding of a spec, a progress, a cancellation or a list of agents.
 func Encode(value any) (record []byte, err error) {
 	record, err = json.Marshal(value)
 	return record, errors.Wrap(err, "encode record of durable job")
--- a/ptstandin/job_store.go
+++ b/ptstandin/job_store.go
@@ -257,7 +257,7 @@
 	return maps.Clone(store.owners), nil
 }
 
-// RecordCount returns the number of stored specs, cancellations and progress records.
+// RecordCount returns the number of stored specs, cancellations and progress records of jobs.
 func (store *JobStore) RecordCount() (count int) {
 	store.mu.Lock()
 	defer store.mu.Unlock()
@@ -273,7 +273,11 @@
 		}
 	}
 	for _, progress := range store.progress {
-		count += len(progress)
+		for key := range progress {
+			if key != ptjobstore.AgentsKey {
+				count++
+			}
+		}
 	}
 	return count
 }
