pthandover: an entry that has just started waits for crash reports, as before

Cause: dropped the wait by the age of the entry, since the record of agents answers what that wait was for. It had a second effect: after a mass restart the crashes of workers were reported meanwhile.

It abandons runs only where agents of the record are missing. The drill shows orders that wait for the record.

--- a/ptbroker/durable.go
+++ b/ptbroker/durable.go
@@ -255,7 +255,7 @@
 		partitionCtx, stop := context.WithCancel(ctx)
 		partition := &ownedPartition{
 			number: number, epoch: membership.Epoch, stop: stop, jobs: make(map[ptid.JobID]*durableJob),
-			dirty: make(map[ptid.JobID]bool), scheduled: make(map[ptid.JobID]*durableJob), handover: pthandover.New(broker.deps.Clock.Now()),
+			dirty: make(map[ptid.JobID]bool), scheduled: make(map[ptid.JobID]*durableJob), handover: pthandover.New(ownership.startedAt, broker.deps.Clock.Now()),
 			orphanProgress: make(map[ptid.JobID]ptjobstore.Progress), unresolved: make(map[ptid.JobID][]unresolvedRun),
 			resolving: make(map[ptid.JobID]bool), missing: make(map[ptid.JobID]bool), cancelled: make(map[ptid.JobID]*cancellation),
 		}
--- a/ptbroker/invalid_frames_test.go
+++ b/ptbroker/invalid_frames_test.go
@@ -53,7 +53,7 @@
 			Log: logr.Discard(), Metrics: ptmetric.New(), Clock: clock, Queues: ptqueue.NewCatalogStore(),
 			JobStore: ptstandin.NewJobStore(4).Client("entry"), PeerAddress: "127.0.0.1:1",
 		})
-		handover := pthandover.New(clock.Now())
+		handover := pthandover.New(0, clock.Now())
 		handover.Load(&ptjobstore.Agents{}, nil)
 		broker.ownership.partitions[1] = &ownedPartition{
 			number: 1, epoch: 1, handover: handover, stop: func() {}, jobs: make(map[ptid.JobID]*durableJob), dirty: make(map[ptid.JobID]bool),
--- a/ptbroker/late_end_test.go
+++ b/ptbroker/late_end_test.go
@@ -40,7 +40,7 @@
 			Log: logr.Discard(), Metrics: ptmetric.New(), Clock: newManualClock(), Queues: ptqueue.NewCatalogStore(),
 			JobStore: ptstandin.NewJobStore(1).Client("entry"),
 		})
-		handover := pthandover.New(0)
+		handover := pthandover.New(0, 0)
 		handover.Load(&ptjobstore.Agents{}, nil)
 		partition := &ownedPartition{epoch: 1, handover: handover, jobs: make(map[ptid.JobID]*durableJob), missing: map[ptid.JobID]bool{id: true}}
 		if scenario.job != nil {
--- a/ptbroker/later_owner_test.go
+++ b/ptbroker/later_owner_test.go
@@ -25,7 +25,7 @@
 		Log: logr.Discard(), Metrics: ptmetric.New(), Clock: ptid.NewClock(), Queues: ptqueue.NewCatalogStore(), JobStore: store.Client("entry"), PeerAddress: "127.0.0.1:1",
 	})
 	agent := connectAgent(broker, "agent")
-	partition := &ownedPartition{number: 1, epoch: 1, stop: func() {}, handover: pthandover.New(broker.deps.Clock.Now())}
+	partition := &ownedPartition{number: 1, epoch: 1, stop: func() {}, handover: pthandover.New(0, broker.deps.Clock.Now())}
 	partition.handover.Load(&ptjobstore.Agents{}, []ptid.AgentName{agent.name()})
 	broker.ownership.partitions[1] = partition
 	owned := func() bool {
--- a/ptbroker/recovery_test.go
+++ b/ptbroker/recovery_test.go
@@ -27,13 +27,14 @@
 		JobStore: ptstandin.NewJobStore(4).Client("entry"),
 	})
 	agent := connectAgent(broker, "agent")
+	clock.Advance(ptassign.DurableRunLossTimeout)
 	return broker, acquire(broker, record, agent), clock
 }
 
 // acquire gives the broker a partition whose adoption the agents have confirmed.
 func acquire(broker *Broker, record *ptjobstore.Agents, confirmed ...*agentSession) (partition *ownedPartition) {
 	now := broker.deps.Clock.Now()
-	partition = &ownedPartition{epoch: 1, handover: pthandover.New(now)}
+	partition = &ownedPartition{epoch: 1, handover: pthandover.New(broker.ownership.startedAt, now)}
 	partition.handover.Load(record, nil)
 	for _, agent := range confirmed {
 		partition.handover.AgentConnected(agent.name())
@@ -61,6 +62,17 @@
 	expect.Expect(partition.handover.TryFinish(broker.core, clock.Now())).To(BeTrue())
 }
 
+func TestPartitionOfANewEntryIsNotRecoveredBeforeTheCrashesOfWorkersAreReported(test *testing.T) {
+	expect := NewWithT(test)
+	broker, _, clock := newRecoveringBroker(nil)
+	clock.Advance(-1)
+	partition := acquire(broker, &ptjobstore.Agents{Names: []ptid.AgentName{"agent"}}, broker.agentSessions["agent"])
+	bound := clock.Now().Add(ptassign.DurableRunLossTimeout)
+	expect.Expect(partition.handover.TryFinish(broker.core, bound)).To(BeFalse())
+	expect.Expect(partition.handover.TryFinish(broker.core, bound+1)).To(BeTrue())
+	expect.Expect(partition.handover.MayHaveUnknownRuns()).To(BeFalse())
+}
+
 // The partition was owned by an earlier version, which wrote no record.
 func TestPartitionWithoutARecordIsNotRecoveredWhileAnAgentWithItsRunsMayBeUnknown(test *testing.T) {
 	expect := NewWithT(test)
--- a/ptdrill/durable.go
+++ b/ptdrill/durable.go
@@ -127,12 +127,13 @@
 	entry      *entry
 	generation ptjobstore.Epoch
 	partitions map[ptjobstore.Partition]*ownedPartition
+	startedAt  ptid.Instant
 	// expiresAt is when another entry may become the owner of the partitions.
 	expiresAt ptid.Instant
 }
 
 func newOwnership(entry *entry) *ownership {
-	return &ownership{entry: entry, partitions: make(map[ptjobstore.Partition]*ownedPartition)}
+	return &ownership{entry: entry, partitions: make(map[ptjobstore.Partition]*ownedPartition), startedAt: entry.simulation.Now()}
 }
 
 // callLog calls the log. While faults are injected, some calls get no response and are repeated.
@@ -190,7 +191,7 @@
 func (ownership *ownership) acquire(number ptjobstore.Partition, epoch ptjobstore.Epoch) {
 	entry := ownership.entry
 	acquired := &ownedPartition{
-		number: number, epoch: epoch, jobs: make(map[ptid.JobID]*durableJob), dirty: make(map[ptid.JobID]bool), handover: pthandover.New(entry.simulation.Now()),
+		number: number, epoch: epoch, jobs: make(map[ptid.JobID]*durableJob), dirty: make(map[ptid.JobID]bool), handover: pthandover.New(ownership.startedAt, entry.simulation.Now()),
 	}
 	ownership.partitions[number] = acquired
 	entry.simulation.trace("%s acquires partition %d epoch %d", entry.name(), number, epoch)
--- a/ptdrill/entry.go
+++ b/ptdrill/entry.go
@@ -138,7 +138,12 @@
 // sendOrder sends an order, or retains it until the log holds the agent.
 func (entry *entry) sendOrder(effect ptassign.SendOrder) {
 	if effect.Job.Durable {
-		if partition, _ := entry.ownership.find(effect.Job.ID); partition == nil || partition.handover.RetainOrder(effect) {
+		partition, _ := entry.ownership.find(effect.Job.ID)
+		if partition == nil {
+			return
+		}
+		if partition.handover.RetainOrder(effect) {
+			entry.simulation.trace("%s retains the order of %v at %s", entry.name(), effect.Run, effect.Agent)
 			return
 		}
 	}
--- a/pthandover/pthandover.go
+++ b/pthandover/pthandover.go
@@ -16,16 +16,19 @@
 //     ptassign.DurableRunLossTimeout. Runs that nobody has adopted have ended by then, but their
 //     results are unknown ([Handover.MayHaveUnknownRuns]). While the entry has no session with any
 //     agent, the time does not count.
-//  5. An agent leaves the record once it has had no session for that time and the entry knows of no
+//  5. An entry that had started less than that time before the acquisition waits for it in any case.
+//     Agents and workers often restart together with entries, and the crashes of workers, which
+//     limit the starts of tasks, are reported meanwhile.
+//  6. An agent leaves the record once it has had no session for that time and the entry knows of no
 //     run there. The runs that were abandoned are part of the progress that is written with that
 //     record or before it. The removed agent therefore delays no later owner.
-//  6. A partition without a record was owned by an earlier version, or never. Its owner knows of no
+//  7. A partition without a record was owned by an earlier version, or never. Its owner knows of no
 //     agent with certainty, and waits as in rule 4.
-//  7. Orders for agents that are not in the record are retained until the record is written.
+//  8. Orders for agents that are not in the record are retained until the record is written.
 //
 // # Usage
 //
-//	handover := pthandover.New(now)
+//	handover := pthandover.New(entryStartedAt, now)
 //	handover.Load(record, connectedAgents)
 //	handover.AgentConfirmed(agent)
 //	if handover.TryFinish(core, now) { ... }
@@ -69,6 +72,7 @@
 
 // Handover is the state of the handover of one partition to its present owner.
 type Handover struct {
+	entryStartedAt     ptid.Instant
 	acquiredAt         ptid.Instant
 	loaded, finished   bool
 	mayHaveUnknownRuns bool
@@ -87,10 +91,11 @@
 	retained []ptassign.SendOrder
 }
 
-// New returns the handover of a partition that was acquired at an instant and has not been loaded.
-func New(acquiredAt ptid.Instant) *Handover {
+// New returns the handover of a partition that was acquired at an instant, by an entry that has run since
+// entryStartedAt. The partition has not been loaded.
+func New(entryStartedAt, acquiredAt ptid.Instant) *Handover {
 	return &Handover{
-		acquiredAt: acquiredAt, unconfirmed: make(map[ptid.AgentName]bool), confirmed: make(map[ptid.AgentName]bool), wanted: make(map[ptid.AgentName]bool),
+		entryStartedAt: entryStartedAt, acquiredAt: acquiredAt, unconfirmed: make(map[ptid.AgentName]bool), confirmed: make(map[ptid.AgentName]bool), wanted: make(map[ptid.AgentName]bool),
 	}
 }
 
@@ -164,7 +169,8 @@
 		return false
 	}
 	unknown := handover.inherited == nil || len(handover.Missing()) > 0
-	if unknown && now.Sub(max(handover.acquiredAt, connectedSince)) <= ptassign.DurableRunLossTimeout {
+	isNewEntry := handover.acquiredAt.Sub(handover.entryStartedAt) < ptassign.DurableRunLossTimeout
+	if (unknown || isNewEntry) && now.Sub(max(handover.acquiredAt, connectedSince)) <= ptassign.DurableRunLossTimeout {
 		return false
 	}
 	handover.finished, handover.mayHaveUnknownRuns = true, unknown
--- a/pthandover/pthandover_test.go
+++ b/pthandover/pthandover_test.go
@@ -69,7 +69,7 @@
 	} {
 		test.Run(name, func(test *testing.T) {
 			expect := NewWithT(test)
-			handover, known := pthandover.New(acquiredAt), newSessions(scenario.connected...)
+			handover, known := pthandover.New(0, acquiredAt), newSessions(scenario.connected...)
 			expect.Expect(handover.TryFinish(known, acquiredAt)).To(BeFalse(), "not loaded")
 			handover.Load(scenario.record, scenario.connected)
 			for _, agent := range scenario.confirmed {
@@ -96,7 +96,7 @@
 // While the entry reaches no agent, the silence of one says nothing.
 func TestHandoverDoesNotFinishWhileTheEntryReachesNoAgent(test *testing.T) {
 	expect, known := NewWithT(test), newSessions()
-	handover := pthandover.New(acquiredAt)
+	handover := pthandover.New(0, acquiredAt)
 	handover.Load(record("a"), nil)
 	known.since = ptid.Never
 	expect.Expect(handover.TryFinish(known, acquiredAt.Add(10*bound))).To(BeFalse())
@@ -107,7 +107,7 @@
 
 func TestAgentThatConnectsAgainMustConfirmAgain(test *testing.T) {
 	expect, known := NewWithT(test), newSessions("a")
-	handover := pthandover.New(acquiredAt)
+	handover := pthandover.New(0, acquiredAt)
 	handover.Load(record("a"), []ptid.AgentName{"a"})
 	handover.AgentConfirmed("a")
 	handover.AgentConnected("a")
@@ -118,7 +118,7 @@
 
 func TestOrderWaitsUntilTheLogHoldsItsAgent(test *testing.T) {
 	expect, known := NewWithT(test), newSessions("a", "b")
-	handover := pthandover.New(acquiredAt)
+	handover := pthandover.New(0, acquiredAt)
 	handover.Load(record("a"), []ptid.AgentName{"a"})
 	handover.AgentConnected("b")
 	expect.Expect(handover.RetainOrder(order("a", 1))).To(BeFalse())
@@ -139,7 +139,7 @@
 // The entry asks an agent that connects again for the runs that it ordered over the earlier session.
 func TestRetainedOrderIsNotSentOverTheNextSession(test *testing.T) {
 	expect, known := NewWithT(test), newSessions("a")
-	handover := pthandover.New(acquiredAt)
+	handover := pthandover.New(0, acquiredAt)
 	handover.Load(record(), []ptid.AgentName{"a"})
 	expect.Expect(handover.RetainOrder(order("a", 1))).To(BeTrue())
 	handover.AgentConnected("a")
@@ -150,7 +150,7 @@
 
 func TestAgentLeavesTheRecordOnceNoRunCanBeActiveThere(test *testing.T) {
 	expect, known := NewWithT(test), newSessions("a", "lost")
-	handover := pthandover.New(acquiredAt)
+	handover := pthandover.New(0, acquiredAt)
 	handover.Load(record("a", "lost"), []ptid.AgentName{"a", "lost"})
 	handover.AgentConfirmed("a")
 	handover.AgentConfirmed("lost")
@@ -179,7 +179,7 @@
 func TestEveryAgentWithAnOrderIsInEveryRecordThatTheLogMayHold(test *testing.T) {
 	for seed := range uint64(200) {
 		expect, random := NewWithT(test), rand.New(rand.NewPCG(seed, 1))
-		handover, known, now := pthandover.New(acquiredAt), newSessions(), acquiredAt
+		handover, known, now := pthandover.New(0, acquiredAt), newSessions(), acquiredAt
 		inLog, inFlight := map[ptid.AgentName]bool{}, map[ptid.AgentName]bool(nil)
 		handover.Load(record(), nil)
 		for range 300 {
