ptassign: a task that must be isolated is placed also if no other job waits

Callers could see LOST: a durable job whose owner has changed, with only tasks left that must be isolated, was never started again while nothing else waited, beside idle workers.

A scan of the queue ends once each constraint of the waiting jobs has 64 blocked ones. Tasks that must be isolated had no constraint, and with no constraint at all the condition is true before the first job.

Change: tasks that wait for isolation are a constraint that no scan counts as blocked, and a queue without constraints ends no scan.

Ruled out: an order that waits for the record of agents, a task that is held, no worker that may isolate.

Test: TestTaskThatMustBeIsolatedIsPlacedWhereverItIsInTheQueue, "alone" fails before (no order in 2 s) and passes; its other two cases pass in both.

--- a/ptassign/blocked.go
+++ b/ptassign/blocked.go
@@ -28,6 +28,7 @@
 	limitedPerWorker
 	gangMember
 	adviceNeeded
+	isolationNeeded
 )
 
 // constraint limits the workers on which a task can be placed, besides the free capacity.
@@ -50,6 +51,12 @@
 	return key
 }
 
+// isolationOf returns the constraint of the job's tasks that must be isolated. No scan counts a job as
+// blocked by it: free capacity is not what these tasks wait for.
+func isolationOf(job *Job) constraint {
+	return constraint{service: job.Queue.Service, kind: isolationNeeded}
+}
+
 // constrainedJobs is what placeWaiting knows about the waiting jobs whose first ready task has the
 // same constraint.
 type constrainedJobs struct {
@@ -91,7 +98,7 @@
 		}
 		all.unlimitedScan = now
 	}
-	return all.exhausted >= len(all.byKey)
+	return len(all.byKey) > 0 && all.exhausted >= len(all.byKey)
 }
 
 // of returns the record of a constraint, which it creates if there is none.
@@ -145,6 +152,9 @@
 		if job.constrained != nil {
 			all.byKey[job.constrained.constraint] = job.constrained
 		}
+		if job.waitingSuspects > 0 {
+			all.of(isolationOf(job))
+		}
 	}
 }
 
--- a/ptassign/forecast.go
+++ b/ptassign/forecast.go
@@ -221,6 +221,7 @@
 	for _, task := range job.Ready() {
 		if job.needsIsolation(task) {
 			job.waitingSuspects++
+			core.constraints.of(isolationOf(job))
 			continue
 		}
 		if cpu == 0 {
