ptruncontrol: a new session of an entry does not keep the runs of partitions that it has given up

Cause: an entry tells the agents that it has a session with that it gives up a partition. An agent without a session at that moment is not told. When the entry opened its next session, the agent took it for the owner again and kept its runs without limit, while the next owner, if it can't reach the agent, places their tasks after 4.5 s.

Change: at the start of a session the durable runs of that entry count as without an owner since the end of the earlier one. An owner adopts its partitions at the start of each session, which ends that. The same was done before for another incarnation of the entry only.

--- a/ptruncontrol/responses.go
+++ b/ptruncontrol/responses.go
@@ -233,10 +233,14 @@
 	previous := core.owners[owner.Entry]
 	for _, run := range core.sortedRuns() {
 		switch {
-		case run.Owner.Entry != owner.Entry || run.Owner.Incarnation == owner.Incarnation:
+		case run.Owner.Entry != owner.Entry:
 		case !run.isDurable():
-			core.stop(run, ptrun.ReasonOwnerTimeout, now)
+			if run.Owner.Incarnation != owner.Incarnation {
+				core.stop(run, ptrun.ReasonOwnerTimeout, now)
+			}
 		case run.ownerLostAt == 0:
+			// The entry may have given up the partition while it had no session. It adopts the runs of
+			// its partitions at the start of each session.
 			run.ownerLostAt = now
 			if previous != nil && !previous.connected {
 				run.ownerLostAt = previous.disconnectedAt
