ptbroker, ptrunner: agents learn of added entries from the entries that they have sessions with

Cause: an agent finds entries by its seeds and by the records of the store only. Change: entries read these records as well, and pass the addresses on in the welcome and when they change (the field is used so by the other half of the product). Ruled out: that entries dial agents (agents have no listener); to relay the adoption (the agent would stop the runs without a session).

--- a/ptbroker/ptbroker.go
+++ b/ptbroker/ptbroker.go
@@ -88,6 +88,9 @@
 	// at which other entries reach this one as the owner of partitions.
 	JobStore    ptjobstore.Store
 	PeerAddress string
+	// Discover returns the addresses at which agents reach the known entries, without blocking. The
+	// broker passes them on to its agents. If it is nil, the agents rely on what they find themselves.
+	Discover func() []string
 }
 
 // PlacementAdvisor is the interface of the service that implements the placement policy of a
@@ -154,6 +157,7 @@
 	evacuation            atomic.Pointer[ptevacuation.State]
 	evacuationConfirmedAt atomic.Int64
 	runTimes              runTimes
+	addresses             addressList
 
 	mu             sync.Mutex
 	core           *ptassign.Core
--- a/ptbroker/ptbroker_test.go
+++ b/ptbroker/ptbroker_test.go
@@ -41,6 +41,9 @@
 	workers []*ptstandin.Worker
 	brokers []*testBroker
 
+	// passOn makes the brokers pass on the addresses of all brokers to their agents.
+	passOn bool
+
 	mu        sync.Mutex
 	addresses []string
 }
@@ -71,11 +74,15 @@
 	system.expect.Expect(err).NotTo(HaveOccurred())
 	queues := ptqueue.NewCatalogStore()
 	queues.Update(ptqueue.NewCatalog(1, []ptqueue.Queue{queue}, ptqueue.Limits{}))
+	var discover func() []string
+	if system.passOn {
+		discover = system.knownAddresses
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	started := &testBroker{stop: stop, done: make(chan struct{}), Broker: ptbroker.New(ptbroker.Setting{
 		Name: ptid.EntryName(fmt.Sprint("entry", index)), Zone: "zone", ShutdownTimeout: 2 * time.Second, Seed: 1, EndedJobRetention: endedJobRetention,
 	}, ptbroker.Dependencies{
-		Log: logr.Discard(), Metrics: ptmetric.New(), Clock: ptid.NewClock(), Queues: queues, JobStore: system.store.Client(fmt.Sprint("entry", index)), PeerAddress: listener.Addr().String(),
+		Log: logr.Discard(), Metrics: ptmetric.New(), Clock: ptid.NewClock(), Queues: queues, JobStore: system.store.Client(fmt.Sprint("entry", index)), PeerAddress: listener.Addr().String(), Discover: discover,
 	})}
 	system.mu.Lock()
 	system.addresses = append(system.addresses, listener.Addr().String())
@@ -95,11 +102,13 @@
 }
 
 func (system *system) startAgent(index int) {
-	system.startAgentThatKnows(index, func() []string {
-		system.mu.Lock()
-		defer system.mu.Unlock()
-		return append([]string(nil), system.addresses...)
-	})
+	system.startAgentThatKnows(index, system.knownAddresses)
+}
+
+func (system *system) knownAddresses() []string {
+	system.mu.Lock()
+	defer system.mu.Unlock()
+	return append([]string(nil), system.addresses...)
 }
 
 // startAgentThatKnows starts an agent that discovers the given entry addresses.
--- a/ptbroker/session.go
+++ b/ptbroker/session.go
@@ -236,7 +236,7 @@
 		return nil, errors.Wrap(ptsession.ErrProtocol, problem)
 	}
 	pttransport.Greeted(conn)
-	err = stream.Send(&ptwire.Frame{Evacuation: agent.evacuation.ToSend(broker.evacuationState()), Welcome: &ptwire.Welcome{
+	err = stream.Send(&ptwire.Frame{Entries: broker.addresses.messages(), Evacuation: agent.evacuation.ToSend(broker.evacuationState()), Welcome: &ptwire.Welcome{
 		Entry: string(broker.setting.Name), Incarnation: uint64(broker.incarnation), Session: greeting.Session,
 		HeartbeatIntervalNanos: int64(interval), AvailabilityZone: string(broker.setting.Zone),
 	}})
@@ -380,6 +380,7 @@
 		broker.tickPartitions(broker.deps.Clock.Now())
 		broker.publishCapacityRequests(broker.deps.Clock.Now())
 		broker.copyRunTimes(broker.deps.Clock.Now())
+		broker.passOnAddresses(broker.deps.Clock.Now())
 		broker.mu.Unlock()
 	}
 }
--- a/ptbroker/unseen_agent_test.go
+++ b/ptbroker/unseen_agent_test.go
@@ -72,6 +72,21 @@
 	}
 }
 
+// Guards against partitions that stand still for ptassign.DurableRunLossTimeout because an agent that can't
+// reach the log does not know the next owner. An entry that it has a session with tells it.
+func TestAgentLearnsOfAnAddedEntryFromAnotherEntry(test *testing.T) {
+	system := newSystem(test, 0, 0)
+	system.passOn = true
+	system.startBroker(0)
+	known := system.startBroker(1)
+	seed := system.addresses[0]
+	time.Sleep(500 * time.Millisecond)
+	system.startAgentThatKnows(0, func() []string { return []string{seed} })
+	system.expect.Eventually(known.Ready).WithTimeout(5*time.Second).Should(BeTrue(), "the agent is told at the start of its first session")
+	added := system.startBroker(2)
+	system.expect.Eventually(added.Ready).WithTimeout(5*time.Second).Should(BeTrue(), "the agent is told of an added entry")
+}
+
 // partitionsOf returns the partitions that a broker owns according to the log.
 func (system *system) partitionsOf(broker *testBroker) (partitions map[ptjobstore.Partition]bool) {
 	owners, err := system.store.Owners(context.Background())
--- a/ptpresence/ptpresence.go
+++ b/ptpresence/ptpresence.go
@@ -126,7 +126,7 @@
 func (registry *Registry) HandleRecord(record ptlog.Record) (next ptid.Offset) {
 	var entry Entry
 	if json.Unmarshal(record.Data, &entry) == nil && entry.Name != "" {
-		if !isDialable(entry.Address) {
+		if !IsDialable(entry.Address) {
 			registry.logger.Info("entry record ignored", "entry", entry.Name, "address", entry.Address, "offset", record.Offset)
 			return record.Offset + 1
 		}
@@ -137,9 +137,9 @@
 	return record.Offset + 1
 }
 
-// isDialable reports whether an address has a host and a port in range. The record of another writer
+// IsDialable reports whether an address has a host and a port in range. The record of another writer
 // may have any address.
-func isDialable(address string) bool {
+func IsDialable(address string) bool {
 	host, port, err := net.SplitHostPort(address)
 	if err != nil || host == "" {
 		return false
--- a/ptrunner/ptrunner.go
+++ b/ptrunner/ptrunner.go
@@ -10,7 +10,8 @@
 //     in parallel for a while, because a lost listing hides all ends until the call times
 //     out.
 //  2. Each start or stop order is a call of its own, on its own goroutine.
-//  3. The agent dials every known entry once the worker is known to execute no run of an
+//  3. Entries pass on the addresses of the entries that they know, so an agent that can't read them
+//     itself learns of added entries. The agent dials every known entry once the worker is known to execute no run of an
 //     earlier agent process. While an entry has runs on the worker, the agent sends it
 //     heartbeats at least every [busyHeartbeat], so that an entry that no longer responds
 //     is detected in time.
@@ -117,9 +118,11 @@
 	peers        map[ptid.EntryName]*peer
 	dialing      map[string]bool
 	sessionCount uint64
-	evacuation   ptevacuation.State
-	runTimes     ptruntime.Table
-	listingOK    bool
+	// told contains the addresses that entries have passed on.
+	told       addressSet
+	evacuation ptevacuation.State
+	runTimes   ptruntime.Table
+	listingOK  bool
 	// backupListUntil is the time until which the backup loop requests listings.
 	backupListUntil ptid.Instant
 }
@@ -130,7 +133,7 @@
 		setting: setting, deps: deps, incarnation: ptid.NewIncarnation(time.Now()), workerChanged: make(chan struct{}, 1),
 		startOrders: deps.Metrics.Counter(ptmetric.Starts),
 		core:        ptruncontrol.New(ptrun.FenceToken(time.Now().UnixMilli())),
-		peers:       make(map[ptid.EntryName]*peer), dialing: make(map[string]bool),
+		peers:       make(map[ptid.EntryName]*peer), dialing: make(map[string]bool), told: make(addressSet),
 	}
 	runner.core.StopStragglers(setting.StopStragglers)
 	gauge := func(name ptmetric.Name, read func() int) {
--- a/ptrunner/session.go
+++ b/ptrunner/session.go
@@ -114,6 +114,7 @@
 	if runner.handleEvacuation(&peer.evacuation, frame.Evacuation, peer.owner.Entry, now) {
 		peer.session.Post(func(*ptwire.Frame) {})
 	}
+	runner.handleAddresses(peer.owner.Entry, frame.Entries)
 	runner.runTimes.Merge(ptruntime.FromMessages(frame.RunTimes), now)
 	runner.execute(runner.core.RequestCapacity(peer.owner.Entry, ptrun.CapacityRequestFromMessage(frame.Want), now))
 	for _, ref := range frame.RunAcks {
@@ -164,7 +165,7 @@
 			runner.deps.Log.Info("takeover complete", "after", now.Sub(startedAt).String(), "unaccountedRuns", unaccounted)
 		}
 		if takeoverComplete {
-			runner.dialNewAddresses(ctx, runner.deps.Discover())
+			runner.dialNewAddresses(ctx, append(runner.deps.Discover(), runner.toldAddresses()...))
 		}
 		wait := discoverInterval
 		if !takeoverComplete {
@@ -255,6 +256,7 @@
 	defer runner.mu.Unlock()
 	// If the agent's state is newer, the first frame after the greeting carries it.
 	runner.handleEvacuation(&newPeer.evacuation, reply.Evacuation, ptid.EntryName(reply.Welcome.Entry), runner.deps.Clock.Now())
+	runner.handleAddresses(ptid.EntryName(reply.Welcome.Entry), reply.Entries)
 	return reply.Welcome, nil
 }
 
