ptbroker, ptruncontrol: an owner that can't reach the log learns of the next owner from its agents

The store turns an entry away for more than 6 s, another one becomes the owner of its partitions, can't reach an agent, and starts the tasks that run there again after 4.5 s.

Cause: the agent keeps the runs of an entry that it has a session with, and that entry does not know that it has lost the partition. The bound of 4.5 s is proved for owners that have fallen silent or have released the partition, not for one that is uninformed.

Change: an agent that adopts a partition for a later owner tells the earlier one (the message existed for owners that ask). An owner whose membership may have expired releases the partition on that word; before, it asked the log first, which does not respond. While its membership holds it asks the log as before. After a wrong word it joins in a new epoch.

Ruled out: to release partitions whenever the membership expires (each outage of the store of 4 s would end all durable runs).

Tests: TestEntryThatHasNeverSeenAnAgentStartsNoTaskThatRunsThere, "the earlier owner can't reach the log", fails before (two active runs after 5.9 s) and passes.

--- a/ptbroker/durable.go
+++ b/ptbroker/durable.go
@@ -139,6 +139,9 @@
 	// expiresAt is when another entry may become the owner of the partitions, unless the membership
 	// is renewed before.
 	expiresAt ptid.Instant
+	// lostEpoch is the highest epoch in which a partition was released on the word of an agent. This
+	// entry acquires no partition in that epoch again, since it would number runs and saves anew.
+	lostEpoch ptjobstore.Epoch
 }
 
 // mayHaveLapsed reports whether another entry may have owned the partitions since the latest
@@ -184,6 +187,7 @@
 		}
 		if err == nil {
 			broker.applyAssignment(ctx, membership, requestedAt)
+			broker.leaveLostEpoch(ctx, membership.Epoch)
 		}
 		sleep(ctx, joinInterval)
 	}
@@ -249,7 +253,7 @@
 		}
 	}
 	for _, number := range membership.Partitions {
-		if ownership.partitions[number] != nil {
+		if ownership.partitions[number] != nil || membership.Epoch <= ownership.lostEpoch {
 			continue
 		}
 		partitionCtx, stop := context.WithCancel(ctx)
@@ -264,6 +268,21 @@
 	}
 }
 
+// leaveLostEpoch leaves the consumer group if it has not changed since this entry released a partition on
+// the word of an agent: no other entry has the partition then. The next renewal starts a new epoch.
+func (broker *Broker) leaveLostEpoch(ctx context.Context, epoch ptjobstore.Epoch) {
+	broker.mu.Lock()
+	lost := epoch <= broker.ownership.lostEpoch
+	broker.mu.Unlock()
+	if !lost {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	err := broker.ownership.store.Leave(ctx, broker.ownership.memberID)
+	broker.deps.Log.Info("left the consumer group to get a new epoch", "epoch", epoch, "error", errorText(err))
+}
+
 // releasePartition gives up a partition. Its runs continue until a later owner adopts them.
 // The caller holds the lock.
 func (broker *Broker) releasePartition(partition *ownedPartition, reason string) {
@@ -580,10 +599,7 @@
 	case partition == nil || message.Epoch < uint64(partition.epoch):
 		return
 	case message.Epoch > uint64(partition.epoch):
-		if !partition.verifying {
-			partition.verifying = true
-			go broker.verifyOwnership(partition)
-		}
+		broker.handleLaterOwner(agent, partition, ptjobstore.Epoch(message.Epoch), now)
 		return
 	}
 	for _, ref := range message.Runs {
@@ -597,6 +613,23 @@
 	partition.handover.AgentConfirmed(agent.name())
 }
 
+// handleLaterOwner processes the word of an agent that a partition has a later owner. An owner whose
+// membership may have expired does not wait for the log, which may not respond to it: agents that the
+// later owner can't reach keep their runs until the partition is released. The caller holds the lock.
+func (broker *Broker) handleLaterOwner(agent *agentSession, partition *ownedPartition, epoch ptjobstore.Epoch, now ptid.Instant) {
+	ownership := &broker.ownership
+	switch {
+	case now >= ownership.expiresAt:
+		broker.deps.Log.Info("later owner of partition", "partition", partition.number, "epoch", partition.epoch, "laterEpoch", epoch, "agent", agent.name(),
+			"membershipExpiredFor", now.Sub(ownership.expiresAt).String())
+		ownership.lostEpoch = max(ownership.lostEpoch, partition.epoch)
+		broker.releasePartition(partition, "an agent knows a later owner, and the membership may have expired")
+	case !partition.verifying:
+		partition.verifying = true
+		go broker.verifyOwnership(partition)
+	}
+}
+
 // verifyOwnership releases a partition of which an agent knows a later owner, if the log knows that
 // owner as well. The group may assign a partition to another entry and back between two renewals of
 // the membership: it is assigned to this entry then, but its epoch is fenced.
--- a/ptbroker/unseen_agent_test.go
+++ b/ptbroker/unseen_agent_test.go
@@ -29,6 +29,9 @@
 			}
 			outages.set("entry0", true)
 		},
+		"the earlier owner can't reach the log": func(_ *system, _ []*ptstandin.Relay, outages *logOutages) {
+			outages.set("entry0", true)
+		},
 		"another entry that has never seen the agent is the owner in between": func(system *system, _ []*ptstandin.Relay, _ *logOutages) {
 			system.startBroker(2)
 			system.brokers[0].stop()
@@ -127,3 +130,26 @@
 	}
 	return most
 }
+
+// An owner is cut off from the log together with an agent, and the next owner shares no agent with it. The
+// limit is in docs/PROMISES.md.
+func TestTaskOfAnOwnerThatIsCutOffTogetherWithItsAgentRunsOnce(test *testing.T) {
+	const jobs = 2
+	system, outages := newSystem(test, 0, 0), &logOutages{disconnected: make(map[string]bool)}
+	system.store.SetFault(outages.fault)
+	system.startBroker(0)
+	earlier := system.addresses[0]
+	system.startAgentThatKnows(0, func() []string { return []string{earlier} })
+	added := system.startBroker(1)
+	next := system.addresses[1]
+	system.expect.Eventually(func() int { return len(system.partitionsOf(added)) }).WithTimeout(conditionTimeout).Should(BeNumerically(">", 0))
+	ids := system.idsOwnedBy(system.brokers[0], jobs)
+	for _, id := range ids {
+		system.expect.Expect(system.brokers[0].SubmitDurable(context.Background(), durableSpec(string(id), 1))).To(Succeed())
+	}
+	system.expect.Eventually(system.active).WithTimeout(conditionTimeout).Should(Equal(jobs))
+	system.startAgentThatKnows(1, func() []string { return []string{next} })
+	outages.set("entry0", true)
+	system.expect.Consistently(func() int { return system.mostActive(ids) }).WithTimeout(9*time.Second).
+		Should(BeNumerically("<=", 1), "active runs of one task")
+}
--- a/ptdrill/durable.go
+++ b/ptdrill/durable.go
@@ -139,7 +139,7 @@
 // callLog calls the log. While faults are injected, some calls get no response and are repeated.
 func (ownership *ownership) callLog(execute func(log *log), respond func()) {
 	simulation := ownership.entry.simulation
-	if !simulation.quiescent && simulation.happens(3) {
+	if simulation.logCutUntil[ownership.entry.index] > simulation.Now() || !simulation.quiescent && simulation.happens(3) {
 		ownership.entry.after(simulation.between(100*time.Millisecond, time.Second), func() { ownership.callLog(execute, respond) })
 		return
 	}
--- a/ptdrill/faults.go
+++ b/ptdrill/faults.go
@@ -101,8 +101,11 @@
 	simulation.After(simulation.between(5*time.Second, duration), func() {
 		switch {
 		case simulation.quiescent:
-		case simulation.happens(50):
+		case simulation.happens(33):
 			simulation.rebalance()
+		case simulation.happens(50):
+			simulation.trace("entry%d is cut off from the log", other)
+			simulation.logCutUntil[other] = simulation.Now().Add(simulation.between(6*time.Second, 14*time.Second))
 		default:
 			simulation.killEntry(other, simulation.between(time.Second, 3*time.Second))
 		}
--- a/ptdrill/ptdrill.go
+++ b/ptdrill/ptdrill.go
@@ -105,7 +105,8 @@
 	// LongCuts: an entry is cut off from some or all agents for 3 to 9 s. It still reaches the log.
 	LongCuts bool
 	// UnseenAgents: an entry restarts and is cut off from some agents for 8 to 20 s, so it has never had
-	// a session with them when it is assigned partitions of other entries.
+	// a session with them when it is assigned partitions of other entries: these are killed, cut off from
+	// the log for 6 to 14 s, or partitions are reassigned.
 	UnseenAgents bool
 	// Evacuations: the availability zones of the agents are evacuated and taken back. The store refuses
 	// an entry for up to 3 s.
@@ -164,9 +165,11 @@
 	network [agents]network
 	// cutUntil is when the link of an entry and an agent is restored.
 	cutUntil [entries][agents]ptid.Instant
-	log      *log
-	operator operator
-	tasks    map[ptrun.TaskID]taskProperties
+	// logCutUntil is when an entry reaches the log again.
+	logCutUntil [entries]ptid.Instant
+	log         *log
+	operator    operator
+	tasks       map[ptrun.TaskID]taskProperties
 	// owners contains the entry process that ordered a run last, by the index of the agent.
 	owners  [agents]map[ptrun.ID]ptruncontrol.Owner
 	report  Report
@@ -219,6 +222,7 @@
 	simulation.quiescent = true
 	simulation.takeBackEvacuations()
 	simulation.cutUntil = [entries][agents]ptid.Instant{}
+	simulation.logCutUntil = [entries]ptid.Instant{}
 	simulation.network = [agents]network{}
 	settleTime := cmp.Or(simulation.setting.SettleTime, settleTime)
 	simulation.RunUntil(simulation.Now().Add(settleTime))
--- a/ptruncontrol/durable.go
+++ b/ptruncontrol/durable.go
@@ -87,12 +87,16 @@
 
 // AdoptPartition assigns the runs of a partition that hold capacity to a later owner, and sends
 // the later owner these runs and the ends that have not been stored. The runs of the partition
-// that wait for capacity are refused. An owner of a lower epoch than a later one is told that epoch.
+// that wait for capacity are refused. An owner of a lower epoch than a later one is told that epoch, also
+// if it has adopted the partition before: it may be cut off from the log.
 func (core *Core) AdoptPartition(owner Owner, partition ptjobstore.Partition, partitions int, epoch ptjobstore.Epoch, now ptid.Instant) (effects []Effect) {
 	if epoch < core.epochs[partition] {
 		return []Effect{SendAdopted{Owner: owner, Partition: partition, Epoch: core.epochs[partition]}}
 	}
-	core.epochs[partition] = epoch
+	if earlier, known := core.adopters[partition]; known && earlier != owner && epoch > core.epochs[partition] {
+		core.emit(SendAdopted{Owner: earlier, Partition: partition, Epoch: epoch})
+	}
+	core.epochs[partition], core.adopters[partition] = epoch, owner
 	adopted := SendAdopted{Owner: owner, Partition: partition, Epoch: epoch}
 	for _, run := range core.sortedRuns() {
 		if !run.isDurable() || run.Partition != partition {
--- a/ptruncontrol/ptruncontrol.go
+++ b/ptruncontrol/ptruncontrol.go
@@ -426,8 +426,9 @@
 	runs   map[ptrun.ID]*run
 	ends   map[ptrun.ID]*endRecord
 	owners map[ptid.EntryName]*ownerState
-	// epochs holds the epoch of the latest adoption of each partition.
+	// epochs holds the epoch of the latest adoption of each partition, and adopters its owner.
 	epochs   map[ptjobstore.Partition]ptjobstore.Epoch
+	adopters map[ptjobstore.Partition]Owner
 	throttle throttle
 	health
 	// stopsStragglers is set by StopStragglers. It outlasts the worker, unlike health.
@@ -450,7 +451,7 @@
 	return &Core{
 		token: token, tokenStep: firstTokenStep, unaccounted: make(map[ptrun.ID]*unaccountedRun),
 		runs: make(map[ptrun.ID]*run), ends: make(map[ptrun.ID]*endRecord), owners: make(map[ptid.EntryName]*ownerState),
-		unacked: make(map[ptrun.ID]*unackedEnd), crashNotices: make(map[ptrun.ID]*crashNotice), epochs: make(map[ptjobstore.Partition]ptjobstore.Epoch),
+		unacked: make(map[ptrun.ID]*unackedEnd), crashNotices: make(map[ptrun.ID]*crashNotice), epochs: make(map[ptjobstore.Partition]ptjobstore.Epoch), adopters: make(map[ptjobstore.Partition]Owner),
 		health: newHealth(),
 	}
 }
