ptassign: jobs that need more than there is don't block smaller jobs

Callers could see LOST: sixty-five or more durable jobs that need more than any worker has, or a gang that there is no room for, are ahead in the queue; smaller jobs of the same service that are late are not started any more, beside idle workers.

Cause: a scan of the queue passes over the jobs of a constraint after 64 blocked ones, since those behind would find no capacity either. That is true of jobs that need as much only.

Change: beyond the 64th blocked job a scan passes over the jobs that need at least what was missing, and tries the others. A constraint is exhausted once no waiting job of it needs less. Where all jobs need the same, scans end where they did.

Open: jobs that wait for their own limit on a worker; gangs in the forecast.

--- a/ptassign/blocked.go
+++ b/ptassign/blocked.go
@@ -11,7 +11,7 @@
 
 const (
 	// placeWaiting passes over the jobs of a constraint after it has found maxBlockedJobs of them
-	// whose ready tasks it could not all place.
+	// whose ready tasks it could not all place, except over those that need less.
 	maxBlockedJobs = 64
 	// placeWaiting stops after it has passed over maxSkippedJobs jobs, except once in
 	// scanIntervalPerJob for each waiting job. Passing over a job takes 17 ns (measured with 4,000
@@ -57,15 +57,42 @@
 	return constraint{service: job.Queue.Service, kind: isolationNeeded}
 }
 
+// need is the free capacity that the first ready task of a job needs: on one worker, or for a gang on as
+// many as it has members.
+type need struct {
+	demand  ptrun.Demand
+	members int
+}
+
+func needOf(step *ptgraph.Step) (first need) {
+	first = need{demand: step.Reservation(), members: 1}
+	if step.Gang {
+		first.members = step.Count
+	}
+	return first
+}
+
+// covers reports whether capacity that does not suffice for the other need doesn't for this one either.
+func (first need) covers(other need) bool {
+	return first.members >= other.members && first.demand.Covers(other.demand)
+}
+
+func (first need) min(other need) need {
+	return need{demand: first.demand.Min(other.demand), members: min(first.members, other.members)}
+}
+
 // constrainedJobs is what placeWaiting knows about the waiting jobs whose first ready task has the
 // same constraint.
 type constrainedJobs struct {
 	constraint
-	// blocked counts the blocked jobs in the given scan of the queue. leastDemand is the smallest
-	// demand of a task that no worker had free capacity for in this scan.
-	scan        int
-	blocked     int
-	leastDemand ptrun.Demand
+	// blocked counts the blocked jobs in the given scan of the queue. leastNeed is the smallest need that
+	// the free capacity did not suffice for in this scan. exhausted means that no waiting job needs less.
+	scan      int
+	blocked   int
+	leastNeed need
+	exhausted bool
+	// smallestNeed is at most the need of any of the waiting jobs.
+	smallestNeed need
 	// served is whether a worker had the label at checkedAt.
 	served    bool
 	checkedAt ptid.Instant
@@ -114,33 +141,46 @@
 	return jobs
 }
 
-// skips reports whether the scan passes over a job, because enough jobs with its constraint are
-// blocked.
+// add returns the record of the constraint of a waiting job whose first ready task has the given need.
+func (all *constraints) add(key constraint, first need) *constrainedJobs {
+	isNew := all.byKey[key] == nil
+	jobs := all.of(key)
+	if isNew {
+		jobs.smallestNeed = first
+	}
+	jobs.smallestNeed = jobs.smallestNeed.min(first)
+	return jobs
+}
+
+// skips reports whether the scan passes over a job, because enough jobs with its constraint that need
+// no more are blocked.
 func (all *constraints) skips(job *Job) bool {
-	if job.constrained == nil || job.constrained.scan != all.scan || job.constrained.blocked < maxBlockedJobs || job.waitingSuspects > 0 {
+	jobs := job.constrained
+	if jobs == nil || jobs.scan != all.scan || jobs.blocked < maxBlockedJobs || job.waitingSuspects > 0 {
 		return false
 	}
 	all.skipped++
-	return true
+	return job.firstNeed.covers(jobs.leastNeed)
 }
 
 // isKnownBlocked reports whether a smaller task with the constraint of the job's tasks was blocked
 // in the current scan. Capacity does not become free during a scan.
 func (all *constraints) isKnownBlocked(job *Job) bool {
 	jobs := job.constrained
-	return jobs.kind == anyWorker && jobs.scan == all.scan && job.firstDemand.Covers(jobs.leastDemand)
+	return jobs.kind == anyWorker && jobs.scan == all.scan && job.firstNeed.covers(jobs.leastNeed)
 }
 
 // count counts a blocked job.
 func (all *constraints) count(job *Job) {
 	jobs := job.constrained
 	if jobs.scan != all.scan {
-		jobs.scan, jobs.blocked, jobs.leastDemand = all.scan, 0, job.firstDemand
+		jobs.scan, jobs.blocked, jobs.leastNeed, jobs.exhausted = all.scan, 0, job.firstNeed, false
 	}
-	if jobs.leastDemand.Covers(job.firstDemand) {
-		jobs.leastDemand = job.firstDemand
+	if jobs.leastNeed.covers(job.firstNeed) {
+		jobs.leastNeed = job.firstNeed
 	}
-	if jobs.blocked++; jobs.blocked == maxBlockedJobs {
+	if jobs.blocked++; !jobs.exhausted && jobs.blocked >= maxBlockedJobs && jobs.smallestNeed.covers(jobs.leastNeed) {
+		jobs.exhausted = true
 		all.exhausted++
 	}
 }
@@ -149,8 +189,12 @@
 func (all *constraints) collect(waiting []*Job) {
 	clear(all.byKey)
 	for _, job := range waiting {
-		if job.constrained != nil {
-			all.byKey[job.constrained.constraint] = job.constrained
+		if jobs := job.constrained; jobs != nil {
+			if all.byKey[jobs.constraint] == nil {
+				jobs.smallestNeed = job.firstNeed
+				all.byKey[jobs.constraint] = jobs
+			}
+			all.add(jobs.constraint, job.firstNeed)
 		}
 		if job.waitingSuspects > 0 {
 			all.of(isolationOf(job))
--- a/ptassign/forecast.go
+++ b/ptassign/forecast.go
@@ -226,7 +226,8 @@
 		}
 		if cpu == 0 {
 			job.minDemand = task.Step.Reservation()
-			job.firstDemand, job.constrained = job.minDemand, core.constraints.of(constraintOf(job, task.Step))
+			job.firstNeed = needOf(task.Step)
+			job.constrained = core.constraints.add(constraintOf(job, task.Step), job.firstNeed)
 		}
 		cpu += max(1, task.Step.Demand.CPU)
 		job.minDemand = job.minDemand.Min(task.Step.Reservation())
--- a/ptassign/ptassign.go
+++ b/ptassign/ptassign.go
@@ -137,11 +137,12 @@
 	inQueue bool
 	// readyCPU is the CPU demand of the ready tasks; a negative value means that the demand must
 	// be recomputed. minDemand is the component-wise minimum of the demands of the ready tasks.
-	// constrained is the record of the constraint of the first ready task, firstDemand its demand.
-	readyCPU               ptrun.Millicores
-	minDemand, firstDemand ptrun.Demand
-	constrained            *constrainedJobs
-	adviceByStep           map[ptrun.StepIndex]*stepAdvice
+	// constrained is the record of the constraint of the first ready task, firstNeed its need.
+	readyCPU     ptrun.Millicores
+	minDemand    ptrun.Demand
+	firstNeed    need
+	constrained  *constrainedJobs
+	adviceByStep map[ptrun.StepIndex]*stepAdvice
 	// suspects contains the tasks of which a run was lost. waitingSuspects is the number of ready
 	// tasks that must be isolated; it is valid with readyCPU, which does not include them.
 	suspects        map[ptrun.TaskID]*suspect
