ptbroker: an entry that leaves the group for a new epoch releases all of its partitions

Cause, found on reading again: after a wrong word of an agent the entry left the group, which gives all of its partitions to others, and kept the other ones for up to 0.4 s, until its next renewal. Change: it releases them before it leaves, and acquires what it gets in the new epoch. Test: TestOwnerWhoseMembershipMayHaveExpiredReleasesAPartitionOnTheWordOfAnAgent, extended; it fails without the change.

--- a/ptbroker/durable.go
+++ b/ptbroker/durable.go
@@ -273,6 +273,11 @@
 func (broker *Broker) leaveLostEpoch(ctx context.Context, epoch ptjobstore.Epoch) {
 	broker.mu.Lock()
 	lost := epoch <= broker.ownership.lostEpoch
+	if lost {
+		for _, partition := range broker.ownership.partitions {
+			broker.releasePartition(partition, "leaving the consumer group to get a new epoch")
+		}
+	}
 	broker.mu.Unlock()
 	if !lost {
 		return
--- a/ptbroker/later_owner_test.go
+++ b/ptbroker/later_owner_test.go
@@ -72,6 +72,9 @@
 	expect.Expect(broker.ownership.partitions).To(HaveLen(3))
 	broker.mu.Unlock()
 	broker.leaveLostEpoch(ctx, membership.Epoch)
+	broker.mu.Lock()
+	expect.Expect(broker.ownership.partitions).To(BeEmpty(), "other entries may get all of them")
+	broker.mu.Unlock()
 	next, err := broker.ownership.store.Join(ctx, broker.MemberID(), membership.Epoch, membershipTTL)
 	expect.Expect(err).NotTo(HaveOccurred())
 	expect.Expect(next.Epoch).To(BeNumerically(">", membership.Epoch))
@@ -79,5 +82,7 @@
 	broker.mu.Lock()
 	defer broker.mu.Unlock()
 	expect.Expect(broker.ownership.partitions).To(HaveLen(4))
-	expect.Expect(broker.ownership.partitions[1].epoch).To(Equal(next.Epoch))
+	for number, partition := range broker.ownership.partitions {
+		expect.Expect(partition.epoch).To(Equal(next.Epoch), "partition %d", number)
+	}
 }
--- a/pthandover/pthandover.go
+++ b/pthandover/pthandover.go
@@ -3,9 +3,9 @@
 //
 // # How it works
 //
-//  1. The log holds a record for each partition (ptjobstore.Agents): the agents that may have runs of the partition. An
-//     owner writes an agent into the record before it sends the agent an order of the partition
-//     ([Handover.MayOrder]). Like progress, records are fenced by the epoch of the owner.
+//  1. The log holds a record for each partition (ptjobstore.Agents): the agents that may have runs of
+//     the partition. An owner writes an agent into the record before it sends the agent an order of
+//     the partition ([Handover.MayOrder]). Like progress, records are fenced by the epoch of the owner.
 //  2. A later owner reads the record after it has fenced the earlier owners. The record then lists all
 //     agents at which any earlier owner may have started runs, whether that owner was stopped,
 //     killed, paused or cut off, and whether or not the later owner has ever had a session with them.
@@ -38,9 +38,9 @@
 //
 // # Limits
 //
-// Rule 4 relies on the earlier owner: an owner that is alive, can't reach the log and does not know
-// that it has lost the partition keeps the runs at its agents alive. Handover is not safe for
-// concurrent use.
+// Rule 4 relies on the earlier owner: one that is alive and has not learned that it has lost the
+// partition keeps the runs at its agents (docs/incidents/16-owner-without-the-log.md). Handover is not
+// safe for concurrent use.
 package pthandover
 
 import (
