--- /dev/null
+++ b/review/harness-3/cases.go
@@ -0,0 +1,300 @@
+//go:build review3
+
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+var scenarios = map[string]scenario{
+	"backlog":       backlog,
+	"split-job":     splitJob,
+	"cut-cancel":    cutCancel,
+	"anti-affinity": antiAffinity,
+	"crashes":       crashes,
+	"all-entries":   allEntries,
+}
+
+const (
+	workers    = 11
+	queueRoute = `{"name":"q1","host":"desk.example","path-prefix":"/q/","backend":"svc","timeout-ms":60000,"target-latency-ms":60,"priority":1,"max-attempts":4,"stretch":1.6}`
+	finish     = 14 * time.Second
+	// contact is contact-ms.
+	contact      = 3 * time.Second
+	cancelBound  = 3 * time.Second
+	askTimeout   = 3 * time.Second
+	warmUp       = 4 * time.Second
+	crashedFor   = 4500 * time.Millisecond
+	storeCutFor  = 5500 * time.Millisecond
+	powerlessFor = 9500 * time.Millisecond
+)
+
+// jobID returns the number-th ID of a job whose records are in a partition.
+func jobID(partition, number int) string {
+	for n := uint64(0); ; n++ {
+		id := fmt.Sprintf("%016x", (n+1)*0x9e3779b97f4a7c15)
+		if xxhash.Sum64String(id)%storePartitions == uint64(partition) {
+			if number == 0 {
+				return id
+			}
+			number--
+		}
+	}
+}
+
+// deploy starts a small deployment of three entries and eleven minions.
+func deploy(binary string) (*system, error) {
+	s, err := newSystem(binary, 3, workers, queueRoute)
+	if err != nil {
+		return nil, err
+	}
+	if err := s.start(); err != nil {
+		return s, err
+	}
+	time.Sleep(warmUp)
+	return s, nil
+}
+
+// backlog: a job with many times that are due when it is handed in.
+func backlog(binary, logs string, trouble bool) error {
+	verbose = false
+	s, err := deploy(binary)
+	defer s.stop(logs)
+	if err != nil {
+		return err
+	}
+	if trouble {
+		times := 8000
+		startAt := time.Now().Add(-time.Duration(times) * time.Second).UnixMilli()
+		status, _ := s.send(0, http.MethodPost, jobID(5, 0), fmt.Sprintf(`{"spec":"{\"ms\":50}","steps":[{"count":1,"cpu":100,"mem-mb":16,"estimate-ms":50}],"times":%d,"start-at-ms":%d,"interval-ms":1000}`, times, startAt), 5*time.Second)
+		if status != http.StatusOK {
+			return fmt.Errorf("the job with many times was not accepted: %d", status)
+		}
+	}
+	time.Sleep(30 * time.Second)
+	logf("starts of the scheduled job: %d", len(s.all.startsOf(jobID(5, 0))))
+	var ids []string
+	for n := range 32 {
+		id := jobID(n, 1)
+		if status, _ := s.send(n%3, http.MethodPost, id, `{"spec":"{\"ms\":300}","steps":[{"count":2,"cpu":500,"mem-mb":64,"estimate-ms":300}]}`, askTimeout); status == http.StatusOK {
+			ids = append(ids, id)
+		}
+	}
+	logf("the traffic has ended, %d jobs were accepted", len(ids))
+	time.Sleep(finish)
+	return s.checkIdle(ids, 500)
+}
+
+// checkIdle applies the last clause of LOST, finish_s after the end of the traffic: for 3 s, a job has nothing
+// running while a task's turn has come, there is capacity for it twice over, and under half of the capacity is
+// in use. The jobs ask for little, and their turn has come when they were accepted.
+// runCPU is at least what each of the active runs asks for, in thousandths of a core.
+func (s *system) checkIdle(ids []string, runCPU int) error {
+	idle, unknown := 0, 0
+	for _, id := range ids {
+		status, state := s.state(id, 0, 1, 2)
+		starts := s.all.startsOf(id)
+		logf("job %s: %d %s, %d starts", id, status, state, len(starts))
+		if status == 0 || status == http.StatusGone {
+			unknown++
+		}
+	}
+	for until := time.Now().Add(3 * time.Second); time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
+		if used := s.all.activeRuns() * runCPU; used > (workers-1)*minionCPU/2 {
+			return fmt.Errorf("%d thousandths of a core are in use, too many for the check", used)
+		}
+	}
+	logf("active runs on all minions after these 3 s: %d", s.all.activeRuns())
+	for _, id := range ids {
+		if _, state := s.state(id, 0, 1, 2); state == "pending" && len(s.all.startsOf(id)) == 0 {
+			idle++
+		}
+	}
+	if idle+unknown > 0 {
+		return broken("LOST: %d of %d jobs have nothing running for 3 s and were never started, %d are not known, while under half of the capacity is in use", idle, len(ids), unknown)
+	}
+	return nil
+}
+
+// splitJob: a minion of a rack is lost for good, the other one is full, and jobs come with a step for that rack beside
+// a step for any minion.
+func splitJob(binary, logs string, trouble bool) error {
+	s, err := deploy(binary)
+	defer s.stop(logs)
+	if err != nil {
+		return err
+	}
+	for n := range 2 {
+		s.send(n, http.MethodPost, jobID(n, 5), `{"spec":"{\"ms\":90000}","steps":[{"count":1,"cpu":32000,"mem-mb":64,"estimate-ms":90000,"constraints":"r3"}]}`, askTimeout)
+	}
+	time.Sleep(2 * time.Second)
+	if trouble {
+		s.minions[workers-1].crash()
+	}
+	time.Sleep(5 * time.Second)
+	var ids []string
+	for n := range 6 {
+		id := jobID(n, 0)
+		body := `{"spec":"{\"ms\":1000}","steps":[{"count":1,"cpu":500,"mem-mb":64,"estimate-ms":1000,"constraints":"r3"},{"count":4,"cpu":500,"mem-mb":64,"estimate-ms":1000}]}`
+		if status, _ := s.send(n%3, http.MethodPost, id, body, askTimeout); status == http.StatusOK {
+			ids = append(ids, id)
+		}
+	}
+	logf("the traffic has ended, %d jobs were accepted", len(ids))
+	time.Sleep(finish)
+	return s.checkIdle(ids, 32000)
+}
+
+// cutCancel: an entry is cut off from the store, and a job that it works on is cancelled at another.
+func cutCancel(binary, logs string, trouble bool) error {
+	s, err := deploy(binary)
+	defer s.stop(logs)
+	if err != nil {
+		return err
+	}
+	id, steps := jobID(3, 0), ""
+	for n := range 9 {
+		after := ""
+		if n > 0 {
+			after = fmt.Sprintf(`,"after":[%d]`, n-1)
+			steps += ","
+		}
+		steps += fmt.Sprintf(`{"count":2,"cpu":500,"mem-mb":64,"estimate-ms":2000%s}`, after)
+	}
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		s.send(0, http.MethodPost, id, `{"spec":"{\"ms\":2000}","best-effort":true,"steps":[`+steps+`]}`, 60*time.Second)
+	}()
+	time.Sleep(1500 * time.Millisecond)
+	cutAt := time.Now()
+	if trouble {
+		logf("the path between %s and the store is cut", s.entries[0].name)
+		s.entryGates[0].cut()
+	}
+	time.Sleep(3 * time.Second)
+	status, _ := s.send(1, http.MethodDelete, id, "", askTimeout)
+	ackedAt := time.Now()
+	if status/100 != 2 && status != http.StatusGone {
+		return fmt.Errorf("the cancellation was not acknowledged")
+	}
+	time.Sleep(time.Until(cutAt.Add(storeCutFor)))
+	healedAt := time.Now()
+	if trouble {
+		s.entryGates[0].heal()
+		logf("the path between %s and the store works again", s.entries[0].name)
+	}
+	<-answered
+	// Only starts of a machine in touch count: contact-ms after the end of the cut.
+	for _, start := range s.all.startsOf(id) {
+		if start.at.After(ackedAt.Add(cancelBound)) && start.at.After(healedAt.Add(contact)) {
+			return broken("UNASKED: run %d of %s starts on %s %.1f s after the cancelling was acknowledged and %.1f s after the cut has ended",
+				start.number, start.task, start.minion, start.at.Sub(ackedAt).Seconds(), start.at.Sub(healedAt).Seconds())
+		}
+	}
+	return nil
+}
+
+// antiAffinity: many jobs have one task for each minion, and a minion is lost for good.
+func antiAffinity(binary, logs string, trouble bool) error {
+	verbose = false
+	s, err := deploy(binary)
+	defer s.stop(logs)
+	if err != nil {
+		return err
+	}
+	if trouble {
+		s.minions[workers-1].crash()
+	}
+	time.Sleep(5 * time.Second)
+	for n := range 240 {
+		s.send(n%3, http.MethodPost, jobID(n%32, n/32), `{"spec":"{\"ms\":90000}","steps":[{"count":11,"cpu":50,"mem-mb":64,"estimate-ms":90000,"anti-affinity":1}]}`, askTimeout)
+	}
+	time.Sleep(3 * time.Second)
+	var ids []string
+	for n := range 30 {
+		id := jobID(n, 20)
+		if status, _ := s.send(n%3, http.MethodPost, id, `{"spec":"{\"ms\":90000}","steps":[{"count":2,"cpu":50,"mem-mb":64,"estimate-ms":90000,"anti-affinity":1}]}`, askTimeout); status == http.StatusOK {
+			ids = append(ids, id)
+		}
+	}
+	logf("the traffic has ended, %d of the later jobs were accepted", len(ids))
+	time.Sleep(finish)
+	return s.checkIdle(ids, 50)
+}
+
+// crashes: the minions on which a long task runs crash, one after the other.
+func crashes(binary, logs string, trouble bool) error {
+	s, err := deploy(binary)
+	defer s.stop(logs)
+	if err != nil {
+		return err
+	}
+	id := jobID(3, 0)
+	s.send(0, http.MethodPost, id, `{"spec":"{\"ms\":20000}","steps":[{"count":1,"cpu":500,"mem-mb":64,"estimate-ms":20000}]}`, askTimeout)
+	crashed := 0
+	for until := time.Now().Add(90 * time.Second); time.Now().Before(until); time.Sleep(200 * time.Millisecond) {
+		status, state := s.state(id, 1, 0, 2)
+		if state == "failed" || state == "canceled" {
+			return broken("LOST: the job is shown as %s after %d crashes of its minions; no run has ended failed", state, crashed)
+		}
+		if state == "completed" {
+			logf("state of %s: %d %s after %d crashes", id, status, state, crashed)
+			return nil
+		}
+		starts := s.all.startsOf(id)
+		if !trouble || len(starts) == 0 || crashed >= 4 {
+			continue
+		}
+		last := starts[len(starts)-1]
+		if !last.ended.IsZero() || time.Since(last.at) < 4*time.Second {
+			continue
+		}
+		for _, m := range s.minions {
+			if m.id == last.minion {
+				m.crash()
+				crashed++
+				time.AfterFunc(crashedFor, func() { _ = m.boot() })
+			}
+		}
+	}
+	return fmt.Errorf("the job has not ended")
+}
+
+// allEntries: all entries lose power while tasks that last are at work.
+func allEntries(binary, logs string, trouble bool) error {
+	s, err := deploy(binary)
+	defer s.stop(logs)
+	if err != nil {
+		return err
+	}
+	id := jobID(3, 0)
+	s.send(0, http.MethodPost, id, `{"spec":"{\"ms\":0}","steps":[{"count":6,"cpu":500,"mem-mb":64,"long-running":true,"may-miss":1}]}`, askTimeout)
+	time.Sleep(5 * time.Second)
+	if trouble {
+		for _, entry := range s.entries {
+			entry.kill()
+		}
+		time.Sleep(powerlessFor)
+		for _, entry := range s.entries {
+			if err := entry.start(s.binary); err != nil {
+				return err
+			}
+		}
+	}
+	time.Sleep(15 * time.Second)
+	stopped := 0
+	for _, start := range s.all.startsOf(id) {
+		if start.stoppedByOrder {
+			stopped++
+		}
+	}
+	if stopped > 1 {
+		return broken("AVAIL: %d tasks of a step with may-miss 1 were stopped by order on sound minions", stopped)
+	}
+	return nil
+}
