--- a/review/harness-3/cases.go
+++ b/review/harness-3/cases.go
@@ -236,12 +236,18 @@
 	}
 	<-answered
 	// Only starts of a machine in touch count: contact-ms after the end of the cut.
+	late := 0
+	var last start
 	for _, start := range s.startsOf(id) {
 		if start.at.After(ackedAt.Add(cancelBound)) && start.at.After(healedAt.Add(contact)) {
-			return broken("UNASKED: run %d of %s starts on %s %.1f s after the cancelling was acknowledged and %.1f s after the cut has ended",
-				start.number, start.task, start.minion, start.at.Sub(ackedAt).Seconds(), start.at.Sub(healedAt).Seconds())
+			last = start
+			late++
 		}
 	}
+	if late > 0 {
+		return broken("UNASKED: %d starts too late; the last is run %d of %s on %s, %.1f s after the cancelling was acknowledged and %.1f s after the cut has ended",
+			late, last.number, last.task, last.minion, last.at.Sub(ackedAt).Seconds(), last.at.Sub(healedAt).Seconds())
+	}
 	return nil
 }
 
--- a/review/harness-3/system.go
+++ b/review/harness-3/system.go
@@ -34,10 +34,15 @@
 	// childrenMu protects children, the processes that were started and have not ended.
 	childrenMu sync.Mutex
 	children   = make(map[*os.Process]bool)
+	// tempDir holds the settings and the output of the processes.
+	tempDir string
 )
 
-// killAll ends all processes that were started.
+// killAll ends all processes that were started, and removes their files.
 func killAll() {
+	if tempDir != "" {
+		defer func() { _ = os.RemoveAll(tempDir) }()
+	}
 	childrenMu.Lock()
 	defer childrenMu.Unlock()
 	for child := range children {
@@ -251,6 +256,7 @@
 	if err != nil {
 		return nil, err
 	}
+	tempDir = dir
 	s := &system{binary: binary, dir: dir, base: base, store: newStore()}
 	s.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}}
 	go s.store.expireLoop()
