--- a/review/harness-3/cases.go
+++ b/review/harness-3/cases.go
@@ -39,6 +39,7 @@
 	powerlessFor = 9500 * time.Millisecond
 	// handover is longer than the entries need after a start until their partitions are recovered.
 	handover = 4 * time.Second
+	burstFor = 4 * time.Second
 	// resend is resend-ms.
 	resend    = 1300 * time.Millisecond
 	frozenFor = 2400 * time.Millisecond
@@ -389,9 +390,11 @@
 	var mu sync.Mutex
 	var sending sync.WaitGroup
 	logf("client: %d times POST ID, a body of %d bytes each: %.120s ... %s", jobs, len(body), body, body[len(body)-80:])
+	startedAt := time.Now()
 	for sender := range senders {
 		sending.Go(func() {
 			for n := sender; n < jobs; n += senders {
+				time.Sleep(time.Until(startedAt.Add(time.Duration(n) * burstFor / jobs)))
 				id := jobID(n%storePartitions, n/storePartitions)
 				if status, _ := s.call(n%3, http.MethodPost, id, body, askTimeout); status == http.StatusOK {
 					mu.Lock()
@@ -454,7 +457,7 @@
 }
 
 // callers: an entry is frozen, and the clients that wait there leave and send their best-effort jobs again, to another
-// entry. Three times as many clients wait at the other entries and stay.
+// entry. Three times as many clients wait at a third entry and stay.
 func callers(binary, logs string, trouble bool) error {
 	verbose = false
 	s, err := deploy(binary)
@@ -463,9 +466,9 @@
 		return err
 	}
 	time.Sleep(handover)
-	const rounds, jobs, leaving = 8, 800, 200
+	const rounds, jobs, leaving = 10, 400, 100
 	body := `{"spec":"{\"ms\":900}","best-effort":true,"steps":[{"count":1,"cpu":100,"mem-mb":16,"estimate-ms":900},{"count":1,"cpu":100,"mem-mb":16,"estimate-ms":900,"after":[0]}]}`
-	logf("client: in each of %d rounds %d times POST ID at %s and %d times at the others: %s", rounds, leaving, s.entries[0].name, jobs-leaving, body)
+	logf("client: in each of %d rounds %d times POST ID at %s and %d times at %s: %s", rounds, leaving, s.entries[0].name, jobs-leaving, s.entries[2].name, body)
 	var ids []string
 	for round := range rounds {
 		var sending sync.WaitGroup
@@ -475,7 +478,7 @@
 			ids = append(ids, id)
 			sending.Go(func() {
 				if n >= leaving {
-					s.call(1+n%2, http.MethodPost, id, body, 20*time.Second)
+					s.call(2, http.MethodPost, id, body, 20*time.Second)
 					return
 				}
 				if s.postUntil(leave, 0, id, body, 20*time.Second) {
