--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -1,7 +1,7 @@
 //go:build review3
 
 // Command harness-3 plays one case of the review with the project's own programs and stand-ins of the
-// platform, its minions and its clients, on loopback addresses.
+// platform, its workers and its clients, on loopback addresses.
 //
 // Usage: harness-3 -case NAME -binary PATH -record FILE [-logs DIR] [-trouble=false]
 //
--- a/review/harness-3/store.go
+++ b/review/harness-3/store.go
@@ -179,14 +179,14 @@
 		return
 	}
 	switch r.URL.Path {
-	case "/log-append":
+	case names["append"]:
 		s.handleAppend(w, r, id, body)
-	case "/log-read":
+	case names["read"]:
 		s.handleRead(w, r, id)
-	case "/log-newest":
+	case names["newest"]:
 		s.handleNewest(w, id, query.Get("after"))
-	case "/log-join", "/log-leave":
-		s.handleJoin(w, r.URL.Path == "/log-leave", body)
+	case names["join"], names["leave"]:
+		s.handleJoin(w, r.URL.Path == names["leave"], body)
 	case "/log-owners":
 		s.handleOwners(w)
 	default:
@@ -276,7 +276,7 @@
 
 func (s *store) handleRead(w http.ResponseWriter, r *http.Request, id partID) {
 	from, _ := strconv.Atoi(r.URL.Query().Get("from"))
-	wait, _ := strconv.Atoi(r.URL.Query().Get("wait-ms"))
+	wait, _ := strconv.Atoi(r.URL.Query().Get(names["wait"]))
 	until := time.After(time.Duration(min(wait, 30000)) * time.Millisecond)
 	for over := false; ; {
 		s.mu.Lock()
