--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -5,4 +5,4 @@
 [ -x target/review-3/harness ] && [ -x target/primrosetiller ] || { echo "build first: the command of the deploy file, then review/build-3.sh"; exit 2; }
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
-exec target/review-3/harness -case memory -binary target/primrosetiller -record review/12/record.txt -trouble=$trouble
+exec target/review-3/harness -case callers -binary target/primrosetiller -record review/12/record.txt -trouble=$trouble
