Agents log how old a stopped run is by its order, its arrival and its start

That line now says how long ago the order was sent, arrived and was carried out (sentAgo, receivedAgo, startedAgo). "cancelling job without callers" says the age of the job: a request that was read late is of a young job.

No decision changes.

--- a/ptbroker/ptbroker.go
+++ b/ptbroker/ptbroker.go
@@ -283,8 +283,9 @@
 	if handle.waiters > 0 || broker.handles[handle.ID] != handle {
 		return
 	}
-	broker.deps.Log.Info("cancelling job without callers", "job", handle.ID, "why", reason)
-	broker.execute(broker.core.Cancel(ptassign.Key{ID: handle.ID}, broker.deps.Clock.Now()))
+	key, now := ptassign.Key{ID: handle.ID}, broker.deps.Clock.Now()
+	broker.deps.Log.Info("cancelling job without callers", "job", handle.ID, "why", reason, "age", now.Sub(broker.core.Job(key).SubmittedAt).String())
+	broker.execute(broker.core.Cancel(key, now))
 }
 
 // Cancel cancels a job and reports whether it was open.
--- a/ptruncontrol/ptruncontrol.go
+++ b/ptruncontrol/ptruncontrol.go
@@ -200,6 +200,9 @@
 	Token  ptrun.FenceToken
 	Run    ptrun.ID
 	Reason ptrun.Reason
+	// SentAt is the Order.SentAt of the run, ReceivedAt when the order arrived, and StartedAt when the
+	// start order was sent. They are zero for runs that this agent has not ordered.
+	SentAt, ReceivedAt, StartedAt ptid.Instant
 }
 
 // ListRuns requests a listing from the worker immediately.
@@ -306,7 +309,8 @@
 	// workerStartBy is the deadline of the start order on the worker's clock. Order.StartBy is
 	// the deadline of the run on the agent's clock.
 	workerStartBy ptrun.WorkerTime
-	startedAt     ptid.Instant
+	// receivedAt is when the order arrived.
+	receivedAt, startedAt ptid.Instant
 	// checkedAt is when the latest order for the run got a response or timed out, or when a
 	// listing contained the run for the first time. Only a listing that was requested later
 	// proves that the worker no longer executes the run.
@@ -691,7 +695,7 @@
 	if order.isDurable() && order.Epoch < core.epochs[order.Partition] {
 		return []Effect{SendEnd{Owner: order.Owner, End: ptrun.End{Run: order.Run, Result: ptrun.NeverStarted, Reason: ptrun.ReasonOtherOwner}}}
 	}
-	ordered := &run{Order: order, percent: fullPercent, orderedPercent: fullPercent, isolated: order.Isolation > 0}
+	ordered := &run{Order: order, receivedAt: now, percent: fullPercent, orderedPercent: fullPercent, isolated: order.Isolation > 0}
 	core.runs[order.Run] = ordered
 	if core.reported.NeedsProbes() {
 		core.probeTurns.Probed()
@@ -828,7 +832,10 @@
 		run.state, run.stopDeadline = stopping, now.Add(StopTimeout)
 	}
 	run.stopRetryAt = now.Add(StopRetryInterval)
-	core.emit(StopRun{Worker: core.worker.WorkerIdentity, Token: core.token, Run: run.Run, Reason: run.stopReason})
+	core.emit(StopRun{
+		Worker: core.worker.WorkerIdentity, Token: core.token, Run: run.Run, Reason: run.stopReason,
+		SentAt: run.SentAt, ReceivedAt: run.receivedAt, StartedAt: run.startedAt,
+	})
 }
 
 // join makes the end of a run known to a further owner that has ordered the run. A refusal would
--- a/ptrunner/ptrunner.go
+++ b/ptrunner/ptrunner.go
@@ -214,8 +214,10 @@
 			runner.startOrders.Inc()
 			go runner.start(effect)
 		case ptruncontrol.StopRun:
+			now := runner.deps.Clock.Now()
 			runner.deps.Log.Info("stopping run", "job", effect.Run.Task.Job, "step", effect.Run.Task.Step, "task", effect.Run.Task.Index,
-				"run", effect.Run.Number, "reason", effect.Reason, "worker", effect.Worker.ID, "token", effect.Token)
+				"run", effect.Run.Number, "reason", effect.Reason, "worker", effect.Worker.ID, "token", effect.Token,
+				"sentAgo", age(effect.SentAt, now), "receivedAgo", age(effect.ReceivedAt, now), "startedAgo", age(effect.StartedAt, now))
 			go runner.stop(effect)
 		case ptruncontrol.ListRuns:
 			go func() { _ = runner.listWorker(0) }()
@@ -281,6 +283,14 @@
 	}
 }
 
+// age describes how long ago an instant was, which is unknown if it is zero.
+func age(instant, now ptid.Instant) string {
+	if instant == 0 {
+		return "unknown"
+	}
+	return now.Sub(instant).String()
+}
+
 // maxDescribedRuns bounds the length of a log line.
 const maxDescribedRuns = 8
 
