--- a/ptbroker/cancel_elsewhere_test.go
+++ b/ptbroker/cancel_elsewhere_test.go
@@ -10,6 +10,7 @@
 	"github.com/primrosetiller/primrosetiller/ptgraph"
 	"github.com/primrosetiller/primrosetiller/ptid"
 	"github.com/primrosetiller/primrosetiller/ptrun"
+	"github.com/primrosetiller/primrosetiller/ptstandin"
 )
 
 // Guards against an acknowledged cancellation that nothing follows: a best-effort job is known to the
@@ -18,7 +19,7 @@
 	system := newSystem(test, 3, 1)
 	spec := graph("00000000000000a1", 1)
 	spec.Steps = append(spec.Steps, ptgraph.Step{Count: 1, Demand: ptrun.Demand{CPU: 1000}, After: []ptrun.StepIndex{0}})
-	handle, refusal, err := system.brokers[0].Submit(ptassign.Spec{Spec: spec, Queue: queue, Deadline: ptid.Never})
+	handle, refusal, err := system.brokers[0].Submit(ptassign.Spec{Spec: spec, Queue: queue, Deadline: ptid.Never}, &ptstandin.Caller{})
 	system.expect.Expect(err).NotTo(HaveOccurred())
 	system.expect.Expect(refusal).To(BeNil())
 	system.expect.Eventually(system.active).WithTimeout(conditionTimeout).Should(Equal(1))
--- a/ptbroker/invalid_frames_test.go
+++ b/ptbroker/invalid_frames_test.go
@@ -121,7 +121,7 @@
 			{Count: 1, Demand: ptrun.Demand{CPU: 1}, Estimate: time.Millisecond},
 		}},
 		Queue: ptqueue.Queue{Name: "queue", Service: "service", Stretch: 2, TargetLatency: time.Minute}, Deadline: ptid.Never,
-	})
+	}, &ptstandin.Caller{})
 	expect.Expect(err).NotTo(HaveOccurred())
 	expect.Expect(refusal).To(BeNil())
 	return handle
--- a/ptbroker/ptbroker.go
+++ b/ptbroker/ptbroker.go
@@ -8,7 +8,9 @@
 //     reports, and the ends of runs, which state their results.
 //  2. One lock guards the core. Messages are posted while it is held; posting only appends
 //     them to the next frame.
-//  3. A second submission of an open job waits for the end of the same job.
+//  3. A second submission of an open job waits for the end of the same job. Before anything else
+//     is handled, the callers of all jobs are checked, if that is due (package ptcaller). Agents
+//     learn when the callers were checked last, and start and continue runs only for so long.
 //  4. On shutdown the broker becomes unready, but still accepts jobs for ShutdownDelay, until
 //     the load balancer has noticed. Then it refuses new jobs, and returns when every job
 //     with a waiting caller has ended.
@@ -17,7 +19,7 @@
 //
 //	broker := ptbroker.New(setting, dependencies)
 //	go broker.Run(ctx, listener)
-//	handle, refusal, err := broker.Submit(spec)
+//	handle, refusal, err := broker.Submit(spec, caller)
 //	<-handle.Done()
 //	outcome := handle.Outcome()
 package ptbroker
@@ -33,6 +35,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/primrosetiller/primrosetiller/ptassign"
+	"github.com/primrosetiller/primrosetiller/ptcaller"
 	"github.com/primrosetiller/primrosetiller/ptevacuation"
 	"github.com/primrosetiller/primrosetiller/ptgraph"
 	"github.com/primrosetiller/primrosetiller/ptid"
@@ -122,6 +125,7 @@
 		"took", took.String(), "error", errorText(err))
 	broker.mu.Lock()
 	defer broker.mu.Unlock()
+	broker.checkCallersIfDue()
 	broker.execute(broker.core.AdviceReceived(effect, tickets, err != nil, requestedAt, broker.deps.Clock.Now()))
 }
 
@@ -163,6 +167,7 @@
 	core           *ptassign.Core
 	agentSessions  map[ptid.AgentName]*agentSession
 	handles        map[ptid.JobID]*JobHandle
+	callers        *ptcaller.Roster
 	ownership      ownership
 	localityReport *localityReport
 	// adviceMu is held during a call to the advisor.
@@ -182,7 +187,6 @@
 	ID      ptid.JobID
 	done    chan struct{}
 	outcome Outcome
-	waiters int
 }
 
 // Done returns a channel that is closed when the job has ended.
@@ -196,7 +200,7 @@
 	broker := &Broker{
 		setting: setting, deps: deps, incarnation: ptid.NewIncarnation(time.Now()),
 		core: ptassign.New(setting.Seed), agentSessions: make(map[ptid.AgentName]*agentSession),
-		handles: make(map[ptid.JobID]*JobHandle), peers: newPeers(), localityReport: newLocalityReport(deps),
+		handles: make(map[ptid.JobID]*JobHandle), callers: ptcaller.New(), peers: newPeers(), localityReport: newLocalityReport(deps),
 		ownership: ownership{store: deps.JobStore, partitions: make(map[ptjobstore.Partition]*ownedPartition), startedAt: deps.Clock.Now()},
 		counters: counters{
 			orders: deps.Metrics.Counter(ptmetric.RunOrders), retries: deps.Metrics.Counter(ptmetric.Retries),
@@ -239,8 +243,13 @@
 // ReasonShuttingDown is the reason for refusing a job during a shutdown.
 const ReasonShuttingDown ptassign.RefusalReason = "shuttingDown"
 
-// Submit accepts or refuses a job. If a job with the same ID is open, the caller joins it.
-func (broker *Broker) Submit(spec ptassign.Spec) (handle *JobHandle, refusal *ptassign.Refusal, err error) {
+// ReasonCallerGone is the reason for refusing a job whose caller has closed its connection: it may have
+// submitted the job to another entry.
+const ReasonCallerGone ptassign.RefusalReason = "callerGone"
+
+// Submit accepts or refuses a job of a caller that is connected. If a job with the same ID is open, the
+// caller joins it.
+func (broker *Broker) Submit(spec ptassign.Spec, caller ptcaller.Caller) (handle *JobHandle, refusal *ptassign.Refusal, err error) {
 	if broker.refusing.Load() {
 		refusal = &ptassign.Refusal{Reason: ReasonShuttingDown, RetryAfter: time.Second}
 		broker.logRefusal(spec.ID, spec.Queue.Name, refusal)
@@ -248,19 +257,25 @@
 	}
 	broker.mu.Lock()
 	defer broker.mu.Unlock()
+	broker.checkCallersIfDue()
+	if !broker.callers.Join(spec.ID, caller) {
+		refusal = &ptassign.Refusal{Reason: ReasonCallerGone, RetryAfter: time.Second}
+		broker.logRefusal(spec.ID, spec.Queue.Name, refusal)
+		return nil, refusal, nil
+	}
 	if handle = broker.handles[spec.ID]; handle != nil {
-		handle.waiters++
-		broker.deps.Log.Info("caller joined open job", "job", spec.ID, "waiters", handle.waiters)
+		broker.deps.Log.Info("caller joined open job", "job", spec.ID, "waiters", broker.callers.Callers(spec.ID))
 		return handle, nil, nil
 	}
 	job, refusal, effects, err := broker.core.Submit(spec, broker.deps.Clock.Now())
 	if err != nil || refusal != nil {
+		broker.callers.End(spec.ID)
 		if refusal != nil {
 			broker.logRefusal(spec.ID, spec.Queue.Name, refusal)
 		}
 		return nil, refusal, err
 	}
-	handle = &JobHandle{ID: job.ID, done: make(chan struct{}), waiters: 1}
+	handle = &JobHandle{ID: job.ID, done: make(chan struct{})}
 	broker.handles[job.ID] = handle
 	broker.execute(effects)
 	return handle, nil, nil
@@ -274,20 +289,6 @@
 		"reservedMillicoresPerSecond", int64(refusal.Capacity.ReservedPerSecond), "retryAfter", refusal.RetryAfter.String())
 }
 
-// Detach records that one caller no longer waits for a job. If it was the last caller, the job
-// is cancelled.
-func (broker *Broker) Detach(handle *JobHandle, reason string) {
-	broker.mu.Lock()
-	defer broker.mu.Unlock()
-	handle.waiters--
-	if handle.waiters > 0 || broker.handles[handle.ID] != handle {
-		return
-	}
-	key, now := ptassign.Key{ID: handle.ID}, broker.deps.Clock.Now()
-	broker.deps.Log.Info("cancelling job without callers", "job", handle.ID, "why", reason, "age", now.Sub(broker.core.Job(key).SubmittedAt).String())
-	broker.execute(broker.core.Cancel(key, now))
-}
-
 // Cancel cancels a job and reports whether it was open.
 func (broker *Broker) Cancel(id ptid.JobID) (found bool) {
 	broker.mu.Lock()
@@ -412,6 +413,7 @@
 		return
 	}
 	delete(broker.handles, job.ID)
+	broker.callers.End(job.ID)
 	handle.outcome = Outcome{State: job.State(), Refusal: effect.Refusal}
 	close(handle.done)
 }
--- a/ptbroker/ptbroker_test.go
+++ b/ptbroker/ptbroker_test.go
@@ -190,7 +190,7 @@
 	for _, worker := range system.workers {
 		worker.RunTime = 10 * time.Millisecond
 	}
-	handle, refusal, err := system.brokers[0].Submit(ptassign.Spec{Spec: graph("00000000000000a1", 6), Queue: queue, Deadline: ptid.Never})
+	handle, refusal, err := system.brokers[0].Submit(ptassign.Spec{Spec: graph("00000000000000a1", 6), Queue: queue, Deadline: ptid.Never}, &ptstandin.Caller{})
 	system.expect.Expect(err).NotTo(HaveOccurred())
 	system.expect.Expect(refusal).To(BeNil())
 	system.expect.Eventually(handle.Done()).WithTimeout(conditionTimeout).Should(BeClosed())
--- a/ptbroker/resubmission_test.go
+++ b/ptbroker/resubmission_test.go
@@ -187,7 +187,8 @@
 		callers.mu.Unlock()
 		broker := callers.system.brokers[callers.pick(len(callers.system.brokers))]
 		spec := ptgraph.Spec{ID: id, MaxAttempts: 3, Steps: []ptgraph.Step{{Count: tasks, Demand: ptrun.Demand{CPU: 1000}, Estimate: 100 * time.Millisecond}}}
-		handle, refusal, err := broker.Submit(ptassign.Spec{Spec: spec, Queue: resubmittable, Deadline: ptid.Never})
+		caller := &ptstandin.Caller{}
+		handle, refusal, err := broker.Submit(ptassign.Spec{Spec: spec, Queue: resubmittable, Deadline: ptid.Never}, caller)
 		if err != nil || refusal != nil {
 			return
 		}
@@ -202,7 +203,8 @@
 		case <-broken:
 			// The entry sees the broken connection up to 30 ms later than the caller.
 			time.Sleep(time.Duration(callers.pick(30)) * time.Millisecond)
-			broker.Detach(handle, "reset")
+			caller.Leave()
+			broker.Detach(handle, caller, "reset")
 		}
 		if time.Now().After(callers.until) {
 			return
--- a/ptbroker/runtimes_test.go
+++ b/ptbroker/runtimes_test.go
@@ -101,7 +101,7 @@
 func (system *learningSystem) runJob(entry *Broker, id ptid.JobID) (expected time.Duration) {
 	handle, refusal, err := entry.Submit(ptassign.Spec{Deadline: ptid.Never, Queue: learnedQueue, Spec: ptgraph.Spec{
 		ID: id, MaxAttempts: 3, Steps: []ptgraph.Step{{Count: 1, Demand: ptrun.Demand{CPU: 1000}}},
-	}})
+	}}, &ptstandin.Caller{})
 	system.expect.Expect(err).NotTo(HaveOccurred())
 	system.expect.Expect(refusal).To(BeNil())
 	entry.mu.Lock()
--- a/ptbroker/session.go
+++ b/ptbroker/session.go
@@ -51,6 +51,9 @@
 	evacuation ptevacuation.Exchange
 	// runTimes is used only by PrepareFrame, which the session calls from one goroutine.
 	runTimes ptruntime.Sender
+	// callersCheckedAt is when the latest check of the callers began, on the agent's clock. The lock of the
+	// broker guards it.
+	callersCheckedAt ptid.Instant
 	// lastSentAt is when the latest frame was sent.
 	lastSentAt atomic.Int64
 }
@@ -130,6 +133,7 @@
 	if broker.agentSessions[agent.name()] != agent {
 		return
 	}
+	broker.checkCallersIfDue()
 	now := broker.deps.Clock.Now()
 	broker.handleEvacuation(agent, frame.Evacuation)
 	broker.handleReport(agent, frame.Room, now)
@@ -271,6 +275,8 @@
 	broker.sessions.Store(int64(len(broker.agentSessions)))
 	greeting, now := agent.greeting, broker.deps.Clock.Now()
 	agent.openedAt = now
+	// The clock of the agent was estimated after the latest check, so that check can't be confirmed to it.
+	broker.checkCallers()
 	for _, partition := range broker.ownership.partitions {
 		partition.handover.AgentConnected(agent.name())
 	}
@@ -376,6 +382,7 @@
 			agent.session.Tick()
 		}
 		broker.mu.Lock()
+		broker.checkCallersIfDue()
 		broker.execute(broker.core.Tick(broker.deps.Clock.Now()))
 		broker.tickPartitions(broker.deps.Clock.Now())
 		broker.publishCapacityRequests(broker.deps.Clock.Now())
--- a/ptdrill/agent.go
+++ b/ptdrill/agent.go
@@ -166,6 +166,7 @@
 		if target.sessions[agent.index] != session {
 			return
 		}
+		target.checkCallersIfDue()
 		target.applyEffects(target.core.AgentReported(agent.name(), ptassign.AgentState{
 			Worker: report.Worker, Capacity: report.Capacity, Held: report.Held, Own: report.Own, Unusable: report.Unusable,
 			RequestedByOthers: report.RequestedByOthers, Assessment: report.Assessment, MayProbe: report.MayProbe, Isolating: report.Isolating, Speed: report.Speed,
--- a/ptdrill/entry.go
+++ b/ptdrill/entry.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/primrosetiller/primrosetiller/ptassign"
+	"github.com/primrosetiller/primrosetiller/ptcaller"
 	"github.com/primrosetiller/primrosetiller/ptevacuation"
 	"github.com/primrosetiller/primrosetiller/ptgraph"
 	"github.com/primrosetiller/primrosetiller/ptid"
@@ -21,8 +22,9 @@
 
 	index int
 	core  *ptassign.Core
-	// callers contains the open jobs and how many callers wait for each of them.
-	callers   map[ptid.JobID]*openJob
+	// open contains the open jobs, and roster the callers whose disconnection the entry has not noticed.
+	open      map[ptid.JobID]*openJob
+	roster    *ptcaller.Roster
 	sessions  [agents]*session
 	request   ptrun.CapacityRequest
 	ownership *ownership
@@ -30,16 +32,21 @@
 	evacuation ptevacuation.State
 }
 
-// openJob is a job whose end callers wait for. waiters counts the callers whose disconnection the
-// entry has not noticed, and connected those that are connected.
+// openJob is a job whose end callers wait for. callers contains those that have not disconnected.
 type openJob struct {
-	spec               ptgraph.Spec
-	waiters, connected int
+	spec    ptgraph.Spec
+	callers []*caller
 }
 
+// caller is a caller that waits for a job. It implements ptcaller.Caller.
+type caller struct{ gone bool }
+
+// IsConnected implements ptcaller.Caller.
+func (caller *caller) IsConnected() bool { return !caller.gone }
+
 func (simulation *simulation) startEntry(index int) {
 	started := &entry{
-		index: index, core: ptassign.New(uint64(simulation.random.Int64())), callers: make(map[ptid.JobID]*openJob),
+		index: index, core: ptassign.New(uint64(simulation.random.Int64())), open: make(map[ptid.JobID]*openJob), roster: ptcaller.New(),
 		process: process{simulation: simulation, alive: true, incarnation: 1},
 	}
 	started.core.PlaceBySpeed(simulation.setting.Faults.Stragglers)
@@ -68,6 +75,7 @@
 			session.tick(ptlink.EntrySide)
 		}
 	}
+	entry.checkCallersIfDue()
 	entry.applyEffects(entry.core.Tick(now))
 	entry.ownership.tick()
 	requests, sendNow := entry.core.CapacityRequestsToSend(now)
@@ -161,12 +169,16 @@
 		number, epoch = partition.number, partition.epoch
 	}
 	entry.simulation.trace("%s orders %v at %s", entry.name(), effect.Run, effect.Agent)
-	sentAt := entry.simulation.Now()
+	session := entry.sessions[agentIndex(effect.Agent)]
+	if session == nil {
+		return
+	}
+	sentAt, confirmedAt := entry.simulation.Now(), session.callersConfirmedAt
 	entry.post(agentIndex(effect.Agent), func(agent *agent) {
 		now := agent.simulation.Now()
 		agent.simulation.owners[agent.index][effect.Run] = entry.owner()
 		agent.applyEffects(agent.core.Order(ptruncontrol.Order{
-			Run: effect.Run, Owner: entry.owner(), Demand: effect.Demand, SentAt: sentAt, StartBy: effect.StartBy, WaitUntil: now.Add(effect.MaxWait),
+			Run: effect.Run, Owner: entry.owner(), Demand: effect.Demand, SentAt: sentAt, CallersConfirmedAt: confirmedAt, StartBy: effect.StartBy, WaitUntil: now.Add(effect.MaxWait),
 			QueueKey: effect.QueueKey, ExpectedRunTime: effect.ExpectedRunTime, Queue: effect.Queue, Isolation: effect.Isolation, Partition: number, Epoch: epoch,
 		}, now))
 	})
@@ -175,7 +187,8 @@
 func (entry *entry) jobEnded(effect ptassign.JobEnded) {
 	report := &entry.simulation.report
 	entry.simulation.trace("%s ends job %s: %v", entry.name(), effect.Job.ID, effect.Job.State())
-	delete(entry.callers, effect.Job.ID)
+	delete(entry.open, effect.Job.ID)
+	entry.roster.End(effect.Job.ID)
 	if effect.Job.Durable && effect.Job.State() == ptgraph.Failed {
 		entry.simulation.monitor.jobFailed(effect.Job.Spec)
 	}
@@ -250,14 +263,25 @@
 		simulation.resubmit(spec)
 		return
 	}
-	target.handle(func() { target.submit(spec) })
+	waiting := &caller{}
+	if target.pausedUntil > simulation.Now() && simulation.setting.Faults.CallerBreaks && simulation.happens(30) {
+		// The caller leaves before the entry continues and reads the request.
+		simulation.After(simulation.between(0, target.pausedUntil.Sub(simulation.Now())), func() {
+			waiting.gone = true
+			simulation.resubmit(spec)
+		})
+	}
+	target.handle(func() { target.submit(spec, waiting) })
 }
 
-func (entry *entry) submit(spec ptgraph.Spec) {
+func (entry *entry) submit(spec ptgraph.Spec, waiting *caller) {
 	simulation := entry.simulation
-	if open := entry.callers[spec.ID]; open != nil {
-		open.waiters++
-		open.connected++
+	entry.checkCallersIfDue()
+	if !entry.roster.Join(spec.ID, waiting) {
+		return
+	}
+	if open := entry.open[spec.ID]; open != nil {
+		open.callers = append(open.callers, waiting)
 		return
 	}
 	_, refusal, effects, err := entry.core.Submit(ptassign.Spec{
@@ -265,11 +289,12 @@
 		Queue: ptqueue.Queue{Name: "queue", Service: service, Stretch: 2, TargetLatency: time.Second},
 	}, simulation.Now())
 	if err != nil || refusal != nil {
+		entry.roster.End(spec.ID)
 		simulation.report.Refused++
 		return
 	}
 	simulation.trace("%s admits job %s", entry.name(), spec.ID)
-	entry.callers[spec.ID] = &openJob{spec: spec, waiters: 1, connected: 1}
+	entry.open[spec.ID] = &openJob{spec: spec, callers: []*caller{waiting}}
 	entry.applyEffects(effects)
 	percent := 0
 	switch {
@@ -285,27 +310,58 @@
 }
 
 // disconnectCaller breaks the connection of a caller. The caller submits the job to a random entry
-// again. The entry cancels the job when it notices that no caller is left.
+// again. The operating system of the entry learns of the loss some milliseconds later, and the entry
+// handles it as soon as it runs.
 func (entry *entry) disconnectCaller(id ptid.JobID) {
-	simulation, open := entry.simulation, entry.callers[id]
-	if open == nil || open.connected == 0 || !entry.alive {
+	simulation, open := entry.simulation, entry.open[id]
+	if open == nil || len(open.callers) == 0 || !entry.alive {
 		return
 	}
-	open.connected--
+	lost := open.callers[0]
+	open.callers = open.callers[1:]
 	simulation.trace("%s loses the caller of job %s", entry.name(), id)
 	simulation.resubmit(open.spec)
 	notice := simulation.between(0, 5*time.Millisecond)
 	if simulation.setting.Faults.LateNotice && simulation.happens(30) {
 		notice = simulation.between(0, 4*time.Second)
 	}
-	entry.after(notice, func() {
-		open.waiters--
-		if open.waiters == 0 && entry.callers[id] == open {
-			entry.applyEffects(entry.core.Cancel(ptassign.Key{ID: id}, simulation.Now()))
-		}
+	simulation.After(notice, func() {
+		lost.gone = true
+		entry.handle(func() {
+			if entry.roster.Leave(id, lost) {
+				entry.cancelAbandoned(id)
+			}
+		})
 	})
 }
 
+func (entry *entry) cancelAbandoned(id ptid.JobID) {
+	if entry.open[id] != nil {
+		entry.applyEffects(entry.core.Cancel(ptassign.Key{ID: id}, entry.simulation.Now()))
+	}
+}
+
+func (entry *entry) checkCallersIfDue() {
+	if entry.roster.IsCheckDue(entry.simulation.Now()) {
+		entry.checkCallers()
+	}
+}
+
+// checkCallers checks the callers of all jobs, cancels the abandoned ones and confirms the others to the
+// agents.
+func (entry *entry) checkCallers() {
+	now := entry.simulation.Now()
+	for _, id := range entry.roster.Check(now) {
+		entry.simulation.trace("%s finds job %s abandoned", entry.name(), id)
+		entry.cancelAbandoned(id)
+	}
+	for _, session := range entry.sessions {
+		if session != nil {
+			session.callersConfirmedAt = now
+		}
+	}
+}
+
 func (simulation *simulation) resubmit(spec ptgraph.Spec) {
 	if simulation.quiescent {
 		return
--- a/ptdrill/faults.go
+++ b/ptdrill/faults.go
@@ -211,7 +211,7 @@
 
 // disconnectCallers breaks the connections of a share of an entry's callers.
 func (simulation *simulation) disconnectCallers(entry *entry, percent int) {
-	for _, id := range sortedKeys(entry.callers) {
+	for _, id := range sortedKeys(entry.open) {
 		if simulation.happens(percent) {
 			entry.disconnectCaller(id)
 		}
--- a/ptdrill/session.go
+++ b/ptdrill/session.go
@@ -23,8 +23,10 @@
 // frame is a frame of a session. The last frame of a session tells the peer that it was closed.
 type frame struct {
 	sequence, ack ptid.Sequence
-	receive       func()
-	last          bool
+	// callersConfirmedAt is that of the session. Agents set it too, and entries ignore it.
+	callersConfirmedAt ptid.Instant
+	receive            func()
+	last               bool
 }
 
 // side is one side of a session.
@@ -49,6 +51,8 @@
 	// closed the connection before it received the welcome.
 	sides    [2]*side
 	unopened bool
+	// callersConfirmedAt is when the entry last confirmed the callers of its jobs.
+	callersConfirmedAt ptid.Instant
 	// evacuation is the state of the evacuated zones in the agent's greeting.
 	evacuation ptevacuation.State
 }
@@ -82,6 +86,7 @@
 
 func (session *session) transmit(from ptlink.Role, sent frame) {
 	side := session.sides[from]
+	sent.callersConfirmedAt = session.callersConfirmedAt
 	side.wire = append(side.wire, sent)
 	session.simulation.After(session.simulation.delay(), func() { session.arrive(from) })
 }
@@ -114,6 +119,7 @@
 		}
 		if to == ptlink.AgentSide {
 			session.agent.core.OwnerConfirmed(session.entry.owner(), session.sides[to].link.PeerAliveAt())
+			session.agent.core.CallersConfirmed(session.entry.owner(), received.callersConfirmedAt)
 		}
 	}
 }
@@ -253,6 +259,7 @@
 		agent.mergeEvacuation(state)
 		receive(true)
 	}})
+	entry.checkCallers()
 	entry.ownership.connecting(agent.name())
 	entry.core.AgentLocated(agent.name(), zoneOf(agent.index), now)
 	entry.applyEffects(entry.core.AgentConnected(agent.name(), agent.incarnation, service, true, now))
--- a/ptfront/ptfront.go
+++ b/ptfront/ptfront.go
@@ -212,7 +212,7 @@
 		case <-handle.Done():
 			return
 		case <-ticker.C:
-			if !callerClosed && pttransport.ClosedByPeer(request.Conn()) {
+			if !callerClosed && pttransport.NewProbe(request.Conn()).ClosedByPeer() {
 				callerClosed = true
 				handle.Cancel()
 			}
--- a/ptmetric/ptmetric.go
+++ b/ptmetric/ptmetric.go
@@ -76,6 +76,7 @@
 	NearWaits            Name = "primrosetiller_near_waits_total"
 	NearWaitsPaid        Name = "primrosetiller_near_waits_paid_total"
 	FarPlacements        Name = "primrosetiller_far_placements_total"
+	AbandonedJobs        Name = "primrosetiller_abandoned_jobs_total"
 
 	IntakeRefusals    Name = "primrosetiller_intake_refusals_total"
 	IntakeConnections Name = "primrosetiller_intake_connections"
@@ -137,6 +138,7 @@
 	{NearWaits, "Waits for near workers", "Tasks that began to wait for a worker near their data although a far worker had room.", "2.2"},
 	{NearWaitsPaid, "Waits that paid", "Tasks that waited for a near worker and were placed on one within the expected time.", "2.2"},
 	{FarPlacements, "Far placements", "Tasks that were placed on a far worker because near workers had no room. Counted only for queues whose stretch is below remote-factor.", "2.2"},
+	{AbandonedJobs, "Jobs found abandoned", "Jobs of this entry that a check of all callers found without a connected one, before the entry was told of the loss. The entry was paused or short of processor time.", "2.2"},
 	{IntakeRefusals, "Refused clients", "Connections and requests refused or closed before anything of them was carried out, by listener and reason: connections (the listener has too many), descriptors (the process has none left), slow (the connection lost its place to another one), memory (the budget is used up), tooLarge (body over the limit), greeting (too many bytes before it).", "2.1"},
 	{IntakeConnections, "Bounded connections", "Open connections, by listener. Sessions count until their greeting.", "2.1"},
 	{IntakeBytes, "Bytes of open requests", "Bytes of the budget that requests hold which have been read, and that are not decided or whose jobs have not ended.", "2.1"},
--- a/ptruncontrol/owners.go
+++ b/ptruncontrol/owners.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// OwnerTimeout is how long after the last proof of life of its owner a run of a best-effort
-	// job may be active, even if the agent fails or stop orders have no effect. The lease of the
-	// worker never extends beyond that. OwnerTimeout is less than the time after which callers
+	// OwnerTimeout is how long after its owner has confirmed the callers of its jobs a run of a
+	// best-effort job may be active, even if the agent fails or stop orders have no effect. The lease
+	// of the worker never extends beyond that. OwnerTimeout is less than the time after which callers
 	// resubmit; see docs/design/10-platform.md.
 	OwnerTimeout = 1250 * time.Millisecond
 	// DurableOwnerTimeout is the same for a run of a durable job. It is less than the time after
@@ -35,6 +35,25 @@
 	}
 }
 
+// CallersConfirmed records that every open best-effort job of an incarnation of an entry had a caller at
+// confirmedAt (package ptcaller). That the entry was alive then proves nothing: after a pause it may act
+// before it handles the loss of a caller. All stop requests that the entry sent before must have been
+// processed.
+func (core *Core) CallersConfirmed(owner Owner, confirmedAt ptid.Instant) {
+	if state := core.owners[owner.Entry]; state != nil && state.incarnation == owner.Incarnation {
+		state.callersConfirmedAt = max(state.callersConfirmedAt, confirmedAt)
+	}
+}
+
+// confirmedAt returns the instant at which the callers were confirmed when the order was sent. The clocks
+// of entries are estimated, so Order.CallersConfirmedAt may lie ahead.
+func (order *Order) confirmedAt(now ptid.Instant) ptid.Instant {
+	if order.CallersConfirmedAt == 0 {
+		return order.sentAt(now)
+	}
+	return min(now, order.CallersConfirmedAt)
+}
+
 // sentAt returns the latest instant before which the order has certainly not been sent. The clocks
 // of entries are estimated, so it may lie ahead.
 func (order *Order) sentAt(now ptid.Instant) ptid.Instant {
@@ -59,11 +78,11 @@
 	}
 	limit = ptid.Never
 	for _, owner := range run.owners() {
-		aliveAt := ptid.Instant(0)
+		confirmedAt := ptid.Instant(0)
 		if state := core.owners[owner.Entry]; state != nil && state.incarnation == owner.Incarnation {
-			aliveAt = state.aliveAt
+			confirmedAt = state.callersConfirmedAt
 		}
-		limit = min(limit, aliveAt.Add(OwnerTimeout))
+		limit = min(limit, confirmedAt.Add(OwnerTimeout))
 	}
 	return limit
 }
--- a/ptruncontrol/ptruncontrol.go
+++ b/ptruncontrol/ptruncontrol.go
@@ -23,8 +23,9 @@
 //     has expired, even if the worker's clock is slow by one part in [ClockDriftDivisor].
 //     A run that is active for [StopTimeout] after its first stop order is ended by the
 //     lease: the agent does not renew it and starts no run, which ends all runs on the worker.
-//     A lease never extends beyond [OwnerTimeout] after the last proof of life of an entry that
-//     has best-effort runs on the worker ([DurableOwnerTimeout] for runs of durable jobs), nor,
+//     A lease never extends beyond [OwnerTimeout] after an entry that has best-effort runs on the
+//     worker has last confirmed the callers of its jobs ([DurableOwnerTimeout] after the last proof
+//     of life of the owner, for runs of durable jobs), nor,
 //     while a best-effort run is to be stopped, beyond a lease after the stop was requested
 //     (owners.go).
 //  5. If an entry has had no session for [OrphanTimeout], its best-effort runs are stopped.
@@ -157,6 +158,9 @@
 	Demand ptrun.Demand
 	// SentAt is an instant before which the entry has not sent the order; zero means unknown.
 	SentAt ptid.Instant
+	// CallersConfirmedAt is when the entry last confirmed the callers of its best-effort jobs
+	// ([Core.CallersConfirmed]). Zero means that the entry does not do so: it runs an earlier version.
+	CallersConfirmedAt ptid.Instant
 	// StartBy is the deadline for the start of the run. WaitUntil is the instant at which the
 	// run is refused if it still waits for capacity. Waiting runs start in ascending order of
 	// QueueKey.
@@ -371,7 +375,10 @@
 	// aliveAt is the latest instant at which the incarnation is known to have been alive, and
 	// openedAt when it opened its latest session.
 	aliveAt, openedAt ptid.Instant
-	request           ptrun.CapacityRequest
+	// callersConfirmedAt is the latest instant at which every open best-effort job of the incarnation
+	// is known to have had a caller.
+	callersConfirmedAt ptid.Instant
+	request            ptrun.CapacityRequest
 	// usage is the sum of the CPU demands of the runs that the entry has ordered, each divided
 	// by the rate at which the entry requested capacity. The entry with the lowest usage gets
 	// the next offer.
@@ -613,7 +620,7 @@
 	}
 	for _, owner := range core.owners {
 		owner.disconnectedAt, owner.aliveAt = owner.disconnectedAt.Add(-suspended), owner.aliveAt.Add(-suspended)
-		owner.openedAt = owner.openedAt.Add(-suspended)
+		owner.openedAt, owner.callersConfirmedAt = owner.openedAt.Add(-suspended), owner.callersConfirmedAt.Add(-suspended)
 	}
 	for _, run := range core.runs {
 		run.stopDeadline = run.stopDeadline.Add(-suspended)
@@ -683,6 +690,7 @@
 // Order processes an order of an entry.
 func (core *Core) Order(order Order, now ptid.Instant) (effects []Effect) {
 	core.OwnerConfirmed(order.Owner, order.sentAt(now))
+	core.CallersConfirmed(order.Owner, order.confirmedAt(now))
 	if existing := core.runs[order.Run]; existing != nil {
 		return core.join(existing, order.Owner)
 	}
--- a/ptruncontrol/responses.go
+++ b/ptruncontrol/responses.go
@@ -252,7 +252,7 @@
 	}
 	opened := &ownerState{incarnation: owner.Incarnation, connected: true, openedAt: now}
 	if previous != nil && previous.incarnation == owner.Incarnation {
-		opened.aliveAt = previous.aliveAt
+		opened.aliveAt, opened.callersConfirmedAt = previous.aliveAt, previous.callersConfirmedAt
 	}
 	core.owners[owner.Entry] = opened
 	for id, ended := range core.ends {
--- a/ptruncontrol/silent_owner_test.go
+++ b/ptruncontrol/silent_owner_test.go
@@ -27,7 +27,7 @@
 	fixture := newFixture(test)
 	fixture.startRun(run(0, 1))
 	latest := fixture.lastLease(2, 300, run(0, 1))
-	fixture.OwnerConfirmed(owner, at(290))
+	fixture.CallersConfirmed(owner, at(290))
 	fixture.Stop(run(0, 1), ptrun.ReasonStopRequested, at(301))
 	latest = max(latest, fixture.lastLease(302, resubmitDelay, run(0, 1)))
 	fixture.expect.Expect(latest).To(BeNumerically("<=", resubmitDelay*49/50))
@@ -37,7 +37,7 @@
 	fixture := newFixture(test)
 	fixture.startRun(run(0, 1))
 	for millis := 100; millis <= 5000; millis += 100 {
-		fixture.OwnerConfirmed(owner, at(millis-400))
+		fixture.CallersConfirmed(owner, at(millis-400))
 		fixture.list(ptrun.WorkerTime(1000+millis), at(millis-1), at(millis), nil, run(0, 1))
 		fixture.expect.Expect(fixture.LeaseRenewal(at(millis)).ExpiresAt).To(BeNumerically(">=", 1000+millis+800))
 	}
--- a/ptruncontrol/takeover_test.go
+++ b/ptruncontrol/takeover_test.go
@@ -281,7 +281,7 @@
 	page := ptrun.Listing{WorkerStartedAt: time.UnixMilli(5), EndsTruncated: true, Active: []ptrun.ListedRun{{Run: run(0, 1)}}}
 	for millis := 100; millis <= 3000; millis += 100 {
 		page.Clock = 1000 + ptrun.WorkerTime(millis)
-		fixture.OwnerConfirmed(owner, at(millis))
+		fixture.CallersConfirmed(owner, at(millis))
 		fixture.expect.Expect(sentEnds(fixture.HandleListing(page, at(millis-1), at(millis)))).To(BeEmpty())
 	}
 	fixture.expect.Expect(fixture.LeaseRenewal(at(3001)).ExpiresAt).To(BeNumerically(">", 4500))
--- a/ptrunner/session.go
+++ b/ptrunner/session.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -139,7 +140,7 @@
 			Demand: ptrun.Demand{
 				CPU: ptrun.Millicores(order.CpuMillicores), Memory: ptrun.Mebibytes(order.MemoryMebibytes), Accelerators: order.Accelerators,
 			},
-			SentAt: ptid.Instant(frame.AgentClockNanos), StartBy: ptid.Instant(order.StartByNanos), WaitUntil: now.Add(time.Duration(order.WaitNanos)), QueueKey: ptid.Instant(order.OrderNanos), Checkpoint: ptrun.Checkpoint(order.Checkpoint),
+			SentAt: ptid.Instant(frame.AgentClockNanos), CallersConfirmedAt: ptid.Instant(frame.CallersConfirmedNanos), StartBy: startBy(frame, order), WaitUntil: now.Add(time.Duration(order.WaitNanos)), QueueKey: ptid.Instant(order.OrderNanos), Checkpoint: ptrun.Checkpoint(order.Checkpoint),
 			Partition: ptjobstore.Partition(order.Partition), Epoch: ptjobstore.Epoch(order.Epoch), Ticket: order.Ticket,
 			Opportunistic: order.Filling, TailLatencyTarget: time.Duration(order.TailTargetNanos), ExpectedRunTime: time.Duration(order.ExpectedNanos), Queue: ptid.ProfileName(order.Queue),
 			Isolation: time.Duration(order.IsolationNanos),
@@ -148,7 +149,24 @@
 	for _, ref := range frame.RunStops {
 		runner.execute(runner.core.Stop(ptrun.IDFromRef(ref), ptrun.ReasonStopRequested, now))
 	}
-	runner.core.OwnerConfirmed(peer.owner, peer.session.PeerAliveAt())
+	aliveAt := peer.session.PeerAliveAt()
+	runner.core.OwnerConfirmed(peer.owner, aliveAt)
+	confirmedAt := ptid.Instant(frame.CallersConfirmedNanos)
+	if confirmedAt == 0 {
+		// The entry runs a version that does not confirm its callers.
+		confirmedAt = aliveAt
+	}
+	runner.core.CallersConfirmed(peer.owner, min(now, confirmedAt))
+}
+
+// startBy returns the deadline for the start of an ordered run. It has passed if the frame also stops the
+// run: the confirmation in the frame is then later than the order.
+func startBy(frame *ptwire.Frame, order *ptwire.RunOrder) ptid.Instant {
+	run := ptrun.IDFromRef(order.Run)
+	if slices.ContainsFunc(frame.RunStops, func(ref *ptwire.RunRef) bool { return ptrun.IDFromRef(ref) == run }) {
+		return 0
+	}
+	return ptid.Instant(order.StartByNanos)
 }
 
 // dialLoop starts one dialing goroutine for each known entry address, once the worker executes
--- a/ptsession/ptsession.go
+++ b/ptsession/ptsession.go
@@ -118,6 +118,7 @@
 	pending       *ptwire.Frame
 	hasPending    bool
 	ackDue        bool
+	confirmedAt   ptid.Instant
 	closeReason   error
 	largePayloads []largePayload
 	lastPart      uint64
@@ -255,6 +256,15 @@
 	session.link.SetHeartbeatInterval(session.clock.Now(), interval)
 }
 
+// ConfirmCallers makes all later frames carry the instant, on the clock of the peer, at which every open
+// best-effort job is known to have had a caller (package ptcaller). Messages that were posted before are in
+// an earlier frame or in the first frame that carries the instant.
+func (session *Session) ConfirmCallers(at ptid.Instant) {
+	session.mu.Lock()
+	defer session.mu.Unlock()
+	session.confirmedAt = max(session.confirmedAt, at)
+}
+
 // PeerAliveAt returns the latest instant at which the peer is known to have been alive.
 func (session *Session) PeerAliveAt() ptid.Instant {
 	session.mu.Lock()
@@ -327,6 +337,7 @@
 	session.hasPending = len(session.largePayloads) > 0
 	sequence, ack := session.link.OnSend(session.clock.Now(), kind)
 	frame.Sequence, frame.Acknowledged = uint64(sequence), uint64(ack)
+	frame.CallersConfirmedNanos = int64(session.confirmedAt)
 	session.trackDelivery(sequence, frame)
 	session.mu.Unlock()
 	session.handler.PrepareFrame(session, frame)
--- a/ptsim/agent.go
+++ b/ptsim/agent.go
@@ -223,6 +223,7 @@
 	// Entries do not fail here, so their heartbeats are not simulated.
 	for _, entry := range simulation.entries {
 		agent.core.OwnerConfirmed(entry.owner(), now)
+		agent.core.CallersConfirmed(entry.owner(), now)
 	}
 	agent.applyEffects(agent.core.Tick(now))
 	sameZoneEntries := 0
--- a/pttransport/watch_test.go
+++ b/pttransport/watch_test.go
@@ -47,3 +47,29 @@
 		expect.Expect(string(read)).To(Equal("next"))
 	}
 }
+
+// The entry asks while a watcher waits on the same connection, and while nothing has run since the peer left.
+func TestProbeSeesThatThePeerHasLeft(test *testing.T) {
+	expect := NewWithT(test)
+	client, server := connected(test)
+	watcher, probe := pttransport.NewCloseWatcher(server), pttransport.NewProbe(server)
+	defer watcher.Stop()
+	expect.Expect(probe.ClosedByPeer()).To(BeFalse())
+	expect.Expect(client.Close()).To(Succeed())
+	expect.Eventually(probe.ClosedByPeer).Should(BeTrue())
+	expect.Expect(server.Close()).To(Succeed())
+	expect.Expect(probe.ClosedByPeer()).To(BeTrue())
+}
+
+func BenchmarkProbe(bench *testing.B) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	NewWithT(bench).Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = listener.Close() }()
+	client, err := net.Dial("tcp", listener.Addr().String())
+	NewWithT(bench).Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = client.Close() }()
+	probe := pttransport.NewProbe(client)
+	for bench.Loop() {
+		probe.ClosedByPeer()
+	}
+}
