--- a/ptbroker/callers_test.go
+++ b/ptbroker/callers_test.go
@@ -116,7 +116,7 @@
 	}
 }
 
-// The caller left after the entry had stood still for a while, and has not sent its job elsewhere yet.
+// A caller that waits gets its answer, however long the pauses of the entry were.
 func TestPausedEntryGoesOnWithTheJobOfACallerThatWaits(test *testing.T) {
 	fixture, caller := newCallerFixture(test), &ptstandin.Caller{}
 	handle, _ := fixture.submit(1, caller)
@@ -129,7 +129,7 @@
 	fixture.expect.Expect(handle.Outcome().State).To(Equal(ptgraph.Completed))
 }
 
-// A request that was sent to an entry that stood still is read when the entry continues.
+// A request that was sent to a paused entry is read when the entry continues.
 func TestRequestOfACallerThatHasLeftIsRefused(test *testing.T) {
 	fixture, caller := newCallerFixture(test), &ptstandin.Caller{}
 	caller.Leave()
@@ -155,7 +155,7 @@
 	fixture.expect.Expect(handle.Done()).To(BeClosed())
 }
 
-// Guards against the same failure where the entry stands still, or is suspended with its clock, between a
+// Guards against the same failure where the entry is paused, or is suspended with its clock, between a
 // check and the frame with the order: the frame must not confirm more than the check has shown.
 func TestFramesConfirmNothingAfterTheLatestCheck(test *testing.T) {
 	fixture := newCallerFixture(test)
@@ -172,7 +172,7 @@
 	fixture.expect.Expect(confirmed()).To(Equal(checkedAt))
 	fixture.clock.Advance(2400 * time.Millisecond)
 	fixture.expect.Expect(confirmed()).To(Equal(checkedAt), "nothing has been checked since")
-	// The clock of the agent has gone on while that of the entry stood still.
+	// The clock of the agent has gone on while the entry was suspended with its clock.
 	fixture.agent.clock.AddSample(int64(fixture.clock.Now().Add(5*time.Second)), fixture.clock.Now())
 	fixture.expect.Expect(confirmed()).To(Equal(checkedAt))
 	fixture.receive()
--- a/ptcaller/ptcaller.go
+++ b/ptcaller/ptcaller.go
@@ -8,16 +8,16 @@
 //     entry, after the resubmission delay of the platform. By then no run of the first submission may be
 //     active, and none may start.
 //  2. The loss of a caller and the reasons to start a task reach an entry over different connections.
-//     After the entry has stood still, or while it is short of processor time, the latter may be handled
-//     first. Therefore the entry does not wait for news of a loss: it asks the connections of all callers
+//     After a pause of the entry, or while it is short of processor time, the latter may be handled first.
+//     Therefore the entry does not wait for news of a loss: it asks the connections of all callers
 //     ([Roster.Check]) at least every [CheckInterval], before it handles anything else.
 //  3. Before a check the entry reads its clock and converts the instant to the clock of each agent. After
 //     the check, once the stops of the abandoned jobs are on their way, it confirms that instant to the
 //     agents: every open job had a caller then, or later. The conversion must come first. If the entry
 //     is suspended in between, the confirmed instant is too early, never too late.
 //  4. An agent neither starts nor continues a run for longer than ptruncontrol.OwnerTimeout after the
-//     confirmed instant, which is less than the resubmission delay. This holds wherever the entry stands
-//     still, and wherever an order or a stop is held up.
+//     confirmed instant, which is less than the resubmission delay. This holds wherever the entry is
+//     paused, and wherever an order or a stop is delayed.
 //  5. A caller is checked when it joins the roster ([Roster.Join]), so that the confirmation of a check
 //     covers the jobs that are submitted after it.
 //
--- a/ptruncontrol/owners.go
+++ b/ptruncontrol/owners.go
@@ -25,10 +25,10 @@
 	maxStartTime = StartOrderTTL + StartOrderTTL/(ClockDriftDivisor-1) + 2*time.Millisecond
 )
 
-// OwnerConfirmed records that an incarnation of an entry was alive at aliveAt. The agent knows
-// this from an order, which names the instant at which it was sent, and from the acknowledgement
-// of a frame, which was sent after the frame. All stop requests that the entry sent before must
-// have been processed.
+// OwnerConfirmed records that an incarnation of an entry was alive at aliveAt, which is what runs of
+// durable jobs rely on. The agent knows this from an order, which names the instant at which it was
+// sent, and from the acknowledgement of a frame, which was sent after the frame. All stop requests
+// that the entry sent before must have been processed.
 func (core *Core) OwnerConfirmed(owner Owner, aliveAt ptid.Instant) {
 	if state := core.owners[owner.Entry]; state != nil && state.incarnation == owner.Incarnation {
 		state.aliveAt = max(state.aliveAt, aliveAt)
